Design, change records and the deterministic fold

Cause: every entry must reach the same state from the platform's log, with races between operators and repeated appends decided alike everywhere.

Ruled out: a leader per data centre (a paused leader cannot be fenced at endpoints that run nothing of ours) and conditional appends (the log offers none).

--- /dev/null
+++ b/sardinedrift/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet capacity and maintenance manager."""
--- /dev/null
+++ b/sardinedrift/exceptions.py
@@ -0,0 +1,107 @@
+"""The tree of errors. Each layer turns the errors of the one below."""
+
+from sardinedrift.identifiers import Outcome
+
+
+class SardinedriftError(Exception):
+    """Base of every error of this package."""
+
+
+class SettingsError(SardinedriftError):
+    """A settings file is wrong; the text names file, key and allowed values."""
+
+
+class LogServiceError(SardinedriftError):
+    """Base of the errors of the log service."""
+
+
+class LogUnavailable(LogServiceError):  # noqa: N818
+    """The log refused the call or could not be reached; nothing was done."""
+
+
+class AppendUnknown(LogServiceError):  # noqa: N818
+    """An append may or may not have taken effect."""
+
+
+class OffsetExpired(LogServiceError):  # noqa: N818
+    """The requested records are older than the retention of the log."""
+
+
+class InstanceListError(SardinedriftError):
+    """The platform's instance list could not be read."""
+
+
+class StateError(SardinedriftError):
+    """A change cannot be applied to the state.
+
+    Attributes:
+        code: stable reason, such as "revision_conflict".
+        field: name of the field that is wrong, or "".
+    """
+
+    def __init__(self, code: str, message: str, field: str = ""):
+        super().__init__(message)
+        self.code = code
+        self.field = field
+
+
+class PublishUnknown(SardinedriftError):  # noqa: N818
+    """A change was not seen in the log before the deadline; it may appear."""
+
+
+class PeerError(SardinedriftError):
+    """A peer entry could not be reached or gave no usable answer."""
+
+
+class NoSnapshot(SardinedriftError):  # noqa: N818
+    """Neither the log nor a peer offers a complete snapshot."""
+
+
+class MinionError(SardinedriftError):
+    """Base of the errors of sending to a minion."""
+
+
+class DialFailed(MinionError):  # noqa: N818
+    """No connection could be opened, so the request was not run."""
+
+
+class RefusedBeforeStart(MinionError):  # noqa: N818
+    """The minion stated that it did not start the request.
+
+    Attributes:
+        draining: the minion accepts no work at all, rather than being full.
+    """
+
+    def __init__(self, message: str, draining: bool = False):
+        super().__init__(message)
+        self.draining = draining
+
+
+class OutcomeUnknown(MinionError):  # noqa: N818
+    """Bytes were sent and no complete, matching answer was received."""
+
+
+class WorkerError(SardinedriftError):
+    """A guarded worker refused or could not be reached."""
+
+
+class AdmissionError(SardinedriftError):
+    """A request ends without an answer of a minion.
+
+    Attributes:
+        code: stable reason shown to the caller.
+        status: HTTP status.
+        outcome: what the caller may conclude about execution.
+    """
+
+    def __init__(
+        self,
+        code: str,
+        message: str,
+        status: int,
+        outcome: Outcome = Outcome.NOT_RUN,
+    ):
+        super().__init__(message)
+        self.code = code
+        self.status = status
+        self.outcome = outcome
--- /dev/null
+++ b/sardinedrift/inventory.py
@@ -0,0 +1,289 @@
+"""Fold of endpoint instances and of their moves between pools."""
+
+import msgspec
+
+from sardinedrift import changes as ch
+from sardinedrift import objects
+from sardinedrift.configuration import (
+    check_exists,
+    check_name,
+    check_range,
+    check_revision,
+)
+from sardinedrift.exceptions import StateError
+from sardinedrift.identifiers import (
+    EntryId,
+    InstanceId,
+    InstanceState,
+    MoveId,
+    MoveState,
+    PoolId,
+    WaveId,
+    WaveState,
+)
+from sardinedrift.state import State
+
+_replace = msgspec.structs.replace
+
+
+def forget_entry(state: State, entry_id: EntryId) -> None:
+    """Stops waiting for acknowledgements of an entry that has ended."""
+    for instance in list(state.tables.instance_by_id.values()):
+        if instance.drain and entry_id in instance.drain.waiting:
+            _acknowledge(state, instance, entry_id)
+
+
+def unavailable(
+    state: State, pool_id: PoolId, without: InstanceId | None = None
+) -> list[objects.Instance]:
+    """Returns the unavailable instances of a pool, one excepted."""
+    return [
+        instance
+        for instance in state.instances_of(pool_id)
+        if not instance.available and instance.instance_id != without
+    ]
+
+
+def check_budget(state: State, instance: objects.Instance) -> None:
+    """Raises StateError when draining an instance would break a budget."""
+    pool = state.tables.pool_by_id[instance.pool_id]
+    others = unavailable(state, pool.pool_id, without=instance.instance_id)
+    if len(others) + 1 > pool.max_unavailable:
+        raise StateError(
+            "budget_exhausted",
+            f"{len(others)} instances of pool {pool.pool_id} are unavailable; "
+            f"its budget is {pool.max_unavailable}",
+            "instance_id",
+        )
+    rack = (instance.data_centre_id, instance.rack)
+    in_rack = [e for e in others if (e.data_centre_id, e.rack) == rack]
+    if len(in_rack) + 1 > pool.max_unavailable_per_rack:
+        raise StateError(
+            "budget_exhausted",
+            f"{len(in_rack)} instances of rack {instance.rack} are "
+            f"unavailable; its budget is {pool.max_unavailable_per_rack}",
+            "instance_id",
+        )
+
+
+def _put_instance(state: State, change: ch.PutInstance) -> int:
+    check_name("instance_id", change.instance_id)
+    check_exists(
+        state, "data_centre_by_id", "data_centre_id", change.data_centre_id
+    )
+    check_exists(state, "pool_by_id", "pool_id", change.pool_id)
+    check_range("slots", change.slots, 0)
+    check_range("connections", change.connections, 0)
+    check_range("cores", change.cores, 0)
+    check_range("memory_gb", change.memory_gb, 0)
+    check_range("accelerators", change.accelerators, 0)
+    current = state.tables.instance_by_id.get(change.instance_id)
+    revision = check_revision(change, current)
+    if current:
+        _check_place(change, current)
+    _check_address(state, change)
+    instance = objects.Instance(
+        instance_id=change.instance_id,
+        kind=change.kind,
+        data_centre_id=change.data_centre_id,
+        pool_id=change.pool_id,
+        rack=change.rack,
+        address=change.address,
+        slots=change.slots,
+        connections=change.connections,
+        cores=change.cores,
+        memory_gb=change.memory_gb,
+        accelerators=change.accelerators,
+        state=current.state if current else InstanceState.ACTIVE,
+        up=current.up if current else True,
+        drain=current.drain if current else None,
+        revision=revision,
+    )
+    state.put("instance_by_id", change.instance_id, instance)
+    return revision
+
+
+def _check_place(change: ch.PutInstance, current: objects.Instance) -> None:
+    if change.pool_id != current.pool_id:
+        raise StateError(
+            "pool_is_fixed", "use a move to change the pool", "pool_id"
+        )
+    if change.data_centre_id != current.data_centre_id:
+        raise StateError(
+            "data_centre_is_fixed",
+            "remove the instance and import it again",
+            "data_centre_id",
+        )
+
+
+def _check_address(state: State, change: ch.PutInstance) -> None:
+    """Two ids for one address would be one instance in two pools."""
+    for other in state.tables.instance_by_id.values():
+        same = other.address == change.address
+        if same and other.instance_id != change.instance_id:
+            raise StateError(
+                "exists",
+                f"instance {other.instance_id!r} has this address",
+                "address",
+            )
+
+
+def begin_drain(
+    state: State,
+    instance: objects.Instance,
+    move_id: MoveId | None = None,
+    wave_id: WaveId | None = None,
+) -> None:
+    """Starts a drain that every member of the data centre acknowledges."""
+    waiting = tuple(state.active_entries(instance.data_centre_id))
+    drain = objects.Drain(state.offset, waiting, move_id, wave_id)
+    instance = _replace(
+        instance,
+        state=InstanceState.DRAINING,
+        drain=drain,
+        revision=instance.revision + 1,
+    )
+    state.put("instance_by_id", instance.instance_id, instance)
+    if not waiting:
+        _complete_drain(state, instance)
+
+
+def _drain_ack(state: State, change: ch.DrainAck) -> int:
+    instance = state.tables.instance_by_id.get(change.instance_id)
+    drain = instance.drain if instance else None
+    if drain is None or drain.offset != change.drain:
+        return 0
+    _acknowledge(state, instance, change.entry_id)
+    return 0
+
+
+def _acknowledge(
+    state: State, instance: objects.Instance, entry_id: EntryId
+) -> None:
+    drain = instance.drain
+    waiting = tuple(each for each in drain.waiting if each != entry_id)
+    instance = _replace(instance, drain=_replace(drain, waiting=waiting))
+    state.put("instance_by_id", instance.instance_id, instance)
+    if not waiting and instance.state is InstanceState.DRAINING:
+        _complete_drain(state, instance)
+
+
+def _complete_drain(state: State, instance: objects.Instance) -> None:
+    drain = instance.drain
+    if drain.move_id is not None:
+        _complete_move(state, instance, state.tables.move_by_id[drain.move_id])
+        return
+    state.put(
+        "instance_by_id",
+        instance.instance_id,
+        _replace(
+            instance,
+            state=InstanceState.DRAINED,
+            revision=instance.revision + 1,
+        ),
+    )
+
+
+def _complete_move(
+    state: State, instance: objects.Instance, move: objects.Move
+) -> None:
+    state.put(
+        "instance_by_id",
+        instance.instance_id,
+        _replace(
+            instance,
+            pool_id=move.to_pool_id,
+            state=InstanceState.ACTIVE,
+            drain=None,
+            revision=instance.revision + 1,
+        ),
+    )
+    done = _replace(move, state=MoveState.DONE, revision=move.revision + 1)
+    state.put("move_by_id", move.move_id, done)
+
+
+def _start_move(state: State, change: ch.StartMove) -> int:
+    check_name("move_id", change.move_id)
+    check_exists(state, "instance_by_id", "instance_id", change.instance_id)
+    check_exists(state, "pool_by_id", "pool_id", change.pool_id)
+    if change.move_id in state.tables.move_by_id:
+        raise StateError("exists", "a move id is used only once", "move_id")
+    instance = state.tables.instance_by_id[change.instance_id]
+    check_revision(change, instance)
+    if instance.state is not InstanceState.ACTIVE:
+        raise StateError(
+            "not_active",
+            f"the instance is {instance.state.value}",
+            "instance_id",
+        )
+    if instance.pool_id == change.pool_id:
+        raise StateError("same_pool", "the instance is in this pool", "pool_id")
+    if has_running_wave(state, instance.pool_id):
+        check_budget(state, instance)
+    move = objects.Move(
+        change.move_id,
+        change.instance_id,
+        instance.pool_id,
+        change.pool_id,
+        MoveState.DRAINING,
+        1,
+    )
+    state.put("move_by_id", change.move_id, move)
+    begin_drain(state, instance, move_id=change.move_id)
+    return 1
+
+
+def has_running_wave(state: State, pool_id: PoolId) -> bool:
+    """Tells whether a wave runs in a pool."""
+    return any(
+        wave.pool_id == pool_id and wave.state is WaveState.RUNNING
+        for wave in state.tables.wave_by_id.values()
+    )
+
+
+def _cancel_move(state: State, change: ch.CancelMove) -> int:
+    check_exists(state, "move_by_id", "move_id", change.move_id)
+    move = state.tables.move_by_id[change.move_id]
+    revision = check_revision(change, move)
+    if move.state is not MoveState.DRAINING:
+        raise StateError(
+            "ended", f"the move is {move.state.value} already", "move_id"
+        )
+    cancelled = _replace(move, state=MoveState.CANCELLED, revision=revision)
+    state.put("move_by_id", move.move_id, cancelled)
+    instance = state.tables.instance_by_id[move.instance_id]
+    reactivate(state, instance)
+    return revision
+
+
+def reactivate(state: State, instance: objects.Instance) -> None:
+    """Ends a drain; the instance takes work again."""
+    state.put(
+        "instance_by_id",
+        instance.instance_id,
+        _replace(
+            instance,
+            state=InstanceState.ACTIVE,
+            drain=None,
+            revision=instance.revision + 1,
+        ),
+    )
+
+
+def _instance_observed(state: State, change: ch.InstanceObserved) -> int:
+    check_exists(state, "instance_by_id", "instance_id", change.instance_id)
+    instance = state.tables.instance_by_id[change.instance_id]
+    instance = _replace(instance, up=change.up)
+    if change.up and instance.state is InstanceState.FAILED:
+        instance = _replace(instance, state=InstanceState.ACTIVE, drain=None)
+    state.put("instance_by_id", change.instance_id, instance)
+    return instance.revision
+
+
+HANDLERS = {
+    ch.PutInstance: _put_instance,
+    ch.StartMove: _start_move,
+    ch.CancelMove: _cancel_move,
+    ch.DrainAck: _drain_ack,
+    ch.InstanceObserved: _instance_observed,
+}
--- /dev/null
+++ b/sardinedrift/maintenance.py
@@ -0,0 +1,222 @@
+"""Fold of maintenance waves; the availability budgets are counted here."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from sardinedrift import changes as ch
+from sardinedrift import objects
+from sardinedrift.configuration import (
+    check_exists,
+    check_name,
+    check_range,
+    check_revision,
+)
+from sardinedrift.exceptions import StateError
+from sardinedrift.identifiers import (
+    InstanceId,
+    InstanceState,
+    WaveId,
+    WaveState,
+    WaveStep,
+)
+from sardinedrift.inventory import (
+    begin_drain,
+    check_budget,
+    has_running_wave,
+    reactivate,
+)
+from sardinedrift.state import State
+
+_replace = msgspec.structs.replace
+
+_ENDED_STEPS = (WaveStep.BACK, WaveStep.FAILED)
+_UNDER_WAY_STEPS = (WaveStep.DRAINING, WaveStep.REBOOTING)
+
+
+def _start_wave(state: State, change: ch.StartWave) -> int:
+    check_name("wave_id", change.wave_id)
+    check_exists(state, "pool_by_id", "pool_id", change.pool_id)
+    check_range("canary", change.canary, 0)
+    check_range("max_failures", change.max_failures, 1)
+    check_range("return_seconds", change.return_seconds, 1, 86_400)
+    if change.wave_id in state.tables.wave_by_id:
+        raise StateError("exists", "a wave id is used only once", "wave_id")
+    check_revision(change, None)
+    if has_running_wave(state, change.pool_id):
+        raise StateError(
+            "wave_running", "the pool has a running wave", "pool_id"
+        )
+    pool = state.tables.pool_by_id[change.pool_id]
+    if min(pool.max_unavailable, pool.max_unavailable_per_rack) < 1:
+        raise StateError(
+            "budget_never_met",
+            f"the budgets of pool {pool.pool_id} permit no drained instance; "
+            "set max_unavailable and max_unavailable_per_rack to at least 1",
+            "pool_id",
+        )
+    wave = objects.Wave(
+        change.wave_id,
+        change.pool_id,
+        change.canary,
+        change.max_failures,
+        change.return_seconds,
+        WaveState.RUNNING,
+        dict.fromkeys(_wave_instances(state, change), WaveStep.PENDING),
+        {},
+        1,
+    )
+    state.put("wave_by_id", change.wave_id, wave)
+    return 1
+
+
+def _wave_instances(state: State, change: ch.StartWave) -> Iterator[InstanceId]:
+    in_pool = {each.instance_id for each in state.instances_of(change.pool_id)}
+    chosen = change.instance_ids or tuple(sorted(in_pool))
+    if not chosen:
+        raise StateError("empty", "the pool has no instances", "pool_id")
+    for instance_id in chosen:
+        if instance_id not in in_pool:
+            raise StateError(
+                "not_in_pool",
+                f"{instance_id!r} is not in pool {change.pool_id}",
+                "instance_ids",
+            )
+        yield instance_id
+
+
+def _stop_wave(state: State, change: ch.StopWave) -> int:
+    wave = _wave(state, change.wave_id)
+    revision = check_revision(change, wave)
+    if wave.state is not WaveState.RUNNING:
+        raise StateError(
+            "ended", f"the wave is {wave.state.value} already", "wave_id"
+        )
+    stopped = _replace(wave, state=WaveState.STOPPED, revision=revision)
+    state.put("wave_by_id", wave.wave_id, stopped)
+    return revision
+
+
+def _wave(state: State, wave_id: WaveId) -> objects.Wave:
+    check_exists(state, "wave_by_id", "wave_id", wave_id)
+    return state.tables.wave_by_id[wave_id]
+
+
+def _wave_take(state: State, change: ch.WaveTake) -> int:
+    wave = _wave(state, change.wave_id)
+    check_exists(state, "instance_by_id", "instance_id", change.instance_id)
+    instance = state.tables.instance_by_id[change.instance_id]
+    if wave.state is not WaveState.RUNNING:
+        raise StateError("ended", f"the wave is {wave.state.value}", "wave_id")
+    if wave.step_by_instance.get(change.instance_id) is not WaveStep.PENDING:
+        raise StateError(
+            "not_pending", "the wave does not wait for it", "instance_id"
+        )
+    if instance.pool_id != wave.pool_id:
+        raise StateError("not_in_pool", "it left the pool", "instance_id")
+    if instance.state is not InstanceState.ACTIVE:
+        raise StateError(
+            "not_active", f"it is {instance.state.value}", "instance_id"
+        )
+    under_way = sum(wave.count(step) for step in _UNDER_WAY_STEPS)
+    if wave.count(WaveStep.BACK) < wave.canary and under_way:
+        raise StateError(
+            "canary", "the first instances are maintained one by one"
+        )
+    check_budget(state, instance)
+    _set_step(state, wave, change.instance_id, WaveStep.DRAINING)
+    begin_drain(state, instance, wave_id=wave.wave_id)
+    return 0
+
+
+def _wave_progress(state: State, change: ch.WaveProgress) -> int:
+    wave = _wave(state, change.wave_id)
+    check_exists(state, "instance_by_id", "instance_id", change.instance_id)
+    instance = state.tables.instance_by_id[change.instance_id]
+    step = wave.step_by_instance.get(change.instance_id)
+    if change.step is WaveStep.REBOOTING and step is WaveStep.DRAINING:
+        _start_reboot(state, wave, instance)
+    elif change.step is WaveStep.BACK and step is WaveStep.REBOOTING:
+        reactivate(state, _replace(instance, up=True))
+        _set_step(state, wave, change.instance_id, WaveStep.BACK)
+    elif change.step is WaveStep.FAILED and step is WaveStep.REBOOTING:
+        _fail(state, wave, instance)
+    else:
+        raise StateError(
+            "wrong_step", f"step {change.step.value} does not follow", "step"
+        )
+    _end_wave_if_over(state, change.wave_id)
+    return 0
+
+
+def _start_reboot(
+    state: State, wave: objects.Wave, instance: objects.Instance
+) -> None:
+    if instance.state is not InstanceState.DRAINED:
+        raise StateError(
+            "not_drained", "entries still hold work on it", "instance_id"
+        )
+    rebooting = _replace(
+        instance,
+        state=InstanceState.REBOOTING,
+        revision=instance.revision + 1,
+    )
+    state.put("instance_by_id", instance.instance_id, rebooting)
+    deadlines = dict(wave.return_deadline_by_instance)
+    deadlines[instance.instance_id] = state.time + wave.return_seconds
+    wave = _replace(wave, return_deadline_by_instance=deadlines)
+    _set_step(state, wave, instance.instance_id, WaveStep.REBOOTING)
+
+
+def _fail(state: State, wave: objects.Wave, instance: objects.Instance) -> None:
+    if state.time < wave.return_deadline_by_instance[instance.instance_id]:
+        raise StateError(
+            "too_early", "its return deadline has not passed", "step"
+        )
+    state.put(
+        "instance_by_id",
+        instance.instance_id,
+        _replace(
+            instance,
+            state=InstanceState.FAILED,
+            up=False,
+            drain=None,
+            revision=instance.revision + 1,
+        ),
+    )
+    wave = _set_step(state, wave, instance.instance_id, WaveStep.FAILED)
+    in_canary = wave.count(WaveStep.BACK) < wave.canary
+    too_many = wave.count(WaveStep.FAILED) >= wave.max_failures
+    if wave.state is WaveState.RUNNING and (in_canary or too_many):
+        state.put(
+            "wave_by_id",
+            wave.wave_id,
+            _replace(wave, state=WaveState.STOPPED, revision=wave.revision + 1),
+        )
+
+
+def _set_step(
+    state: State, wave: objects.Wave, instance_id: InstanceId, step: WaveStep
+) -> objects.Wave:
+    steps = {**wave.step_by_instance, instance_id: step}
+    wave = _replace(wave, step_by_instance=steps)
+    state.put("wave_by_id", wave.wave_id, wave)
+    return wave
+
+
+def _end_wave_if_over(state: State, wave_id: WaveId) -> None:
+    wave = state.tables.wave_by_id[wave_id]
+    steps = wave.step_by_instance.values()
+    if wave.state is WaveState.RUNNING and all(
+        step in _ENDED_STEPS for step in steps
+    ):
+        done = _replace(wave, state=WaveState.DONE, revision=wave.revision + 1)
+        state.put("wave_by_id", wave_id, done)
+
+
+HANDLERS = {
+    ch.StartWave: _start_wave,
+    ch.StopWave: _stop_wave,
+    ch.WaveTake: _wave_take,
+    ch.WaveProgress: _wave_progress,
+}
--- /dev/null
+++ b/sardinedrift/objects.py
@@ -0,0 +1,223 @@
+"""Objects held in the folded state. All are immutable values."""
+
+import msgspec
+
+from sardinedrift.identifiers import (
+    DataCentreId,
+    EntryId,
+    EntryState,
+    InstanceId,
+    InstanceKind,
+    InstanceState,
+    KeyId,
+    KeyState,
+    MoveId,
+    MoveState,
+    Offset,
+    PoolId,
+    QueueId,
+    RuleId,
+    TeamId,
+    WaveId,
+    WaveState,
+    WaveStep,
+    WorkClass,
+)
+
+
+class DataCentre(msgspec.Struct, frozen=True):
+    """A data centre and its region."""
+
+    data_centre_id: DataCentreId
+    region: str
+    revision: int
+
+
+class Team(msgspec.Struct, frozen=True):
+    """A team with its default share and its limit across the fleet."""
+
+    team_id: TeamId
+    share: float
+    limit: int
+    max_configuration_age: float | None
+    revision: int
+
+
+class Key(msgspec.Struct, frozen=True):
+    """A key; `digest` is the SHA-256 of the secret in hexadecimal."""
+
+    key_id: KeyId
+    team_id: TeamId
+    digest: str
+    state: KeyState
+    revision: int
+
+
+class Pool(msgspec.Struct, frozen=True):
+    """A pool with its reserves (parts of slots) and availability budgets."""
+
+    pool_id: PoolId
+    quick_reserve: float
+    long_floor: float
+    max_unavailable: int
+    max_unavailable_per_rack: int
+    spare: bool
+    revision: int
+
+
+class Queue(msgspec.Struct, frozen=True):
+    """A queue of a pool, with who may use it and its limits."""
+
+    queue_id: QueueId
+    pool_id: PoolId
+    work_class: WorkClass
+    idempotent: bool
+    open_team: TeamId | None
+    team_ids: tuple[TeamId, ...]
+    max_body_bytes: int
+    max_run_seconds: float
+    revision: int
+
+
+class Rule(msgspec.Struct, frozen=True):
+    """The share of a team within one pool."""
+
+    rule_id: RuleId
+    pool_id: PoolId
+    team_id: TeamId
+    share: float
+    revision: int
+
+
+class Drain(msgspec.Struct, frozen=True):
+    """A drain in progress.
+
+    Attributes:
+        offset: record that began it.
+        waiting: entries that have not acknowledged it.
+    """
+
+    offset: Offset
+    waiting: tuple[EntryId, ...]
+    move_id: MoveId | None = None
+    wave_id: WaveId | None = None
+
+
+class Instance(msgspec.Struct, frozen=True):
+    """An endpoint instance; it belongs to exactly one pool.
+
+    Attributes:
+        up: last observation of its data centre.
+    """
+
+    instance_id: InstanceId
+    kind: InstanceKind
+    data_centre_id: DataCentreId
+    pool_id: PoolId
+    rack: str
+    address: str
+    slots: int
+    connections: int
+    cores: float
+    memory_gb: float
+    accelerators: int
+    state: InstanceState
+    up: bool
+    drain: Drain | None
+    revision: int
+
+    @property
+    def available(self) -> bool:
+        """Whether the instance counts as available for budgets."""
+        return self.up and self.state is InstanceState.ACTIVE
+
+
+class Move(msgspec.Struct, frozen=True):
+    """A move of an instance between pools."""
+
+    move_id: MoveId
+    instance_id: InstanceId
+    from_pool_id: PoolId
+    to_pool_id: PoolId
+    state: MoveState
+    revision: int
+
+
+class Wave(msgspec.Struct, frozen=True):
+    """A maintenance wave.
+
+    Attributes:
+        return_deadline_by_instance: unix seconds by which a rebooting
+            instance must be back.
+    """
+
+    wave_id: WaveId
+    pool_id: PoolId
+    canary: int
+    max_failures: int
+    return_seconds: float
+    state: WaveState
+    step_by_instance: dict[InstanceId, WaveStep]
+    return_deadline_by_instance: dict[InstanceId, float]
+    revision: int
+
+    def count(self, step: WaveStep) -> int:
+        """Returns how many instances are at a step."""
+        return sum(1 for each in self.step_by_instance.values() if each is step)
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """An entry process that asked to join.
+
+    Attributes:
+        waiting: members that have not acknowledged the join.
+    """
+
+    entry_id: EntryId
+    data_centre_id: DataCentreId
+    address: str
+    state: EntryState
+    waiting: tuple[EntryId, ...]
+    time: float
+
+
+class Membership(msgspec.Struct, frozen=True):
+    """The active entries of a data centre from a point in log time on."""
+
+    time: float
+    entry_ids: tuple[EntryId, ...]
+
+
+class Allowances(msgspec.Struct, frozen=True):
+    """How the limit of a team is divided.
+
+    Attributes:
+        units_by_entry: units held.
+        returning: (deadline, units) pairs of holders that are gone; they count
+            as held until the deadline in log time.
+    """
+
+    units_by_entry: dict[EntryId, int]
+    returning: tuple[tuple[float, int], ...] = ()
+
+    @property
+    def total(self) -> int:
+        """All units that may have work running on them."""
+        held = sum(self.units_by_entry.values())
+        return held + sum(units for _, units in self.returning)
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """Progress of a snapshot in the log."""
+
+    snapshot_id: str
+    as_of: Offset
+    first_offset: Offset
+    time: float
+    count: int
+    indexes: tuple[int, ...]
+
+    @property
+    def complete(self) -> bool:
+        """Whether every chunk is in the log."""
+        return len(self.indexes) == self.count
--- /dev/null
+++ b/sardinedrift/ports.py
@@ -0,0 +1,154 @@
+"""Abstract ports to the outside systems; adapters stand beside this module."""
+
+import abc
+
+import msgspec
+
+from sardinedrift.identifiers import (
+    DataCentreId,
+    InstanceId,
+    Offset,
+    RequestId,
+    TeamId,
+)
+
+
+class LogRecord(msgspec.Struct, frozen=True):
+    """One record of the log; `time` is its append time in unix seconds."""
+
+    offset: Offset
+    time: float
+    data: bytes
+
+
+class LogPage(msgspec.Struct, frozen=True):
+    """Consecutive records.
+
+    Attributes:
+        first: oldest offset the log still keeps.
+        next: offset the next appended record will have.
+    """
+
+    records: tuple[LogRecord, ...]
+    first: Offset
+    next: Offset
+
+
+class LogService(abc.ABC):
+    """The platform's append-only log."""
+
+    @abc.abstractmethod
+    async def append(self, data: bytes, deadline: float) -> Offset:
+        """Appends one record and returns its offset.
+
+        Args:
+            data: the record.
+            deadline: unix seconds.
+
+        Raises:
+            LogUnavailable: nothing was appended.
+            AppendUnknown: the record may have been appended.
+        """
+
+    @abc.abstractmethod
+    async def read(self, start: Offset, limit: int, deadline: float) -> LogPage:
+        """Returns up to `limit` records from an offset on.
+
+        Waits until the deadline for a first record when there is none yet.
+
+        Raises:
+            LogUnavailable: the log could not be read.
+            OffsetExpired: the log no longer keeps `start`.
+        """
+
+
+class ListedInstance(msgspec.Struct, frozen=True):
+    """One line of the platform's instance list.
+
+    Attributes:
+        kind: "minion", "worker" or "entry".
+        leaving: the instance will end soon.
+    """
+
+    instance_id: str
+    kind: str
+    data_centre_id: DataCentreId
+    address: str
+    leaving: bool
+
+
+class InstanceList(abc.ABC):
+    """The platform's lagging list of live and leaving instances."""
+
+    @abc.abstractmethod
+    async def read(
+        self, data_centre_id: DataCentreId, since: int, deadline: float
+    ) -> tuple[int, tuple[ListedInstance, ...] | None]:
+        """Returns the version and the instances of a data centre.
+
+        Waits until the deadline while the version equals `since`, and then
+        returns None for the instances.
+
+        Raises:
+            InstanceListError: the list could not be read.
+        """
+
+    @abc.abstractmethod
+    async def reboot(self, instance_id: InstanceId, deadline: float) -> None:
+        """Asks the platform to reboot a drained instance; idempotent.
+
+        Raises:
+            InstanceListError: the platform did not confirm it.
+        """
+
+
+class Dispatch(msgspec.Struct, frozen=True):
+    """One request as it is sent to a minion.
+
+    Attributes:
+        dispatch_id: fresh for each send; the minion echoes it.
+        run_deadline: unix seconds at which the minion stops the request.
+        idempotent: whether an older idle connection may be used.
+    """
+
+    dispatch_id: str
+    request_id: RequestId
+    team_id: TeamId
+    run_deadline: float
+    idempotent: bool
+    body: bytes
+    content_type: str = "application/octet-stream"
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """The complete answer of a minion to its dispatch."""
+
+    status: int
+    body: bytes
+    content_type: str
+
+
+class MinionPort(abc.ABC):
+    """Sends requests to minions."""
+
+    @abc.abstractmethod
+    async def send(self, address: str, dispatch: Dispatch) -> Answer:
+        """Sends one request and returns its complete answer.
+
+        Raises:
+            DialFailed: no connection could be opened; not run.
+            RefusedBeforeStart: the minion did not start it; not run.
+            OutcomeUnknown: anything else.
+        """
+
+    @abc.abstractmethod
+    async def probe(self, address: str, deadline: float) -> bool:
+        """Tells whether a fresh connection to a minion is answered."""
+
+
+class Clock(abc.ABC):
+    """Source of the current time."""
+
+    @abc.abstractmethod
+    def now(self) -> float:
+        """Returns unix seconds."""
--- /dev/null
+++ b/sardinedrift/routing.py
@@ -0,0 +1,22 @@
+"""Rendezvous hashing: who is responsible for a key, given candidates."""
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+import xxhash
+
+Name = TypeVar("Name", bound=str)
+
+
+def rendezvous(key: str, candidates: Iterable[Name]) -> Name | None:
+    """Returns the candidate responsible for a key, or None without any.
+
+    Adding or removing a candidate moves only the keys of that candidate.
+    Source: Thaler and Ravishankar, "A Name-Based Mapping Scheme for
+    Rendezvous" (1996).
+    """
+    return max(candidates, key=lambda each: _weight(key, each), default=None)
+
+
+def _weight(key: str, candidate: str) -> tuple[int, str]:
+    return xxhash.xxh3_64_intdigest(f"{key}\0{candidate}"), candidate
--- /dev/null
+++ b/sardinedrift/snapshots.py
@@ -0,0 +1,97 @@
+"""Snapshots of the state, as one value and as chunks in the log."""
+
+import base64
+import zlib
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+from sardinedrift import changes as ch
+from sardinedrift import objects
+from sardinedrift.identifiers import ChangeId, Offset
+from sardinedrift.state import State, Tables
+
+# Keeps a record of base64 text well below a common record limit of 256 KiB.
+CHUNK_BYTES = 128 * 1024
+
+_decoder = msgspec.json.Decoder(Tables)
+
+
+def encode(state: State) -> bytes:
+    """Returns the compressed JSON form of the state."""
+    return zlib.compress(msgspec.json.encode(state.tables), 6)
+
+
+def decode(data: bytes) -> State:
+    """Reads a state.
+
+    Raises:
+        msgspec.DecodeError: the data is not a snapshot.
+        zlib.error: the data is damaged.
+    """
+    return State(_decoder.decode(zlib.decompress(data)))
+
+
+def chunks(state: State, snapshot_id: str) -> Iterator[ch.SnapshotChunk]:
+    """Yields the chunks of a snapshot of the state as of its offset."""
+    data = encode(state)
+    count = max(1, -(-len(data) // CHUNK_BYTES))
+    for index in range(count):
+        part = data[index * CHUNK_BYTES : (index + 1) * CHUNK_BYTES]
+        yield ch.SnapshotChunk(
+            change_id=ChangeId(f"{snapshot_id}-{index}"),
+            snapshot_id=snapshot_id,
+            as_of=state.offset,
+            index=index,
+            count=count,
+            data=base64.b85encode(part).decode(),
+        )
+
+
+def newest(batches: Iterable[ch.Batch]) -> State | None:
+    """Returns the newest complete snapshot among batches, if there is one."""
+    parts_by_id: dict[str, dict[int, ch.SnapshotChunk]] = {}
+    for batch in batches:
+        for change in batch.changes:
+            if isinstance(change, ch.SnapshotChunk):
+                parts = parts_by_id.setdefault(change.snapshot_id, {})
+                parts[change.index] = change
+    complete = [
+        parts
+        for parts in parts_by_id.values()
+        if len(parts) == next(iter(parts.values())).count
+    ]
+    if not complete:
+        return None
+    parts = max(complete, key=lambda each: each[0].as_of)
+    data = b"".join(base64.b85decode(parts[i].data) for i in range(len(parts)))
+    return decode(data)
+
+
+def _record_chunk(state: State, change: ch.SnapshotChunk) -> int:
+    """Keeps in the fold which snapshots are complete in the log."""
+    snapshot = state.tables.snapshot_by_id.get(change.snapshot_id)
+    if snapshot is None:
+        snapshot = objects.Snapshot(
+            change.snapshot_id,
+            change.as_of,
+            state.offset,
+            state.time,
+            change.count,
+            (),
+        )
+    indexes = tuple(sorted({*snapshot.indexes, change.index}))
+    snapshot = msgspec.structs.replace(snapshot, indexes=indexes)
+    state.put("snapshot_by_id", change.snapshot_id, snapshot)
+    if snapshot.complete:
+        _forget_older(state, snapshot.as_of)
+    return 0
+
+
+def _forget_older(state: State, as_of: Offset) -> None:
+    for other in list(state.tables.snapshot_by_id.values()):
+        if other.as_of < as_of:
+            state.drop("snapshot_by_id", other.snapshot_id)
+
+
+HANDLERS = {ch.SnapshotChunk: _record_chunk}
--- /dev/null
+++ b/sardinedrift/state.py
@@ -0,0 +1,183 @@
+"""The folded state: tables of immutable objects, each with one writer.
+
+Only the fold writes it, through `State.put` and `State.drop`, which keep a
+journal so that a batch can be rolled back as a whole.
+"""
+
+import collections
+import contextlib
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from sardinedrift import changes, objects
+from sardinedrift.identifiers import (
+    ChangeId,
+    DataCentreId,
+    EntryId,
+    EntryState,
+    InstanceId,
+    KeyId,
+    MoveId,
+    Offset,
+    PoolId,
+    QueueId,
+    RuleId,
+    TeamId,
+    WaveId,
+)
+
+_MISSING = object()
+
+
+class Tables(msgspec.Struct):
+    """All tables, in the form that a snapshot holds."""
+
+    offset: Offset = Offset(-1)
+    time: float = 0.0
+    data_centre_by_id: dict[DataCentreId, objects.DataCentre] = {}
+    team_by_id: dict[TeamId, objects.Team] = {}
+    key_by_id: dict[KeyId, objects.Key] = {}
+    pool_by_id: dict[PoolId, objects.Pool] = {}
+    queue_by_id: dict[QueueId, objects.Queue] = {}
+    rule_by_id: dict[RuleId, objects.Rule] = {}
+    instance_by_id: dict[InstanceId, objects.Instance] = {}
+    move_by_id: dict[MoveId, objects.Move] = {}
+    wave_by_id: dict[WaveId, objects.Wave] = {}
+    entry_by_id: dict[EntryId, objects.Entry] = {}
+    memberships_by_data_centre: dict[
+        DataCentreId, tuple[objects.Membership, ...]
+    ] = {}
+    allowances_by_team: dict[TeamId, objects.Allowances] = {}
+    longest_run_by_team: dict[str, float] = {}
+    snapshot_by_id: dict[str, objects.Snapshot] = {}
+    result_by_change_id: dict[ChangeId, tuple[float, changes.Result]] = {}
+
+
+class State:
+    """The state as of one offset of the log.
+
+    Attributes:
+        tables: the tables; read freely, write only in the fold.
+        version_by_table: counts the writes to each table, so that readers
+            notice changes cheaply.
+    """
+
+    def __init__(self, tables: Tables | None = None):
+        self.tables = tables or Tables()
+        self.version_by_table: collections.Counter[str] = collections.Counter()
+        self._journal: list[tuple[str, Any, Any]] = []
+        self._instance_ids_by_place: dict[
+            tuple[DataCentreId, PoolId], set[InstanceId]
+        ] = collections.defaultdict(set)
+        for instance in self.tables.instance_by_id.values():
+            self._index(instance)
+
+    @property
+    def offset(self) -> Offset:
+        """Offset of the last folded record; -1 before the first."""
+        return self.tables.offset
+
+    @property
+    def time(self) -> float:
+        """Append time of the last folded record, in unix seconds."""
+        return self.tables.time
+
+    def put(self, table: str, key: Any, value: Any) -> None:
+        """Writes one object."""
+        rows = getattr(self.tables, table)
+        self._journal.append((table, key, rows.get(key, _MISSING)))
+        self._write(table, rows, key, value)
+
+    def drop(self, table: str, key: Any) -> None:
+        """Removes one object, if it is there."""
+        rows = getattr(self.tables, table)
+        self._journal.append((table, key, rows.get(key, _MISSING)))
+        self._write(table, rows, key, _MISSING)
+
+    @contextlib.contextmanager
+    def transaction(self) -> Iterator[None]:
+        """Undoes all writes of the block when it raises."""
+        start = len(self._journal)
+        try:
+            yield
+        except BaseException:
+            self._undo(start)
+            raise
+
+    def forget_journal(self) -> None:
+        """Ends the possibility of undoing what was written so far."""
+        self._journal.clear()
+
+    def instances_at(
+        self, data_centre_id: DataCentreId, pool_id: PoolId
+    ) -> list[objects.Instance]:
+        """Returns the instances of a pool in a data centre, in id order."""
+        ids = self._instance_ids_by_place.get((data_centre_id, pool_id), ())
+        return [self.tables.instance_by_id[each] for each in sorted(ids)]
+
+    def instances_of(self, pool_id: PoolId) -> Iterator[objects.Instance]:
+        """Yields the instances of a pool in every data centre."""
+        for (_, pool), ids in self._instance_ids_by_place.items():
+            if pool == pool_id:
+                for instance_id in ids:
+                    yield self.tables.instance_by_id[instance_id]
+
+    def data_centres_of(self, pool_id: PoolId) -> set[DataCentreId]:
+        """Returns the data centres that have instances of a pool."""
+        return {
+            data_centre_id
+            for (data_centre_id, pool), ids in (
+                self._instance_ids_by_place.items()
+            )
+            if pool == pool_id and ids
+        }
+
+    def active_entries(self, data_centre_id: DataCentreId) -> list[EntryId]:
+        """Returns the members of a data centre, in id order."""
+        return sorted(
+            entry.entry_id
+            for entry in self.tables.entry_by_id.values()
+            if entry.state is EntryState.ACTIVE
+            and entry.data_centre_id == data_centre_id
+        )
+
+    def share_of(self, team_id: TeamId, pool_id: PoolId) -> float:
+        """Returns the weight of a team in a pool; 1.0 for unknown teams."""
+        for rule in self.tables.rule_by_id.values():
+            if rule.pool_id == pool_id and rule.team_id == team_id:
+                return rule.share
+        team = self.tables.team_by_id.get(team_id)
+        return team.share if team else 1.0
+
+    def unallocated(self, team_id: TeamId) -> int:
+        """Returns the limit of a team less all units; negative after a cut."""
+        team = self.tables.team_by_id.get(team_id)
+        allowances = self.tables.allowances_by_team.get(team_id)
+        return (team.limit if team else 0) - (
+            allowances.total if allowances else 0
+        )
+
+    def _write(self, table: str, rows: dict, key: Any, value: Any) -> None:
+        if table == "instance_by_id":
+            old = rows.get(key)
+            if old is not None:
+                place = (old.data_centre_id, old.pool_id)
+                self._instance_ids_by_place[place].discard(key)
+            if value is not _MISSING:
+                self._index(value)
+        if value is _MISSING:
+            rows.pop(key, None)
+        else:
+            rows[key] = value
+        self.version_by_table[table] += 1
+
+    def _index(self, instance: objects.Instance) -> None:
+        place = (instance.data_centre_id, instance.pool_id)
+        self._instance_ids_by_place[place].add(instance.instance_id)
+
+    def _undo(self, start: int) -> None:
+        while len(self._journal) > start:
+            table, key, old = self._journal.pop()
+            self._write(table, getattr(self.tables, table), key, old)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of sardinedrift, one module per module of the package."""
--- /dev/null
+++ b/tests/__main__.py
@@ -0,0 +1,50 @@
+"""Runs the tests under nose2 and prints the closing count.
+
+KNOWN-RED.txt names the tests that fail because of a recorded fault. They run
+like the others, are printed, and alone do not fail the run. One that passes
+fails the run, so that its entry is removed.
+"""
+
+import pathlib
+import sys
+
+import nose2
+
+from tests import outcomes
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+
+
+def _known_red() -> set[str]:
+    """Reads the ids of the tests recorded as failing."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text().splitlines()
+    return {line[5:].strip() for line in lines if line.startswith("test:")}
+
+
+def main() -> int:
+    """Runs the tests; returns 0 when only recorded failures occurred."""
+    nose2.main(
+        module=None,
+        argv=["nose2", "-c", str(ROOT / "unittest.cfg"), *sys.argv[1:]],
+        plugins=["tests.outcomes"],
+        exit=False,
+    )
+    failed = outcomes.failed
+    passed = len(outcomes.passed - failed)
+    skipped = len(outcomes.skipped)
+    known = _known_red()
+    for name in sorted(failed & known):
+        print(f"known red: {name}")
+    recovered = set() if sys.argv[1:] else known - failed
+    for name in sorted(recovered):
+        print(f"recorded as red, but passed: {name}")
+    new = failed - known
+    print(f"{passed} passed, {len(new)} failed, {skipped} skipped")
+    return 0 if passed + len(failed) and not new and not recovered else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_fold.py
@@ -0,0 +1,242 @@
+"""Fold: the same records give the same state, races have one winner."""
+
+import itertools
+import unittest
+
+from sardinedrift import changes as ch
+from sardinedrift import fold, snapshots
+from sardinedrift.identifiers import InstanceKind, InstanceState
+from sardinedrift.state import State
+
+_ids = itertools.count()
+
+
+def cid():
+    return f"c{next(_ids)}"
+
+
+class Log:
+    """A log in memory that folds each record into one state."""
+
+    def __init__(self):
+        self.records = []
+        self.state = State()
+
+    def append(self, *changes, time=None, atomic=False):
+        time = float(len(self.records)) if time is None else time
+        data = ch.encode_batch(ch.Batch(tuple(changes), atomic))
+        self.records.append((time, data))
+        offset = len(self.records) - 1
+        return fold.apply_record(self.state, offset, time, data)
+
+
+def put_team(team_id="red", revision=0, limit=4, **fields):
+    return ch.PutTeam(
+        change_id=cid(),
+        expected_revision=revision,
+        team_id=team_id,
+        share=1.0,
+        limit=limit,
+        **fields,
+    )
+
+
+def put_pool(pool_id="pairing", **fields):
+    return ch.PutPool(
+        change_id=cid(), expected_revision=0, pool_id=pool_id, **fields
+    )
+
+
+def put_instance(instance_id, pool_id="pairing", rack="r1", **fields):
+    return ch.PutInstance(
+        change_id=cid(),
+        expected_revision=0,
+        instance_id=instance_id,
+        kind=InstanceKind.MINION,
+        data_centre_id="dc1",
+        pool_id=pool_id,
+        rack=rack,
+        address=f"127.0.0.1:{instance_id}",
+        **fields,
+    )
+
+
+def put_data_centre(data_centre_id="dc1"):
+    return ch.PutDataCentre(
+        change_id=cid(),
+        expected_revision=0,
+        data_centre_id=data_centre_id,
+        region="north",
+    )
+
+
+def join(entry_id, data_centre_id="dc1"):
+    return ch.EntryJoin(
+        change_id=cid(),
+        entry_id=entry_id,
+        data_centre_id=data_centre_id,
+        address="127.0.0.1:1",
+    )
+
+
+class FoldTest(unittest.TestCase):
+    def test_race_has_one_winner(self):
+        """Guards against two operators both editing the same revision."""
+        log = Log()
+        log.append(put_team())
+        first, second = log.append(
+            put_team(revision=1, limit=5), put_team(revision=1, limit=9)
+        )
+        self.assertTrue(first.accepted)
+        self.assertEqual(second.code, "revision_conflict")
+        self.assertEqual(log.state.tables.team_by_id["red"].limit, 5)
+
+    def test_repeated_change_id_is_applied_once(self):
+        """Guards against a repeated append after a lost answer."""
+        log = Log()
+        change = put_team()
+        (first,) = log.append(change)
+        (again,) = log.append(change)
+        self.assertEqual(first, again)
+        self.assertEqual(log.state.tables.team_by_id["red"].revision, 1)
+
+    def test_atomic_batch_applies_nothing_in_part(self):
+        """Guards against a half-applied import."""
+        log = Log()
+        results = log.append(
+            put_pool(), put_instance("m1", pool_id="absent"), atomic=True
+        )
+        self.assertFalse(any(each.accepted for each in results))
+        self.assertEqual(log.state.tables.pool_by_id, {})
+
+    def test_snapshot_restores_the_same_state(self):
+        """Guards against tables that a snapshot leaves out."""
+        log = Log()
+        log.append(put_team(), put_pool(), put_data_centre(), join("e1"))
+        log.append(put_instance("m1"))
+        batch = ch.Batch(tuple(snapshots.chunks(log.state, "s1")))
+        restored = snapshots.newest([batch])
+        self.assertEqual(
+            snapshots.encode(restored), snapshots.encode(log.state)
+        )
+        self.assertEqual(len(restored.instances_at("dc1", "pairing")), 1)
+
+    def test_unreadable_record_is_skipped(self):
+        """Guards against a reader that stops at a record it cannot read."""
+        log = Log()
+        self.assertEqual(fold.apply_record(log.state, 0, 0.0, b"{"), [])
+        self.assertEqual(log.state.offset, 0)
+
+
+class AllowanceTest(unittest.TestCase):
+    def _take(self, log, entry_id, units):
+        log.append(
+            ch.AllowanceTake(
+                change_id=cid(),
+                entry_id=entry_id,
+                units_by_team={"red": units},
+            )
+        )
+
+    def test_sum_of_units_never_passes_the_limit(self):
+        """Guards against two entries taking the same units."""
+        log = Log()
+        log.append(put_team(limit=4), join("e1"), join("e2", "dc2"))
+        self._take(log, "e1", 3)
+        self._take(log, "e2", 3)
+        held = log.state.tables.allowances_by_team["red"].units_by_entry
+        self.assertEqual(held, {"e1": 3, "e2": 1})
+
+    def test_units_of_a_gone_entry_wait_for_its_last_work(self):
+        """Guards against a limit passed by work of an entry that ended."""
+        log = Log()
+        log.append(put_team(limit=4), put_pool(), join("e1"))
+        log.append(
+            ch.PutQueue(
+                change_id=cid(),
+                expected_revision=0,
+                queue_id="q",
+                pool_id="pairing",
+                max_run_seconds=100.0,
+            )
+        )
+        self._take(log, "e1", 4)
+        gone = ch.EntryGone(change_id=cid(), entry_id="e1", evidence="test")
+        log.append(gone, join("e2"), time=10.0)
+        log.append(time=169.0)
+        self.assertEqual(log.state.unallocated("red"), 0)
+        log.append(time=170.0)
+        self.assertEqual(log.state.unallocated("red"), 4)
+
+
+class DrainTest(unittest.TestCase):
+    def _log(self, **pool):
+        log = Log()
+        log.append(put_data_centre(), put_pool(**pool), put_pool("spare"))
+        for number in range(4):
+            log.append(put_instance(f"m{number}", rack=f"r{number % 2}"))
+        log.append(join("e1"))
+        log.append(join("e2"))
+        log.append(
+            ch.EntryJoinAck(change_id=cid(), entry_id="e1", joiner_id="e2")
+        )
+        return log
+
+    def _move(self, move_id, pool_id="spare", revision=1):
+        return ch.StartMove(
+            change_id=cid(),
+            expected_revision=revision,
+            move_id=move_id,
+            instance_id="m0",
+            pool_id=pool_id,
+        )
+
+    def _ack(self, log, entry_id):
+        drain = log.state.tables.instance_by_id["m0"].drain.offset
+        log.append(
+            ch.DrainAck(
+                change_id=cid(),
+                entry_id=entry_id,
+                instance_id="m0",
+                drain=drain,
+            )
+        )
+
+    def test_move_waits_for_every_member(self):
+        """Guards against an instance used by two pools at once."""
+        log = self._log()
+        log.append(self._move("v1"))
+        self._ack(log, "e1")
+        self.assertEqual(
+            log.state.tables.instance_by_id["m0"].pool_id, "pairing"
+        )
+        self._ack(log, "e2")
+        self.assertEqual(log.state.tables.instance_by_id["m0"].pool_id, "spare")
+
+    def test_second_move_of_an_instance_is_rejected(self):
+        """Guards against two operators moving one instance."""
+        log = self._log()
+        first, second = log.append(self._move("v1"), self._move("v2"))
+        self.assertTrue(first.accepted)
+        self.assertEqual(second.code, "revision_conflict")
+
+    def test_wave_counts_failed_instances_in_its_budget(self):
+        """Guards against a wave draining beside correlated failures."""
+        log = self._log(max_unavailable=2, max_unavailable_per_rack=1)
+        wave = ch.StartWave(
+            change_id=cid(),
+            expected_revision=0,
+            wave_id="w",
+            pool_id="pairing",
+            canary=0,
+        )
+        down = ch.InstanceObserved(change_id=cid(), instance_id="m2", up=False)
+        take = ch.WaveTake(change_id=cid(), wave_id="w", instance_id="m0")
+        results = log.append(wave, down, take)
+        self.assertEqual(results[-1].code, "budget_exhausted")
+        take = ch.WaveTake(change_id=cid(), wave_id="w", instance_id="m1")
+        self.assertTrue(log.append(take)[0].accepted)
+        self.assertIs(
+            log.state.tables.instance_by_id["m1"].state,
+            InstanceState.DRAINING,
+        )
