Add assembly of one entry and the fleet of processes (untested)

Cause: the parts have to run as one process. Ruled out: one listener for all three interfaces, since operators, peers and callers sit on different networks. Measured: nothing yet.

--- /dev/null
+++ b/sardinedrift/entry.py
@@ -0,0 +1,226 @@
+"""One entry process, from its start to its graceful stop."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+from collections.abc import AsyncIterator, Coroutine, Iterator
+
+import aiomisc
+from aiohttp import web
+from loguru import logger
+
+from sardinedrift import logs, runtime, testcontrols
+from sardinedrift.assembly import Parts, new_entry_id
+from sardinedrift.drains import drain_entry
+from sardinedrift.identifiers import EntryId, Identity
+from sardinedrift.settings import Address, Settings
+from sardinedrift.timeline import EventKind
+
+# Time that a planned stop may take after the grace period: the longest run
+# time of common queues. Work that runs longer is cut off by the platform's
+# own limit anyway.
+DRAIN_SECONDS = 120.0
+_LEAVE_SECONDS = 10.0
+# Peers that have not folded the leave yet still ask this entry.
+_LINGER_SECONDS = 1.0
+
+
+class EntryService(aiomisc.Service):
+    """Runs one entry under an `aiomisc` entry point."""
+
+    def __init__(self, settings: Settings):
+        super().__init__()
+        self._settings = settings
+        self._stack = contextlib.AsyncExitStack()
+        self._tasks: set[asyncio.Task] = set()
+        self._stopped = False
+
+    async def start(self) -> None:
+        """Opens the listeners and starts all tasks."""
+        settings = self._settings
+        sockets = {
+            name: _bind(getattr(settings, name))
+            for name in ("callers", "peers", "admin")
+        }
+        identity = Identity(
+            new_entry_id(settings.data_centre),
+            settings.data_centre,
+            _address_of(sockets["peers"]),
+        )
+        logs.configure(settings.logs, identity)
+        self._parts = parts = Parts(settings, identity)
+        await self._stack.enter_async_context(parts.open())
+        admin = parts.admin.application()
+        if settings.test_controls:
+            testcontrols.add_routes(admin, parts)
+        applications = {
+            "peers": parts.peer_application(),
+            "admin": admin,
+            "callers": parts.callers.application(),
+        }
+        for name, application in applications.items():
+            served = _served(application, sockets[name])
+            await self._stack.enter_async_context(served)
+        for work in self._work():
+            self._spawn(work)
+        parts.events.record(EventKind.ENTRY_STARTED, parts.follower.state.offset)
+        addresses = {name: _address_of(each) for name, each in sockets.items()}
+        logger.bind(**addresses).info("entry has started")
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stops gracefully: no request in progress is cut off."""
+        if self._stopped:
+            return
+        self._stopped = True
+        parts = self._parts
+        parts.stopping = True
+        parts.events.record(
+            EventKind.ENTRY_STOPPING, parts.follower.state.offset
+        )
+        logger.info("entry is stopping")
+        # The balancer and the peers learn first; requests that still arrive
+        # in this time are served.
+        await asyncio.sleep(self._settings.timings.grace_seconds)
+        deadline = parts.clock.now() + DRAIN_SECONDS
+        if not await drain_entry(
+            parts.callers, parts.dispatcher, deadline, parts.clock
+        ):
+            logger.warning("requests are left at the end of the drain")
+        else:
+            await self._leave()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._stack.aclose()
+        logger.info("entry has stopped")
+
+    async def _leave(self) -> None:
+        parts = self._parts
+        parts.claims.stop()
+        parts.limits.stop()
+        if not parts.members.active:
+            return
+        try:
+            async with asyncio.timeout(_LEAVE_SECONDS):
+                await parts.members.leave(self._successor())
+        except TimeoutError:
+            logger.warning("the log is unavailable; leaving unannounced")
+        await asyncio.sleep(_LINGER_SECONDS)
+
+    def _successor(self) -> EntryId | None:
+        """Returns the peer that gets the allowances of this entry."""
+        parts = self._parts
+        here = parts.identity.data_centre_id
+        others = sorted(parts.follower.state.tables.memberships_by_data_centre)
+        for data_centre_id in (here, *others):
+            for entry_id in parts.peers.live_members(data_centre_id):
+                if entry_id != parts.identity.entry_id:
+                    return entry_id
+        return None
+
+    def _work(self) -> Iterator[Coroutine]:
+        """Yields the work that goes on for the life of the entry."""
+        parts = self._parts
+        yield parts.follower.run()
+        yield parts.view.run()
+        yield parts.peers.run()
+        yield parts.members.run()
+        yield parts.limits.run()
+        yield parts.snapshotter.run()
+        yield parts.drain_acks.run()
+        yield parts.observer.run()
+        yield self._refresh_on_records()
+        yield self._refresh_on_list()
+        yield self._forget_dead_peers()
+        yield self._exit_when_retired()
+
+    async def _refresh_on_records(self) -> None:
+        parts = self._parts
+        while True:
+            await parts.follower.changed(parts.follower.state.offset)
+            parts.schedulers.refresh()
+
+    async def _refresh_on_list(self) -> None:
+        parts = self._parts
+        while True:
+            await parts.view.changed()
+            parts.schedulers.refresh()
+
+    async def _forget_dead_peers(self) -> None:
+        parts = self._parts
+        here = parts.identity.data_centre_id
+        live: set[EntryId] = set()
+        while True:
+            await parts.peers.changed()
+            now_live = set(parts.peers.live(here))
+            for entry_id in live - now_live:
+                parts.schedulers.forget_entry(entry_id)
+            live = now_live
+
+    async def _exit_when_retired(self) -> None:
+        """Ends the process when the log says that it has ended.
+
+        What this entry held was given to others, so it must not go on.
+        """
+        await self._parts.members.retired.wait()
+        logger.error("this entry was declared gone; exiting")
+        os.kill(os.getpid(), signal.SIGKILL)
+
+    def _spawn(self, work: Coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(_exit_on_failure)
+
+
+def run(settings: Settings) -> None:
+    """Runs an entry until SIGTERM or SIGINT, then stops it gracefully."""
+    seconds = settings.timings.grace_seconds + DRAIN_SECONDS + 30.0
+    with aiomisc.entrypoint(
+        EntryService(settings),
+        loop_factory=runtime.new_event_loop,
+        log_config=False,
+        pool_size=2,
+        catch_signals=(signal.SIGINT, signal.SIGTERM),
+        shutdown_timeout=seconds,
+    ) as loop:
+        loop.run_forever()
+
+
+@contextlib.asynccontextmanager
+async def _served(
+    application: web.Application, listener: socket.socket
+) -> AsyncIterator[None]:
+    """Serves an application on a bound socket."""
+    runner = web.AppRunner(application, access_log=None, shutdown_timeout=1.0)
+    await runner.setup()
+    await web.SockSite(runner, listener).start()
+    try:
+        yield
+    finally:
+        await runner.cleanup()
+
+
+def _bind(address: Address) -> socket.socket:
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    return aiomisc.bind_socket(
+        family, socket.SOCK_STREAM, address=address.host, port=address.port
+    )
+
+
+def _address_of(listener: socket.socket) -> str:
+    host, port = listener.getsockname()[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+def _exit_on_failure(task: asyncio.Task) -> None:
+    """Ends the process when a task that must go on has failed.
+
+    An entry that lost one part would be alive for its peers and yet not do
+    its work; a new instance starts from nothing within seconds.
+    """
+    if task.cancelled() or task.exception() is None:
+        return
+    logger.opt(exception=task.exception()).critical("a task has failed")
+    os.kill(os.getpid(), signal.SIGKILL)
--- /dev/null
+++ b/sardinedrift/observations.py
@@ -0,0 +1,91 @@
+"""Reports to the log which instances of a data centre are up."""
+
+import asyncio
+import uuid
+
+from loguru import logger
+
+from sardinedrift import changes as ch
+from sardinedrift.exceptions import SardinedriftError
+from sardinedrift.follower import Follower
+from sardinedrift.identifiers import ChangeId, Identity, InstanceId
+from sardinedrift.instancelist import InstanceView
+from sardinedrift.peers import Peers
+from sardinedrift.ports import Clock
+from sardinedrift.publisher import Publisher
+from sardinedrift.routing import rendezvous
+
+# An instance must look different for this long before it is reported, so
+# that a list that is read during a restart causes no records.
+SETTLE_SECONDS = 1.0
+_TICK_SECONDS = 0.25
+_PUBLISH_SECONDS = 5.0
+
+
+class Observer:
+    """Publishes `InstanceObserved` for changes seen in the instance list.
+
+    One live member of the data centre reports; two at once, for a moment,
+    report the same and do no harm.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        follower: Follower,
+        publisher: Publisher,
+        peers: Peers,
+        view: InstanceView,
+        clock: Clock,
+    ):
+        self._identity = identity
+        self._follower = follower
+        self._publisher = publisher
+        self._peers = peers
+        self._view = view
+        self._clock = clock
+        self._settle_deadline_by_id: dict[InstanceId, float] = {}
+
+    async def run(self) -> None:
+        """Reports until cancelled."""
+        while True:
+            await asyncio.sleep(_TICK_SECONDS)
+            if not self._is_reporter() or not self._view.fresh:
+                self._settle_deadline_by_id.clear()
+                continue
+            changes = tuple(self._settled())
+            if not changes:
+                continue
+            try:
+                await self._publisher.publish(
+                    changes, self._clock.now() + _PUBLISH_SECONDS
+                )
+            except SardinedriftError as error:
+                logger.debug("instance observations not published: {}", error)
+
+    def _is_reporter(self) -> bool:
+        data_centre_id = self._identity.data_centre_id
+        members = self._peers.live_members(data_centre_id)
+        reporter = rendezvous(f"observer/{data_centre_id}", members)
+        return reporter == self._identity.entry_id
+
+    def _settled(self):
+        """Yields a change for each difference that has lasted."""
+        now = self._clock.now()
+        for instance in self._follower.state.instances_in(
+            self._identity.data_centre_id
+        ):
+            instance_id = instance.instance_id
+            up = self._view.listed(instance_id)
+            if up == instance.up:
+                self._settle_deadline_by_id.pop(instance_id, None)
+                continue
+            deadline = self._settle_deadline_by_id.setdefault(
+                instance_id, now + SETTLE_SECONDS
+            )
+            if now >= deadline:
+                yield ch.InstanceObserved(
+                    change_id=ChangeId(str(uuid.uuid4())),
+                    instance_id=instance_id,
+                    up=up,
+                )
--- a/sardinedrift/state.py
+++ b/sardinedrift/state.py
@@ -117,6 +117,15 @@
         ids = self._instance_ids_by_place.get((data_centre_id, pool_id), ())
         return [self.tables.instance_by_id[each] for each in sorted(ids)]
 
+    def instances_in(
+        self, data_centre_id: DataCentreId
+    ) -> Iterator[objects.Instance]:
+        """Yields the instances of a data centre in every pool."""
+        for (place, _), ids in self._instance_ids_by_place.items():
+            if place == data_centre_id:
+                for instance_id in ids:
+                    yield self.tables.instance_by_id[instance_id]
+
     def instances_of(self, pool_id: PoolId) -> Iterator[objects.Instance]:
         """Yields the instances of a pool in every data centre."""
         for (_, pool), ids in self._instance_ids_by_place.items():
--- /dev/null
+++ b/standins/caller.py
@@ -0,0 +1,129 @@
+"""A caller that sends requests to entries and keeps a history."""
+
+import asyncio
+import json
+import random
+import time
+import uuid
+from collections.abc import Sequence
+
+import aiohttp
+import uuid6
+
+from standins.history import Attempt
+
+
+def new_request_id(home: str) -> str:
+    """Returns a fresh request id with its home data centre."""
+    return f"{home}.{uuid6.uuid7()}"
+
+
+class Caller:
+    """Sends requests as one team; keeps an `Attempt` for each.
+
+    The list of entries stands in for the platform's balancer: each attempt
+    goes to one that is chosen at random.
+    """
+
+    def __init__(
+        self,
+        team: str,
+        key: str,
+        addresses: Sequence[str],
+        seed: int,
+        history: list[Attempt],
+    ):
+        self.team = team
+        self.key = key
+        self.addresses = list(addresses)
+        self.history = history
+        self._random = random.Random(seed)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self):
+        connector = aiohttp.TCPConnector(limit=0)
+        self._session = aiohttp.ClientSession(
+            connector=connector, trust_env=False
+        )
+        return self
+
+    async def __aexit__(self, *_):
+        await self._session.close()
+
+    async def send(
+        self,
+        queue: str,
+        home: str,
+        *,
+        run_seconds: float = 0.0,
+        size: int = 64,
+        wait_seconds: float = 10.0,
+        idempotent: bool = False,
+        address: str | None = None,
+        request_id: str | None = None,
+        attempt: int = 1,
+    ) -> Attempt:
+        """Sends one request and records how it ended."""
+        request_id = request_id or new_request_id(home)
+        tag = uuid.UUID(int=self._random.getrandbits(128)).hex
+        sent = time.time()
+        body = {"run_seconds": run_seconds, "size": size, "tag": tag}
+        headers = {
+            "Sardinedrift-Key": self.key,
+            "Sardinedrift-Team": self.team,
+            "Sardinedrift-Deadline": f"{sent + wait_seconds:.3f}",
+            "Sardinedrift-Attempt": str(attempt),
+            "Request-Id": request_id,
+        }
+        address = address or self._random.choice(self.addresses)
+        outcome, code, whole = await self._post(
+            f"http://{address}/v1/queues/{queue}/requests",
+            json.dumps(body).encode(),
+            headers,
+            expected=(request_id, tag, size),
+            wait_seconds=wait_seconds + 5.0,
+        )
+        ended = time.time()
+        result = Attempt(
+            request_id,
+            self.team,
+            queue,
+            idempotent,
+            sent,
+            ended,
+            outcome,
+            code,
+            whole,
+        )
+        self.history.append(result)
+        return result
+
+    async def _post(
+        self, url, body, headers, expected, wait_seconds
+    ) -> tuple[str, str, bool]:
+        """Returns outcome, code, and whether the answer is right."""
+        timeout = aiohttp.ClientTimeout(total=wait_seconds, sock_connect=2.0)
+        try:
+            async with self._session.post(
+                url, data=body, headers=headers, timeout=timeout
+            ) as response:
+                data = await response.read()
+                status = response.status
+                said = response.headers.get("Sardinedrift-Outcome", "")
+        except aiohttp.ClientConnectorError:
+            return "not_run", "unreachable", True
+        except (aiohttp.ClientError, TimeoutError):
+            return "unknown", "connection_lost", True
+        if status == 200 and said == "answered":
+            return "answered", "", data == expected_answer(*expected)
+        try:
+            error = json.loads(data)
+        except ValueError:
+            return "unknown", f"http_{status}", True
+        return error["outcome"], error["code"], True
+
+
+def expected_answer(request_id: str, tag: str, size: int) -> bytes:
+    """Returns the answer that a minion gives to a request."""
+    seed = f"{tag}:{request_id}:".encode()
+    return (seed * (size // len(seed) + 1))[:size]
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,318 @@
+"""Starts a small fleet as separate processes on loopback addresses.
+
+Used by the demonstration, the benchmarks and the tests of whole processes.
+"""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+import yaml
+
+START_SECONDS = 30.0
+STOP_SECONDS = 30.0
+LISTENERS = ("callers", "peers", "admin")
+_POLL_SECONDS = 0.05
+
+
+class FleetError(Exception):
+    """A process did not do what the run needs."""
+
+
+class Minion(NamedTuple):
+    """A running minion."""
+
+    name: str
+    pool: str
+    data_centre: str
+    rack: str
+    address: str
+    process: subprocess.Popen
+
+
+class Entry(NamedTuple):
+    """A running entry process."""
+
+    name: str
+    data_centre: str
+    callers: str
+    peers: str
+    admin: str
+    process: subprocess.Popen
+
+
+def call(
+    address: str, path: str, message: Any = None, seconds: float = 10.0
+) -> Any:
+    """Calls an HTTP service with JSON; GET without a message, else POST.
+
+    Raises:
+        urllib.error.URLError: the service refused or is unreachable.
+    """
+    data = None if message is None else json.dumps(message).encode()
+    request = urllib.request.Request(
+        f"http://{address}{path}",
+        data,
+        {"Content-Type": "application/json"} if data else {},
+    )
+    opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
+    with opener.open(request, timeout=seconds) as response:
+        body = response.read()
+    try:
+        return json.loads(body)
+    except ValueError:
+        return body
+
+
+def wait_until(condition, what: str, seconds: float = START_SECONDS) -> Any:
+    """Waits until a condition returns a true value, and returns it.
+
+    Raises:
+        FleetError: it did not within the time.
+    """
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        with contextlib.suppress(OSError, ValueError):
+            value = condition()
+            if value:
+                return value
+        time.sleep(_POLL_SECONDS)
+    raise FleetError(f"not reached within {seconds} s: {what}")
+
+
+class Fleet:
+    """The processes of one run.
+
+    Attributes:
+        directory: settings, logs and journals.
+        log: address of the log stand-in.
+        instance_list: address of the instance list stand-in.
+        entry_by_name: running entries.
+        minion_by_name: running minions.
+    """
+
+    def __init__(self, directory: pathlib.Path):
+        self.directory = directory
+        self.log = ""
+        self.instance_list = ""
+        self.entry_by_name: dict[str, Entry] = {}
+        self.minion_by_name: dict[str, Minion] = {}
+        self._processes: list[subprocess.Popen] = []
+        self._next_port = 0
+        self._count = 0
+
+    def start_platform(self, *log_options: str, lag: float = 0.3) -> None:
+        """Starts the log and the instance list."""
+        self.log = self._start_standin("logservice", *log_options)[0]
+        self.instance_list = self._start_standin(
+            "instancelist", "--lag-seconds", str(lag), "--reboot-seconds", "1"
+        )[0]
+
+    def start_minion(
+        self, name: str, pool: str, data_centre: str, rack: str, slots: int = 8
+    ) -> Minion:
+        """Starts a minion and lists it."""
+        address, process = self._start_standin(
+            "minion",
+            "--name",
+            name,
+            "--slots",
+            str(slots),
+            "--journal",
+            str(self.directory / f"{name}.journal"),
+        )
+        minion = Minion(name, pool, data_centre, rack, address, process)
+        self.minion_by_name[name] = minion
+        self.list_instance(name, "minion", data_centre, address)
+        return minion
+
+    def list_instance(
+        self,
+        name: str,
+        kind: str,
+        data_centre: str,
+        address: str,
+        leaving: bool = False,
+    ) -> None:
+        """Puts an instance on the platform's list."""
+        line = {
+            "id": name,
+            "kind": kind,
+            "data_centre_id": data_centre,
+            "address": address,
+            "state": "leaving" if leaving else "live",
+        }
+        if kind == "minion":
+            line["control"] = address
+        self.control(self.instance_list, put=line)
+
+    def start_entry(
+        self,
+        name: str,
+        data_centre: str,
+        seeds: list[str] | None = None,
+        **settings: Any,
+    ) -> Entry:
+        """Starts an entry; it is listed once it has told its id."""
+        path = self.directory / f"{name}.yaml"
+        if seeds is None:
+            seeds = [each.peers for each in self.entry_by_name.values()]
+        path.write_text(
+            yaml.safe_dump(
+                {
+                    "data_centre": data_centre,
+                    "callers": "127.0.0.1:0",
+                    "peers": "127.0.0.1:0",
+                    "admin": "127.0.0.1:0",
+                    "seeds": seeds,
+                    "log_service": self.log,
+                    "instance_list": self.instance_list,
+                    "test_controls": True,
+                    "timings": {"grace_seconds": 1.0},
+                    "logs": {"format": "json", "level": "INFO"},
+                    **settings,
+                }
+            )
+        )
+        output = self.directory / f"{name}.log"
+        with output.open("wb") as stream:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "sardinedrift", "entry"]
+                + ["run", "--config", str(path)],
+                stdout=stream,
+                stderr=stream,
+                env=self._environment(),
+            )
+        self._processes.append(process)
+        addresses = wait_until(
+            lambda: _announced_addresses(output), f"{name} starts"
+        )
+        entry = Entry(name, data_centre, process=process, **addresses)
+        self.entry_by_name[name] = entry
+        status = wait_until(lambda: self.status(entry), f"{name} answers")
+        self.list_instance(
+            status["entry_id"], "entry", data_centre, entry.peers
+        )
+        return entry
+
+    def wait_ready(self, *entries: Entry) -> None:
+        """Waits until entries are ready and members."""
+        for entry in entries:
+            wait_until(
+                lambda entry=entry: self._is_member(entry),
+                f"{entry.name} is ready and a member",
+            )
+
+    def _is_member(self, entry: Entry) -> bool:
+        status = self.status(entry)
+        return status["ready"] and status["member"]
+
+    def status(self, entry: Entry) -> dict:
+        """Returns the status that an entry shows to operators."""
+        return call(entry.admin, "/v1/status")
+
+    def publish(
+        self, *changes: dict, entry: Entry | None = None, atomic: bool = False
+    ) -> list[dict]:
+        """Publishes changes as an operator and returns their results.
+
+        Raises:
+            FleetError: a change was rejected or its outcome is unknown.
+        """
+        entry = entry or next(iter(self.entry_by_name.values()))
+        for change in changes:
+            change.setdefault("change_id", self._change_id())
+            change.setdefault("expected_revision", 0)
+        message = {"changes": list(changes), "atomic": atomic}
+        try:
+            return call(entry.admin, "/v1/changes", message, 30.0)["results"]
+        except urllib.error.HTTPError as error:
+            raise FleetError(error.read().decode()) from error
+
+    def control(self, address: str, **message: Any) -> Any:
+        """Sets a fault at a stand-in."""
+        return call(address, "/control", message)
+
+    def cut(self, entry: Entry, *blocked: str) -> None:
+        """Cuts an entry off from peer addresses or data centres."""
+        call(entry.admin, "/test/cut", {"blocked": list(blocked)})
+
+    def kill(self, name: str) -> None:
+        """Kills an entry; the list notices it after its lag."""
+        entry = self.entry_by_name.pop(name)
+        entry_id = self.status(entry)["entry_id"]
+        entry.process.kill()
+        entry.process.wait()
+        self.control(self.instance_list, remove=entry_id)
+
+    def stop(self, name: str) -> int:
+        """Stops an entry as planned and returns its exit status."""
+        entry = self.entry_by_name.pop(name)
+        entry_id = self.status(entry)["entry_id"]
+        entry.process.send_signal(signal.SIGTERM)
+        status = entry.process.wait(STOP_SECONDS)
+        self.control(self.instance_list, remove=entry_id)
+        return status
+
+    def close(self) -> None:
+        """Ends every process of the run."""
+        for process in self._processes:
+            if process.poll() is None:
+                # A stopped process ignores SIGTERM until it is continued.
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._processes:
+            process.wait()
+
+    def _start_standin(
+        self, module: str, *options: str
+    ) -> tuple[str, subprocess.Popen]:
+        process = subprocess.Popen(
+            [sys.executable, "-m", f"standins.{module}", *options],
+            stdout=subprocess.PIPE,
+            env=self._environment(),
+        )
+        self._processes.append(process)
+        line = process.stdout.readline()
+        if not line:
+            raise FleetError(f"stand-in {module} did not start")
+        return json.loads(line)["address"], process
+
+    def _environment(self) -> dict[str, str]:
+        root = pathlib.Path(__file__).resolve().parent.parent
+        return {**os.environ, "PYTHONPATH": str(root)}
+
+    def _change_id(self) -> str:
+        self._count += 1
+        return f"operator-{os.getpid()}-{self._count}"
+
+
+def _announced_addresses(output: pathlib.Path) -> dict[str, str] | None:
+    """Reads the addresses of the listeners from the log of an entry."""
+    for line in output.read_text().splitlines():
+        with contextlib.suppress(ValueError):
+            event = json.loads(line)
+            if "callers" in event:
+                return {name: event[name] for name in LISTENERS}
+    return None
+
+
+@contextlib.contextmanager
+def running_fleet() -> Iterator[Fleet]:
+    """Gives a fleet whose processes end with the block."""
+    with tempfile.TemporaryDirectory(prefix="sardinedrift-") as name:
+        fleet = Fleet(pathlib.Path(name))
+        try:
+            yield fleet
+        finally:
+            fleet.close()
