--- /dev/null
+++ b/sardinedrift/adminchanges.py
@@ -0,0 +1,89 @@
+"""Reads the changes that an operator posts; names the field that is wrong."""
+
+import re
+
+import msgspec
+
+from sardinedrift import changes as ch
+from sardinedrift.exceptions import StateError
+
+_PATH = re.compile(r" - at `\$\.?([^`]*)`$")
+_FIELD = re.compile(r"field `([^`]+)`")
+
+
+class _Body(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    changes: list[msgspec.Raw]
+    atomic: bool = False
+    deadline: float | None = None
+
+
+class Posted(msgspec.Struct, frozen=True):
+    """The content of `POST /v1/changes`; the deadline is in unix seconds."""
+
+    changes: list[ch.AnyChange]
+    atomic: bool
+    deadline: float | None
+
+
+def read(data: bytes) -> Posted:
+    """Reads the body of `POST /v1/changes`.
+
+    Raises:
+        StateError: with code "malformed" and the path of the field.
+    """
+    try:
+        body = msgspec.json.decode(data, type=_Body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise _malformed("", error) from error
+    if not body.changes:
+        raise StateError("malformed", "at least one change", "changes")
+    posted = [
+        _read_change(f"changes[{index}]", raw)
+        for index, raw in enumerate(body.changes)
+    ]
+    seen = set()
+    for index, change in enumerate(posted):
+        if change.change_id in seen or not change.change_id:
+            raise StateError(
+                "malformed",
+                "must be given and differ from the others",
+                f"changes[{index}].change_id",
+            )
+        seen.add(change.change_id)
+    return Posted(posted, body.atomic, body.deadline)
+
+
+def _read_change(place: str, raw: msgspec.Raw) -> ch.AnyChange:
+    try:
+        change = ch.decode_change(bytes(raw))
+        fields = msgspec.json.decode(raw, type=dict[str, msgspec.Raw])
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise _malformed(place, error) from error
+    if not isinstance(change, ch.OPERATOR_CHANGES):
+        raise StateError(
+            "malformed",
+            f"{type(change).__name__} is not published by operators",
+            f"{place}.type",
+        )
+    # Readers of the log accept unknown fields, but one that an operator
+    # sends is a slip that would otherwise pass in silence.
+    known = change.__struct_fields__
+    for name in fields:
+        if name not in ("type", *known):
+            raise StateError(
+                "malformed",
+                f"unknown field; allowed: {', '.join(known)}",
+                f"{place}.{name}",
+            )
+    return change
+
+
+def _malformed(place: str, error: Exception) -> StateError:
+    text = str(error)
+    path = _PATH.search(text)
+    missing = _FIELD.search(text)
+    parts = [place, path.group(1) if path else ""]
+    if missing:
+        parts.append(missing.group(1))
+    field = ".".join(part for part in parts if part)
+    return StateError("malformed", text, field)
--- /dev/null
+++ b/sardinedrift/adminviews.py
@@ -0,0 +1,113 @@
+"""What operators read: objects of the state as plain JSON values."""
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import msgspec
+
+from sardinedrift import objects
+from sardinedrift.identifiers import EntryState
+from sardinedrift.state import State
+
+Row = dict[str, Any]
+
+
+def _plain(value: Any) -> Row:
+    return msgspec.to_builtins(value, str_keys=True)
+
+
+def _key(state: State, key: objects.Key) -> Row:
+    row = _plain(key)
+    del row["digest"]
+    return row
+
+
+def _move(state: State, move: objects.Move) -> Row:
+    instance = state.tables.instance_by_id.get(move.instance_id)
+    drain = instance.drain if instance else None
+    own = drain is not None and drain.move_id == move.move_id
+    return {**_plain(move), "waiting": list(drain.waiting) if own else []}
+
+
+def _allowances(state: State, team_id: str) -> Row:
+    team = state.tables.team_by_id.get(team_id)
+    return {
+        "team_id": team_id,
+        "limit": team.limit if team else 0,
+        "unallocated": state.unallocated(team_id),
+        **_plain(state.tables.allowances_by_team[team_id]),
+    }
+
+
+def _object(state: State, value: Any) -> Row:
+    return _plain(value)
+
+
+_View = Callable[[State, Any], Row]
+
+_TABLE_AND_VIEW_BY_COLLECTION: dict[str, tuple[str, _View]] = {
+    "data-centres": ("data_centre_by_id", _object),
+    "teams": ("team_by_id", _object),
+    "keys": ("key_by_id", _key),
+    "pools": ("pool_by_id", _object),
+    "queues": ("queue_by_id", _object),
+    "rules": ("rule_by_id", _object),
+    "instances": ("instance_by_id", _object),
+    "moves": ("move_by_id", _move),
+    "waves": ("wave_by_id", _object),
+    "entries": ("entry_by_id", _object),
+    "allowances": ("allowances_by_team", _allowances),
+}
+
+COLLECTIONS = tuple(_TABLE_AND_VIEW_BY_COLLECTION)
+
+
+def one(state: State, collection: str, object_id: str) -> Row | None:
+    """Returns one object of a collection, or None."""
+    table, view = _TABLE_AND_VIEW_BY_COLLECTION[collection]
+    rows = getattr(state.tables, table)
+    if object_id not in rows:
+        return None
+    return view(state, _subject(collection, rows, object_id))
+
+
+def rows_after(
+    state: State, collection: str, after: str
+) -> Iterator[tuple[str, Row]]:
+    """Yields (id, object) of a collection in id order, after an id."""
+    table, view = _TABLE_AND_VIEW_BY_COLLECTION[collection]
+    rows = getattr(state.tables, table)
+    for object_id in sorted(rows):
+        if object_id > after:
+            yield object_id, view(state, _subject(collection, rows, object_id))
+
+
+def _subject(collection: str, rows: dict, object_id: str) -> Any:
+    return object_id if collection == "allowances" else rows[object_id]
+
+
+def waiting_drains(state: State) -> list[Row]:
+    """Returns the drains in progress and the entries they wait for."""
+    return [
+        {
+            "instance_id": instance.instance_id,
+            "move_id": instance.drain.move_id,
+            "wave_id": instance.drain.wave_id,
+            "waiting": list(instance.drain.waiting),
+        }
+        for instance in state.tables.instance_by_id.values()
+        if instance.drain and instance.drain.waiting
+    ]
+
+
+def waiting_joins(state: State) -> list[Row]:
+    """Returns the entries that join and the members they wait for."""
+    return [
+        {
+            "entry_id": entry.entry_id,
+            "data_centre_id": entry.data_centre_id,
+            "waiting": list(entry.waiting),
+        }
+        for entry in state.tables.entry_by_id.values()
+        if entry.state is EntryState.JOINING
+    ]
--- /dev/null
+++ b/sardinedrift/logs.py
@@ -0,0 +1,74 @@
+"""Log lines on one stream, as text or as JSON, never with a key secret."""
+
+import re
+import sys
+from typing import TextIO
+
+import msgspec
+from loguru import logger
+
+from sardinedrift.identifiers import Identity
+from sardinedrift.settings import Logs
+
+# Prefix of key secrets, so that they are recognised wherever they occur.
+SECRET_PREFIX = "sdk_"
+
+_SECRET = re.compile(
+    rf"{SECRET_PREFIX}[A-Za-z0-9_-]{{8,}}"
+    r"|(?<=sardinedrift-key)([\"']?\s*[:=,]\s*)[\"']?[^\s\"',}\])]+",
+    re.IGNORECASE,
+)
+_TEXT_FORMAT = (
+    "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} "
+    "{extra[data_centre]}/{extra[instance]} {message}\n{exception}"
+)
+
+
+def redact(text: str) -> str:
+    """Returns a text with every key secret replaced."""
+    return _SECRET.sub(lambda found: (found.group(1) or "") + "[key]", text)
+
+
+def configure(
+    settings: Logs, identity: Identity, stream: TextIO | None = None
+) -> None:
+    """Sends the log lines of this process to a stream (standard error)."""
+    target = stream or sys.stderr
+
+    def write(message) -> None:
+        # The rendered line is checked, since a secret may also stand in a
+        # bound field or in the text of an exception.
+        line = _json_line(message) if settings.format == "json" else message
+        target.write(redact(line))
+        target.flush()
+
+    logger.remove()
+    logger.configure(
+        extra={
+            "instance": identity.entry_id,
+            "data_centre": identity.data_centre_id,
+        }
+    )
+    # With `diagnose` a traceback would show the values of variables.
+    logger.add(
+        write,
+        level=settings.level,
+        format=lambda record: _TEXT_FORMAT,
+        diagnose=False,
+        backtrace=False,
+        colorize=False,
+    )
+
+
+def _json_line(message) -> str:
+    record = message.record
+    line = {
+        "time": record["time"].timestamp(),
+        "level": record["level"].name,
+        "module": record["name"],
+        "message": record["message"],
+        **{key: str(value) for key, value in record["extra"].items()},
+    }
+    if record["exception"] is not None:
+        line["exception"] = repr(record["exception"].value)
+    return msgspec.json.encode(line).decode() + "\n"
--- /dev/null
+++ b/sardinedrift/yamlfiles.py
@@ -0,0 +1,42 @@
+"""Reads YAML files; a key that is given twice is an error."""
+
+import pathlib
+from typing import Any
+
+import yaml
+
+from sardinedrift.exceptions import SettingsError
+
+
+class _Loader(yaml.SafeLoader):
+    """PyYAML keeps the last of two equal keys and says nothing."""
+
+    def construct_mapping(self, node, deep=False):
+        seen = set()
+        for key_node, _ in node.value:
+            key = key_node.value
+            if key in seen:
+                raise yaml.constructor.ConstructorError(
+                    None, None, f"key {key!r} is given twice", node.start_mark
+                )
+            seen.add(key)
+        return super().construct_mapping(node, deep)
+
+
+def read_mapping(path: str | pathlib.Path) -> dict[str, Any]:
+    """Returns the mapping at the top of a YAML file.
+
+    Raises:
+        SettingsError: the file cannot be read, is no YAML or no mapping.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+        data = yaml.load(text, Loader=_Loader)  # noqa: S506, a SafeLoader
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: cannot be read: {error}") from error
+    except yaml.YAMLError as error:
+        text = " ".join(str(error).split())
+        raise SettingsError(f"{path}: is no valid YAML: {text}") from error
+    if not isinstance(data, dict):
+        raise SettingsError(f"{path}: must be a mapping of keys to values")
+    return data
