--- /dev/null
+++ b/sardinedrift/adminclient.py
@@ -0,0 +1,163 @@
+"""A client of the operators' application, for the command line.
+
+Several addresses may be given; the next is tried when one is unreachable or
+not able to publish. Changes carry change ids, so trying again is safe.
+"""
+
+import http.client
+import json
+import time
+import urllib.parse
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from sardinedrift import changes as ch
+from sardinedrift.exceptions import (
+    AdminRefused,
+    AdminUnknown,
+    AdminUnreachable,
+)
+
+TIMEOUT_SECONDS = 15.0
+PUBLISH_SECONDS = 10.0
+
+
+class AdminClient:
+    """Talks to the first entry that answers.
+
+    Args:
+        addresses: "ip:port" of admin listeners, in order of preference.
+    """
+
+    def __init__(self, addresses: list[str]):
+        self._addresses = addresses
+
+    def get(self, path: str, **query: str) -> dict[str, Any]:
+        """Returns a JSON reply.
+
+        Raises:
+            AdminRefused: the entry answered with an error.
+            AdminUnreachable: no entry answered.
+        """
+        if query:
+            path = f"{path}?{urllib.parse.urlencode(query)}"
+        status, reply = self._call("GET", path, None)
+        if status != 200:
+            raise AdminRefused(_reason(reply))
+        return reply
+
+    def rows(self, collection: str, **query: str) -> Iterator[dict[str, Any]]:
+        """Yields the objects of a collection, page by page."""
+        after: str | None = ""
+        while after is not None:
+            reply = self.get(f"/v1/{collection}", after=after, **query)
+            yield from reply["items"]
+            after = reply["next"]
+
+    def find(self, collection: str, object_id: str) -> dict[str, Any] | None:
+        """Returns an object, or None when it does not exist."""
+        quoted = urllib.parse.quote(object_id, safe="")
+        status, reply = self._call("GET", f"/v1/{collection}/{quoted}", None)
+        if status == 404:
+            return None
+        if status != 200:
+            raise AdminRefused(_reason(reply))
+        return reply["item"]
+
+    def publish(
+        self, changes: list[ch.AnyChange], atomic: bool = False
+    ) -> list[dict[str, Any]]:
+        """Publishes changes and returns a result for each.
+
+        Raises:
+            AdminRefused: a change was rejected; the text says why.
+            AdminUnreachable: no entry took the changes; none has effect.
+            AdminUnknown: they may have taken effect.
+        """
+        body = {
+            "changes": changes,
+            "atomic": atomic,
+            "deadline": time.time() + PUBLISH_SECONDS,
+        }
+        status, reply = self._call(
+            "POST", "/v1/changes", msgspec.json.encode(body)
+        )
+        if status == 504:
+            raise AdminUnknown(_reason(reply))
+        if status == 503:
+            raise AdminUnreachable(_reason(reply))
+        if status == 409:
+            raise AdminRefused(_rejections(reply["results"]), reply["results"])
+        if status != 200:
+            raise AdminRefused(_reason(reply))
+        return reply["results"]
+
+    def _call(
+        self, method: str, path: str, body: bytes | None
+    ) -> tuple[int, dict[str, Any]]:
+        """Returns the answer of the first usable entry.
+
+        An answer of 503 or 504 is returned only when no entry gave a better
+        one. Once an append may have happened, 504 stays the answer.
+        """
+        failures = []
+        unknown = ""
+        unavailable: tuple[int, dict[str, Any]] | None = None
+        for address in self._addresses:
+            try:
+                status, reply = _send(address, method, path, body)
+            except _NotSent as error:
+                failures.append(f"{address}: {error}")
+                continue
+            except (OSError, http.client.HTTPException, ValueError) as error:
+                failures.append(f"{address}: {error or type(error).__name__}")
+                if body is not None:
+                    unknown = failures[-1]
+                continue
+            if status == 504:
+                unknown = f"{address}: {_reason(reply)}"
+                continue
+            if status == 503:
+                unavailable = (status, reply)
+                continue
+            return status, reply
+        if unknown:
+            return 504, {"message": unknown}
+        if unavailable:
+            return unavailable
+        raise AdminUnreachable("; ".join(failures))
+
+
+class _NotSent(Exception):  # noqa: N818
+    """No connection could be opened."""
+
+
+def _send(
+    address: str, method: str, path: str, body: bytes | None
+) -> tuple[int, dict[str, Any]]:
+    connection = http.client.HTTPConnection(address, timeout=TIMEOUT_SECONDS)
+    try:
+        try:
+            connection.connect()
+        except OSError as error:
+            raise _NotSent(str(error)) from error
+        headers = {"Content-Type": "application/json"} if body else {}
+        connection.request(method, path, body, headers)
+        response = connection.getresponse()
+        return response.status, json.loads(response.read())
+    finally:
+        connection.close()
+
+
+def _reason(reply: dict[str, Any]) -> str:
+    parts = [reply.get("code"), reply.get("field"), reply.get("message")]
+    return ": ".join(part for part in parts if part)
+
+
+def _rejections(results: list[dict[str, Any]]) -> str:
+    rejected = [each for each in results if not each["accepted"]]
+    # Changes rejected only because another one was say nothing new.
+    causes = [each for each in rejected if each["code"] != "batch_rejected"]
+    return "\n".join(_reason(each) for each in causes or rejected)
--- /dev/null
+++ b/sardinedrift/cli.py
@@ -0,0 +1,218 @@
+"""The program `sardinedrift`: runs entries and talks to them.
+
+Exit status: 0 done, 1 refused, 2 wrong usage or settings, 3 no entry reached
+or outcome unknown.
+"""
+
+import click
+
+from sardinedrift import changes as ch
+from sardinedrift import commands, desired, workcommands
+from sardinedrift.addresses import split_address
+from sardinedrift.context import Context, example, pass_context
+from sardinedrift.output import exit_statuses, print_object, print_rows
+
+
+class _Program(click.Group):
+    """Turns the errors of every command into exit statuses."""
+
+    def invoke(self, ctx: click.Context):
+        with exit_statuses():
+            return super().invoke(ctx)
+
+
+def _check_addresses(ctx, parameter, values: tuple[str, ...]) -> list[str]:
+    addresses = [part for value in values for part in value.split(",") if part]
+    for address in addresses:
+        try:
+            split_address(address)
+        except ValueError as error:
+            raise click.BadParameter(str(error)) from error
+    return addresses
+
+
+@example("sardinedrift --admin 127.0.0.1:7102 status")
+@click.group(cls=_Program, context_settings={"max_content_width": 80})
+@click.option(
+    "--admin",
+    "addresses",
+    multiple=True,
+    envvar="SARDINEDRIFT_ADMIN",
+    default=("127.0.0.1:7102",),
+    show_default=True,
+    callback=_check_addresses,
+    help="Admin address of an entry; several are tried in order.",
+)
+@click.option(
+    "--output",
+    "form",
+    type=click.Choice(["table", "json"]),
+    default="table",
+    show_default=True,
+)
+@click.option("--change-id", help="Repeats a change whose outcome is unknown.")
+@click.version_option(package_name="sardinedrift")
+@click.pass_context
+def main(
+    ctx: click.Context, addresses: list[str], form: str, change_id: str | None
+) -> None:
+    """Manages the capacity and maintenance of a fleet."""
+    ctx.obj = Context(addresses, form, change_id)
+
+
+@example("sardinedrift entry --config examples/entry.yaml")
+@main.group("entry", invoke_without_command=True)
+@click.option("--config", type=click.Path(dir_okay=False), help="Settings.")
+@click.pass_context
+def entry(ctx: click.Context, config: str | None) -> None:
+    """Runs an entry, or shows and retires entries."""
+    if ctx.invoked_subcommand is None:
+        if config is None:
+            raise click.UsageError("give --config FILE or a command", ctx)
+        _run_entry(config)
+
+
+@example("sardinedrift entry run --config examples/entry.yaml")
+@entry.command("run")
+@click.option("--config", type=click.Path(dir_okay=False), required=True)
+def run_entry(config: str) -> None:
+    """Runs an entry until it is told to stop."""
+    _run_entry(config)
+
+
+def _run_entry(config: str) -> None:
+    # Imported here, because the server's libraries load slowly.
+    from sardinedrift import entry as entry_module
+    from sardinedrift import settings
+
+    entry_module.run(settings.load(config))
+
+
+@example("sardinedrift entry list")
+@entry.command("list")
+@pass_context
+def list_entries(context: Context) -> None:
+    """Lists the entries with their membership."""
+    print_rows(context.form, context.client.rows("entries"))
+
+
+@example("sardinedrift entry retire 0190f7a2 --evidence 'host was removed'")
+@entry.command("retire")
+@click.argument("entry_id", metavar="ENTRY")
+@click.option("--evidence", required=True, help="How it is known to be over.")
+@pass_context
+def retire_entry(context: Context, entry_id: str, evidence: str) -> None:
+    """States that an entry process has ended for certain.
+
+    A process that is only frozen must be ended first: work it still holds
+    would otherwise run beside work that is placed anew.
+    """
+    change = ch.EntryGone(
+        change_id=context.change_id, entry_id=entry_id, evidence=evidence
+    )
+    context.publish([change])
+
+
+@example("sardinedrift --output json status")
+@main.command("status")
+@pass_context
+def status(context: Context) -> None:
+    """Shows an entry, what is in force where, and what waits for whom."""
+    reply = context.client.get("/v1/status")
+    if context.form == "json":
+        print_object("json", reply)
+        return
+    rows_by_data_centre = reply.pop("data_centres")
+    waiting = [*reply.pop("waiting_drains"), *reply.pop("waiting_joins")]
+    print_object("table", reply)
+    entries = [
+        {"data_centre_id": data_centre_id, **row}
+        for data_centre_id, rows in rows_by_data_centre.items()
+        for row in rows
+    ]
+    for rows in (entries, waiting):
+        if rows:
+            click.echo()
+            print_rows("table", rows)
+
+
+@example("sardinedrift timeline --all --wave-id wave-4f1c2d3e")
+@main.command("timeline")
+@click.option("--all", "merged", is_flag=True, help="Of all entries, merged.")
+@click.option("--kind")
+@click.option("--since", type=float, help="Unix seconds.")
+@click.option("--request-id")
+@click.option("--team-id")
+@click.option("--instance-id")
+@click.option("--move-id")
+@click.option("--wave-id")
+@click.option("--limit", type=click.IntRange(min=1), default=100)
+@pass_context
+def show_timeline(context: Context, merged: bool, **selection) -> None:
+    """Shows recent events, ordered by log offset and then by time."""
+    query = {k: str(v) for k, v in selection.items() if v is not None}
+    if merged:
+        query["all"] = "1"
+    reply = context.client.get("/v1/timeline", **query)
+    if context.form == "json":
+        print_object("json", reply)
+    else:
+        print_rows("table", reply["events"])
+    for entry_id in reply["unreachable"]:
+        click.echo(f"note: entry {entry_id} did not answer", err=True)
+
+
+@example("sardinedrift config check entry.yaml")
+@main.group("config")
+def config() -> None:
+    """Checks files without talking to an entry."""
+
+
+@example("sardinedrift config check examples/joyjugal/configuration.yaml")
+@config.command("check")
+@click.argument("path", metavar="FILE", type=click.Path(dir_okay=False))
+@click.option(
+    "--kind",
+    type=click.Choice(["entry", "fleet"]),
+    help="What the file holds; told from its keys when not given.",
+)
+def check_file(path: str, kind: str | None) -> None:
+    """Checks the settings of an entry or the configuration of a fleet."""
+    from sardinedrift import settings, yamlfiles
+
+    if kind is None:
+        sections = {section.name for section in desired.SECTIONS}
+        is_fleet = sections & set(yamlfiles.read_mapping(path))
+        kind = "fleet" if is_fleet else "entry"
+    if kind == "fleet":
+        desired.check(path)
+    else:
+        settings.load(path)
+    click.echo(f"{path}: valid {kind} file")
+
+
+@example("sardinedrift apply examples/joyjugal/configuration.yaml")
+@main.command("apply")
+@click.argument("path", metavar="FILE", type=click.Path(dir_okay=False))
+@pass_context
+def apply(context: Context, path: str) -> None:
+    """Puts a configuration file in force, all of it or nothing.
+
+    Objects that the file does not name are left alone. Repeating it changes
+    nothing.
+    """
+    commands.apply_file(context, path)
+
+
+for _group in (
+    commands.team,
+    commands.key,
+    commands.pool,
+    commands.queue,
+    commands.rule,
+    commands.instance,
+    commands.data_centre,
+    workcommands.move,
+    workcommands.wave,
+):
+    main.add_command(_group)
--- /dev/null
+++ b/sardinedrift/commands.py
@@ -0,0 +1,316 @@
+"""Commands that edit teams, keys, pools, queues, rules and instances."""
+
+import hashlib
+import secrets
+
+import click
+import msgspec
+
+from sardinedrift import changes as ch
+from sardinedrift import desired
+from sardinedrift.context import Context, example, pass_context, revision_option
+from sardinedrift.exceptions import AdminUnknown
+from sardinedrift.identifiers import SECRET_PREFIX, InstanceKind, WorkClass
+from sardinedrift.output import (
+    UNREACHABLE,
+    CommandError,
+    print_object,
+    print_rows,
+)
+
+
+def make_group(name: str, collection: str, kind: str) -> click.Group:
+    """Returns a group with `list`, `show` and, for a kind, `remove`."""
+    noun = name.replace("-", " ")
+    group = click.Group(name, help=f"Shows and edits {collection}.")
+    group.epilog = f"Example: sardinedrift {name} list"
+    group.add_command(_list_command(name, collection))
+    group.add_command(_show_command(name, collection, noun))
+    if kind:
+        group.add_command(_remove_command(name, collection, kind, noun))
+    return group
+
+
+def _list_command(name: str, collection: str) -> click.Command:
+    @example(f"sardinedrift --output json {name} list")
+    @click.command("list", help=f"Lists the {collection}.")
+    @pass_context
+    def command(context: Context) -> None:
+        print_rows(context.form, context.client.rows(collection))
+
+    return command
+
+
+def _show_command(name: str, collection: str, noun: str) -> click.Command:
+    @example(f"sardinedrift {name} show NAME")
+    @click.command("show", help=f"Shows one {noun}.")
+    @click.argument("object_id", metavar="ID")
+    @pass_context
+    def command(context: Context, object_id: str) -> None:
+        row = context.client.get(f"/v1/{collection}/{object_id}")["item"]
+        print_object(context.form, row)
+
+    return command
+
+
+def _remove_command(
+    name: str, collection: str, kind: str, noun: str
+) -> click.Command:
+    @example(f"sardinedrift {name} remove NAME")
+    @click.command("remove", help=f"Removes a {noun} that nothing uses.")
+    @click.argument("object_id", metavar="ID")
+    @revision_option
+    @pass_context
+    def command(context: Context, object_id: str, revision: int | None) -> None:
+        change = ch.Delete(
+            change_id=context.change_id,
+            expected_revision=context.revision(collection, object_id, revision),
+            kind=kind,
+            object_id=object_id,
+        )
+        context.publish([change])
+
+    return command
+
+
+def put(
+    context: Context,
+    change_type: type[ch.OperatorChange],
+    collection: str,
+    object_id: str,
+    revision: int | None,
+    fields: dict,
+) -> None:
+    """Creates an object, or edits the fields that are given.
+
+    Args:
+        context: options of the program.
+        change_type: the change that creates and edits the object.
+        collection: where the object is read.
+        object_id: its id.
+        revision: expected revision, or None to read it.
+        fields: all fields but the id; None: unchanged, or the default.
+    """
+    current = context.client.find(collection, object_id) or {}
+    names = [
+        name
+        for name in change_type.__struct_fields__
+        if name not in ("change_id", "expected_revision")
+    ]
+    row = {name: current[name] for name in names if name in current}
+    row.update({k: v for k, v in fields.items() if v is not None})
+    row[names[0]] = object_id
+    try:
+        change = desired.read_row(change_type, row)
+    except ValueError as error:
+        raise click.UsageError(str(error)) from error
+    # The current fields and the revision come from one reading, so that an
+    # edit between the two is noticed.
+    if revision is None:
+        revision = current.get("revision", 0)
+    change = msgspec.structs.replace(
+        change, change_id=context.change_id, expected_revision=revision
+    )
+    context.publish([change])
+
+
+team = make_group("team", "teams", "team")
+key = make_group("key", "keys", "")
+pool = make_group("pool", "pools", "pool")
+queue = make_group("queue", "queues", "queue")
+rule = make_group("rule", "rules", "rule")
+instance = make_group("instance", "instances", "instance")
+data_centre = make_group("data-centre", "data-centres", "data_centre")
+
+
+@example("sardinedrift team put pairing --share 2 --limit 80")
+@team.command("put")
+@click.argument("team_id", metavar="TEAM")
+@click.option("--share", type=float, help="Weight when the fleet is full.")
+@click.option("--limit", type=int, help="Most requests running at once.")
+@click.option(
+    "--max-configuration-age",
+    type=float,
+    help="Seconds; older configuration refuses the team.",
+)
+@revision_option
+@pass_context
+def put_team(context: Context, team_id: str, revision, **fields) -> None:
+    """Creates a team or edits the fields that are given."""
+    put(context, ch.PutTeam, "teams", team_id, revision, fields)
+
+
+@example("sardinedrift data-centre put jj1 --region north")
+@data_centre.command("put")
+@click.argument("data_centre_id", metavar="DATA_CENTRE")
+@click.option("--region", help="Region the data centre is in.")
+@revision_option
+@pass_context
+def put_data_centre(
+    context: Context, data_centre_id: str, revision, **fields
+) -> None:
+    """Creates a data centre or edits the fields that are given."""
+    put(
+        context,
+        ch.PutDataCentre,
+        "data-centres",
+        data_centre_id,
+        revision,
+        fields,
+    )
+
+
+@example("sardinedrift pool put pairing --max-unavailable 2")
+@pool.command("put")
+@click.argument("pool_id", metavar="POOL")
+@click.option("--quick-reserve", type=float, help="Slots without long work.")
+@click.option("--long-floor", type=float, help="Slots where long goes first.")
+@click.option("--max-unavailable", type=int, help="Budget of the pool.")
+@click.option("--max-unavailable-per-rack", type=int, help="Budget of a rack.")
+@click.option("--spare/--no-spare", default=None, help="Waves may borrow.")
+@revision_option
+@pass_context
+def put_pool(context: Context, pool_id: str, revision, **fields) -> None:
+    """Creates a pool or edits the fields that are given."""
+    put(context, ch.PutPool, "pools", pool_id, revision, fields)
+
+
+@example("sardinedrift queue put pairing-quick --pool-id pairing")
+@queue.command("put")
+@click.argument("queue_id", metavar="QUEUE")
+@click.option("--pool-id", help="Pool that serves the queue.")
+@click.option(
+    "--work-class", type=click.Choice([each.value for each in WorkClass])
+)
+@click.option("--idempotent/--not-idempotent", default=None)
+@click.option("--open-team", help="Team that keyless requests count for.")
+@click.option("--team", "team_ids", multiple=True, help="May use it; repeat.")
+@click.option("--max-body-bytes", type=int)
+@click.option("--max-run-seconds", type=float)
+@revision_option
+@pass_context
+def put_queue(
+    context: Context, queue_id: str, revision, team_ids, **fields
+) -> None:
+    """Creates a queue or edits the fields that are given."""
+    fields["team_ids"] = list(team_ids) or None
+    put(context, ch.PutQueue, "queues", queue_id, revision, fields)
+
+
+@example("sardinedrift rule put red-pairing --pool-id pairing --team-id red")
+@rule.command("put")
+@click.argument("rule_id", metavar="RULE")
+@click.option("--pool-id")
+@click.option("--team-id")
+@click.option("--share", type=float, help="Weight of the team in the pool.")
+@revision_option
+@pass_context
+def put_rule(context: Context, rule_id: str, revision, **fields) -> None:
+    """Creates a rule or edits the fields that are given."""
+    put(context, ch.PutRule, "rules", rule_id, revision, fields)
+
+
+@example("sardinedrift instance put m1 --address 127.0.0.1:9001 --rack r1")
+@instance.command("put")
+@click.argument("instance_id", metavar="INSTANCE")
+@click.option(
+    "--kind", type=click.Choice([each.value for each in InstanceKind])
+)
+@click.option("--data-centre-id")
+@click.option("--pool-id", help="Set at creation; later only by a move.")
+@click.option("--rack")
+@click.option("--address", help="IP number and port.")
+@click.option("--slots", type=int)
+@click.option("--connections", type=int)
+@click.option("--cores", type=float)
+@click.option("--memory-gb", type=float)
+@click.option("--accelerators", type=int)
+@revision_option
+@pass_context
+def put_instance(
+    context: Context, instance_id: str, revision, **fields
+) -> None:
+    """Creates an instance or edits the fields that are given."""
+    put(context, ch.PutInstance, "instances", instance_id, revision, fields)
+
+
+@example("sardinedrift instance import instances.yaml")
+@instance.command("import")
+@click.argument("path", metavar="FILE", type=click.Path(dir_okay=False))
+@pass_context
+def import_instances(context: Context, path: str) -> None:
+    """Creates or edits the instances listed in a YAML file, all or none."""
+    apply_file(context, path, only=("instances",))
+
+
+def apply_file(
+    context: Context, path: str, only: tuple[str, ...] | None = None
+) -> None:
+    """Publishes what a file changes, as one atomic batch."""
+    wanted = desired.load(path, only)
+    rows_by_collection = {}
+    for collection in desired.collections(wanted):
+        rows = context.client.rows(collection)
+        id_field = next(
+            section.id_field
+            for section in desired.SECTIONS
+            if section.collection == collection
+        )
+        rows_by_collection[collection] = {row[id_field]: row for row in rows}
+    plan = desired.plan(wanted, rows_by_collection, context.change_id)
+    for remark in plan.remarks:
+        click.echo(f"note: {remark}", err=True)
+    if plan.changes:
+        context.publish(plan.changes, atomic=True)
+    elif context.form == "json":
+        print_rows("json", [])
+    else:
+        click.echo("nothing to change")
+
+
+@example("sardinedrift key grant red-2027 --team-id red")
+@key.command("grant")
+@click.argument("key_id", metavar="KEY")
+@click.option("--team-id", required=True, help="Team that the key is for.")
+@pass_context
+def grant_key(context: Context, key_id: str, team_id: str) -> None:
+    """Grants a key and prints its secret, which is shown only this once."""
+    if context.repeated:
+        raise click.UsageError(
+            "--change-id cannot be used here, because the secret is new each "
+            "time; withdraw the key and grant one with another id"
+        )
+    secret = SECRET_PREFIX + secrets.token_urlsafe(32)
+    change = ch.GrantKey(
+        change_id=context.change_id,
+        expected_revision=0,
+        key_id=key_id,
+        team_id=team_id,
+        digest=hashlib.sha256(secret.encode()).hexdigest(),
+    )
+    row = {"key_id": key_id, "team_id": team_id, "secret": secret}
+    try:
+        context.client.publish([change])
+    except AdminUnknown as error:
+        print_object(context.form, row)
+        text = (
+            f"the outcome is unknown: {error}\nthe secret works once "
+            f"`sardinedrift key show {key_id}` shows the key"
+        )
+        raise CommandError(text, UNREACHABLE) from error
+    print_object(context.form, row)
+
+
+@example("sardinedrift key withdraw red-2026")
+@key.command("withdraw")
+@click.argument("key_id", metavar="KEY")
+@revision_option
+@pass_context
+def withdraw_key(context: Context, key_id: str, revision) -> None:
+    """Withdraws a key for good."""
+    change = ch.WithdrawKey(
+        change_id=context.change_id,
+        expected_revision=context.revision("keys", key_id, revision),
+        key_id=key_id,
+    )
+    context.publish([change])
--- /dev/null
+++ b/sardinedrift/desired.py
@@ -0,0 +1,232 @@
+"""A configuration file of a fleet and the changes that put it in force.
+
+The file has lists of objects under `data_centres`, `teams`, `pools`,
+`queues`, `rules` and `instances`; the keys of an object are the fields of its
+change. Objects that are in force but not in the file are left alone.
+"""
+
+import pathlib
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+import msgspec
+
+from sardinedrift import changes as ch
+from sardinedrift.exceptions import SettingsError
+from sardinedrift.yamlfiles import read_mapping
+
+Row = dict[str, Any]
+
+
+class Section(NamedTuple):
+    """A list of the file, the collection it edits and its change."""
+
+    name: str
+    collection: str
+    id_field: str
+    change_type: type[ch.OperatorChange]
+
+
+# In the order in which objects refer to each other.
+SECTIONS = (
+    Section("data_centres", "data-centres", "data_centre_id", ch.PutDataCentre),
+    Section("teams", "teams", "team_id", ch.PutTeam),
+    Section("pools", "pools", "pool_id", ch.PutPool),
+    Section("queues", "queues", "queue_id", ch.PutQueue),
+    Section("rules", "rules", "rule_id", ch.PutRule),
+    Section("instances", "instances", "instance_id", ch.PutInstance),
+)
+
+_SET_BY_ADMIN = ("change_id", "expected_revision")
+
+
+class Desired(NamedTuple):
+    """Objects of a file: changes without ids and revisions, by section."""
+
+    changes_by_section: dict[str, list[ch.OperatorChange]]
+
+
+class Plan(NamedTuple):
+    """Changes to publish, and remarks on what the file cannot change."""
+
+    changes: list[ch.OperatorChange]
+    remarks: list[str]
+
+
+def load(
+    path: str | pathlib.Path, only: tuple[str, ...] | None = None
+) -> Desired:
+    """Reads a configuration file.
+
+    Args:
+        path: the file.
+        only: names of the sections that may occur; None: all.
+
+    Raises:
+        SettingsError: one line for each error, with file, key and allowed
+            values.
+    """
+    data = read_mapping(path)
+    sections = [each for each in SECTIONS if not only or each.name in only]
+    known = [section.name for section in sections]
+    errors = [
+        f"{name}: unknown key; allowed: {', '.join(known)}"
+        for name in data
+        if name not in known
+    ]
+    changes_by_section = {}
+    for section in sections:
+        rows = data.get(section.name) or []
+        if not isinstance(rows, list):
+            errors.append(f"{section.name}: must be a list")
+            continue
+        changes_by_section[section.name] = _read_rows(section, rows, errors)
+    if errors:
+        raise SettingsError("\n".join(f"{path}: {each}" for each in errors))
+    return Desired(changes_by_section)
+
+
+def _read_rows(
+    section: Section, rows: list, errors: list[str]
+) -> list[ch.OperatorChange]:
+    changes = []
+    seen = set()
+    for index, row in enumerate(rows):
+        place = f"{section.name}[{index}]"
+        try:
+            change = read_row(section.change_type, row)
+        except ValueError as error:
+            errors.append(f"{place}.{error}")
+            continue
+        object_id = getattr(change, section.id_field)
+        if object_id in seen:
+            errors.append(
+                f"{place}.{section.id_field}: {object_id!r} is given twice"
+            )
+        seen.add(object_id)
+        changes.append(change)
+    return changes
+
+
+def read_row(
+    change_type: type[ch.OperatorChange], row: Any
+) -> ch.OperatorChange:
+    """Returns a change with the fields of a row, at revision 0.
+
+    Raises:
+        ValueError: the text begins with the wrong field.
+    """
+    if not isinstance(row, dict):
+        raise ValueError("must be a mapping")
+    known = [
+        name
+        for name in change_type.__struct_fields__
+        if name not in _SET_BY_ADMIN
+    ]
+    for name in row:
+        if name not in known:
+            raise ValueError(
+                f"{name}: unknown key; allowed: {', '.join(known)}"
+            )
+    whole = {**row, "change_id": "", "expected_revision": 0}
+    try:
+        return msgspec.convert(whole, change_type)
+    except msgspec.ValidationError as error:
+        text, _, path = str(error).partition(" - at `$.")
+        place = path.rstrip("`") or "(object)"
+        raise ValueError(f"{place}: {text}") from error
+
+
+def plan(
+    desired: Desired,
+    rows_by_collection: dict[str, dict[str, Row]],
+    change_id: str,
+) -> Plan:
+    """Returns what must change for a file to be in force.
+
+    Args:
+        desired: the file.
+        rows_by_collection: objects in force by collection and id.
+        change_id: prefix of the change ids.
+    """
+    changes: list[ch.OperatorChange] = []
+    remarks: list[str] = []
+    for section in SECTIONS:
+        rows = rows_by_collection.get(section.collection, {})
+        wanted = desired.changes_by_section.get(section.name, [])
+        for change in wanted:
+            object_id = getattr(change, section.id_field)
+            current = rows.get(object_id)
+            change = _at_current_place(change, current, remarks)
+            if current is None or _differs(change, current):
+                name = f"{section.collection}/{object_id}"
+                changes.append(_numbered(change, name, current, change_id))
+    return Plan(changes, remarks)
+
+
+def check(path: str | pathlib.Path) -> None:
+    """Rehearses a file against an empty fleet.
+
+    Raises:
+        SettingsError: the file is wrong, or the fold would reject it.
+    """
+    # Imported here, because the fold loads slowly and only this needs it.
+    from sardinedrift import fold
+    from sardinedrift.state import State
+
+    changes = tuple(plan(load(path), {}, "check").changes)
+    results = fold.rehearse(State(), ch.Batch(changes))
+    errors = [
+        f"{path}: {result.change_id.removeprefix('check/')}: "
+        f"{result.field}: {result.message}"
+        for result in results
+        if not result.accepted
+    ]
+    if errors:
+        raise SettingsError("\n".join(errors))
+
+
+def collections(desired: Desired) -> Iterator[str]:
+    """Yields the collections that a file edits."""
+    for section in SECTIONS:
+        if desired.changes_by_section.get(section.name):
+            yield section.collection
+
+
+def _at_current_place(
+    change: ch.OperatorChange, current: Row | None, remarks: list[str]
+) -> ch.OperatorChange:
+    """Keeps the pool of an instance that has been moved since."""
+    if current is None or not isinstance(change, ch.PutInstance):
+        return change
+    if change.pool_id == current["pool_id"]:
+        return change
+    remarks.append(
+        f"instance {change.instance_id} stays in pool {current['pool_id']}; "
+        "use `sardinedrift move start` to move it"
+    )
+    return msgspec.structs.replace(change, pool_id=current["pool_id"])
+
+
+def _differs(change: ch.OperatorChange, current: Row) -> bool:
+    wanted = msgspec.to_builtins(change)
+    return any(
+        value != current[name]
+        for name, value in wanted.items()
+        if name in current
+    )
+
+
+def _numbered(
+    change: ch.OperatorChange,
+    object_name: str,
+    current: Row | None,
+    change_id: str,
+) -> ch.OperatorChange:
+    # Named by its object, so that a repeated apply that finds a part already
+    # in force gives the rest the same ids again.
+    return msgspec.structs.replace(
+        change,
+        change_id=f"{change_id}/{object_name}",
+        expected_revision=current["revision"] if current else 0,
+    )
--- a/sardinedrift/exceptions.py
+++ b/sardinedrift/exceptions.py
@@ -105,3 +105,27 @@
         self.code = code
         self.status = status
         self.outcome = outcome
+
+
+class AdminClientError(SardinedriftError):
+    """Base of the errors of the operators' client."""
+
+
+class AdminRefused(AdminClientError):  # noqa: N818
+    """An entry refused what an operator asked for.
+
+    Attributes:
+        results: result of each change, if changes were rejected.
+    """
+
+    def __init__(self, message: str, results: list | None = None):
+        super().__init__(message)
+        self.results = results or []
+
+
+class AdminUnreachable(AdminClientError):  # noqa: N818
+    """No entry could take the call; nothing was done."""
+
+
+class AdminUnknown(AdminClientError):  # noqa: N818
+    """Changes may have taken effect; repeat them with the same ids."""
--- a/sardinedrift/identifiers.py
+++ b/sardinedrift/identifiers.py
@@ -22,6 +22,9 @@
 Offset = NewType("Offset", int)
 
 NAME_PATTERN = r"^[a-z0-9][a-z0-9_-]{0,62}$"
+# Prefix of key secrets, so that log lines can be cleared of them.
+SECRET_PREFIX = "sdk_"
+
 _NAME = re.compile(NAME_PATTERN)
 
 
--- a/sardinedrift/logs.py
+++ b/sardinedrift/logs.py
@@ -7,15 +7,12 @@
 import msgspec
 from loguru import logger
 
-from sardinedrift.identifiers import Identity
+from sardinedrift.identifiers import SECRET_PREFIX, Identity
 from sardinedrift.settings import Logs
 
-# Prefix of key secrets, so that they are recognised wherever they occur.
-SECRET_PREFIX = "sdk_"
-
 _SECRET = re.compile(
     rf"{SECRET_PREFIX}[A-Za-z0-9_-]{{8,}}"
-    r"|(?<=sardinedrift-key)([\"']?\s*[:=,]\s*)[\"']?[^\s\"',}\])]+",
+    r"|(?<=sardinedrift-key)([\"']?\s*[:=,]\s*(?:b?[\"'])?)[^\s\"',}\])]+",
     re.IGNORECASE,
 )
 _TEXT_FORMAT = (
@@ -36,10 +33,12 @@
     target = stream or sys.stderr
 
     def write(message) -> None:
-        # The rendered line is checked, since a secret may also stand in a
-        # bound field or in the text of an exception.
-        line = _json_line(message) if settings.format == "json" else message
-        target.write(redact(line))
+        # A secret may also stand in a bound field or in the text of an
+        # exception, so what is written is checked, not only the message.
+        if settings.format == "json":
+            target.write(_json_line(message))
+        else:
+            target.write(redact(message))
         target.flush()
 
     logger.remove()
@@ -71,4 +70,8 @@
     }
     if record["exception"] is not None:
         line["exception"] = repr(record["exception"].value)
-    return msgspec.json.encode(line).decode() + "\n"
+    clean = {
+        key: redact(value) if isinstance(value, str) else value
+        for key, value in line.items()
+    }
+    return msgspec.json.encode(clean).decode() + "\n"
--- /dev/null
+++ b/sardinedrift/output.py
@@ -0,0 +1,84 @@
+"""Prints objects as a table or as JSON, and turns errors to exit statuses."""
+
+import contextlib
+import json
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import click
+
+from sardinedrift.exceptions import (
+    AdminRefused,
+    AdminUnknown,
+    AdminUnreachable,
+    SettingsError,
+)
+
+REFUSED = 1
+USAGE = 2
+UNREACHABLE = 3
+
+Row = dict[str, Any]
+
+
+class CommandError(click.ClickException):
+    """Ends the program with a text and an exit status."""
+
+    def __init__(self, message: str, exit_code: int):
+        super().__init__(message)
+        self.exit_code = exit_code
+
+
+@contextlib.contextmanager
+def exit_statuses() -> Iterator[None]:
+    """Turns errors of the block into exit statuses."""
+    try:
+        yield
+    except AdminRefused as error:
+        raise CommandError(f"refused: {error}", REFUSED) from error
+    except SettingsError as error:
+        raise CommandError(str(error), USAGE) from error
+    except AdminUnreachable as error:
+        text = f"no entry could do this; nothing was changed: {error}"
+        raise CommandError(text, UNREACHABLE) from error
+    except AdminUnknown as error:
+        text = f"the outcome is unknown: {error}"
+        raise CommandError(text, UNREACHABLE) from error
+
+
+def print_object(form: str, row: Row) -> None:
+    """Prints one object."""
+    if form == "json":
+        click.echo(json.dumps(row))
+        return
+    width = max((len(name) for name in row), default=0)
+    for name, value in row.items():
+        click.echo(f"{name:<{width}}  {_cell(value)}")
+
+
+def print_rows(form: str, rows: Iterable[Row]) -> None:
+    """Prints objects, one a line below their field names."""
+    rows = list(rows)
+    if form == "json":
+        click.echo(json.dumps({"items": rows}))
+        return
+    names = list(dict.fromkeys(name for row in rows for name in row))
+    if not names:
+        return
+    table = [names, *([_cell(row.get(name)) for name in names] for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*table, strict=True)]
+    for cells in table:
+        padded = map(str.ljust, cells, widths)
+        click.echo("  ".join(padded).rstrip())
+
+
+def _cell(value: Any) -> str:
+    if value is None or value == [] or value == {}:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, dict):
+        return ",".join(f"{name}={_cell(each)}" for name, each in value.items())
+    if isinstance(value, list):
+        return ",".join(map(_cell, value))
+    return str(value)
--- a/sardinedrift/settings.py
+++ b/sardinedrift/settings.py
@@ -11,6 +11,7 @@
 import pydantic
 from pydantic import Field
 
+from sardinedrift.addresses import split_address
 from sardinedrift.exceptions import SettingsError
 from sardinedrift.identifiers import NAME_PATTERN
 from sardinedrift.yamlfiles import read_mapping
@@ -24,20 +25,6 @@
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
 
-def split_address(text: str) -> tuple[str, int]:
-    """Returns host and port of "127.0.0.1:7100" or "[::1]:7100".
-
-    Raises:
-        ValueError: the text is no IP number with a port.
-    """
-    host, separator, port = text.rpartition(":")
-    if not separator or not port.isdecimal():
-        raise ValueError("no port")
-    if host.startswith("[") and host.endswith("]"):
-        return str(ipaddress.IPv6Address(host[1:-1])), int(port)
-    return str(ipaddress.IPv4Address(host)), int(port)
-
-
 class Address(_Model):
     """An IP address with a port, written as one text or as host and port."""
 
--- a/sardinedrift/yamlfiles.py
+++ b/sardinedrift/yamlfiles.py
@@ -14,10 +14,13 @@
     def construct_mapping(self, node, deep=False):
         seen = set()
         for key_node, _ in node.value:
-            key = key_node.value
+            key = (key_node.tag, str(key_node.value))
             if key in seen:
                 raise yaml.constructor.ConstructorError(
-                    None, None, f"key {key!r} is given twice", node.start_mark
+                    None,
+                    None,
+                    f"key {key[1]!r} is given twice",
+                    node.start_mark,
                 )
             seen.add(key)
         return super().construct_mapping(node, deep)
@@ -31,7 +34,7 @@
     """
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
-        data = yaml.load(text, Loader=_Loader)  # noqa: S506, a SafeLoader
+        data = yaml.load(text, Loader=_Loader)
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(f"{path}: cannot be read: {error}") from error
     except yaml.YAMLError as error:
