--- a/sardinedrift/admin.py
+++ b/sardinedrift/admin.py
@@ -88,6 +88,10 @@
             posted = adminchanges.read(await request.read())
         except StateError as error:
             return _error(400, error.code, str(error), error.field)
+        except web.HTTPRequestEntityTooLarge as error:
+            return _error(413, "too_large", str(error.text))
+        if posted.deadline and posted.deadline <= self._clock.now():
+            return _error(400, "malformed", "has passed already", "deadline")
         reason = self._not_ready_reason()
         if reason:
             return _error(503, "not_ready", reason)
@@ -140,6 +144,12 @@
         if not limit_text.isdecimal() or not int(limit_text):
             return _error(400, "malformed", "must be above 0", "limit")
         limit = min(int(limit_text), MAX_PAGE_ROWS)
+        for name in query:
+            if name not in adminviews.fields(collection):
+                known = ", ".join(adminviews.fields(collection))
+                return _error(
+                    400, "malformed", f"no such field; there are: {known}", name
+                )
         state = self._follower.state
         pairs = list(
             itertools.islice(
--- a/sardinedrift/adminviews.py
+++ b/sardinedrift/adminviews.py
@@ -62,6 +62,27 @@
 COLLECTIONS = tuple(_TABLE_AND_VIEW_BY_COLLECTION)
 
 
+# Fields by which a collection can be filtered.
+_FIELDS_BY_COLLECTION: dict[str, tuple[str, ...]] = {
+    "data-centres": objects.DataCentre.__struct_fields__,
+    "teams": objects.Team.__struct_fields__,
+    "keys": ("key_id", "team_id", "state", "revision"),
+    "pools": objects.Pool.__struct_fields__,
+    "queues": objects.Queue.__struct_fields__,
+    "rules": objects.Rule.__struct_fields__,
+    "instances": objects.Instance.__struct_fields__,
+    "moves": objects.Move.__struct_fields__,
+    "waves": objects.Wave.__struct_fields__,
+    "entries": objects.Entry.__struct_fields__,
+    "allowances": ("team_id", "limit", "unallocated"),
+}
+
+
+def fields(collection: str) -> tuple[str, ...]:
+    """Returns the names of the fields that a collection is filtered by."""
+    return _FIELDS_BY_COLLECTION[collection]
+
+
 def one(state: State, collection: str, object_id: str) -> Row | None:
     """Returns one object of a collection, or None."""
     table, view = _TABLE_AND_VIEW_BY_COLLECTION[collection]
--- a/sardinedrift/desired.py
+++ b/sardinedrift/desired.py
@@ -209,7 +209,8 @@
 
 
 def _differs(change: ch.OperatorChange, current: Row) -> bool:
-    wanted = msgspec.to_builtins(change)
+    # Through JSON, since the current row came that way: lists, no tuples.
+    wanted = msgspec.json.decode(msgspec.json.encode(change))
     return any(
         value != current[name]
         for name, value in wanted.items()
--- a/sardinedrift/settings.py
+++ b/sardinedrift/settings.py
@@ -52,6 +52,9 @@
 class Timings(_Model):
     """Intervals in seconds."""
 
+    # A default may also be wrong, next to a value that is given.
+    model_config = pydantic.ConfigDict(validate_default=True)
+
     heartbeat_seconds: float = Field(
         0.25, ge=0.05, le=5, description="0.05 to 5"
     )
--- a/sardinedrift/workcommands.py
+++ b/sardinedrift/workcommands.py
@@ -9,6 +9,7 @@
 from sardinedrift import changes as ch
 from sardinedrift.commands import make_group
 from sardinedrift.context import Context, example, pass_context, revision_option
+from sardinedrift.exceptions import AdminUnreachable
 from sardinedrift.output import (
     REFUSED,
     UNREACHABLE,
@@ -157,11 +158,15 @@
     context: Context, collection: str, object_id: str, timeout: float
 ) -> Iterator[dict]:
     deadline = time.time() + timeout
-    while True:
-        yield context.client.get(f"/v1/{collection}/{object_id}")["item"]
-        if time.time() >= deadline:
-            return
+    path = f"/v1/{collection}/{object_id}"
+    yield context.client.get(path)["item"]
+    while time.time() < deadline:
         time.sleep(POLL_SECONDS)
+        try:
+            yield context.client.get(path)["item"]
+        except AdminUnreachable as error:
+            # Entries are replaced at any time; what is watched goes on.
+            click.echo(f"note: {error}; trying again", err=True)
 
 
 def _print_progress(context: Context, row: dict) -> None:
