Quote ids in paths and shorten what apply prints

An id with a space made the client report an unreachable entry, since it was put into the path unquoted. apply printed one line for each change; it now prints one line for the batch. Settings are read before the entry's modules are loaded, so a wrong file is reported first.

--- a/sardinedrift/adminclient.py
+++ b/sardinedrift/adminclient.py
@@ -66,6 +66,19 @@
             raise AdminRefused(_reason(reply))
         return reply["item"]
 
+    def item(self, collection: str, object_id: str) -> dict[str, Any]:
+        """Returns an object.
+
+        Raises:
+            AdminRefused: it does not exist.
+        """
+        row = self.find(collection, object_id)
+        if row is None:
+            raise AdminRefused(
+                f"not_found: no {object_id!r} among the {collection}"
+            )
+        return row
+
     def publish(
         self, changes: list[ch.AnyChange], atomic: bool = False
     ) -> list[dict[str, Any]]:
--- a/sardinedrift/cli.py
+++ b/sardinedrift/cli.py
@@ -82,10 +82,12 @@
 
 def _run_entry(config: str) -> None:
     # Imported here, because the server's libraries load slowly.
-    from sardinedrift import entry as entry_module
     from sardinedrift import settings
 
-    entry_module.run(settings.load(config))
+    loaded = settings.load(config)
+    from sardinedrift import entry as entry_module
+
+    entry_module.run(loaded)
 
 
 @example("sardinedrift entry list")
--- a/sardinedrift/commands.py
+++ b/sardinedrift/commands.py
@@ -47,7 +47,7 @@
     @click.argument("object_id", metavar="ID")
     @pass_context
     def command(context: Context, object_id: str) -> None:
-        row = context.client.get(f"/v1/{collection}/{object_id}")["item"]
+        row = context.client.item(collection, object_id)
         print_object(context.form, row)
 
     return command
--- a/sardinedrift/context.py
+++ b/sardinedrift/context.py
@@ -52,11 +52,12 @@
         if self.form == "json":
             print_rows("json", results)
             return
-        for result in results:
-            click.echo(
-                f"accepted at offset {result['offset']}, "
-                f"revision {result['revision']}"
-            )
+        offset = results[-1]["offset"]
+        if len(results) > 1:
+            click.echo(f"{len(results)} changes accepted at offset {offset}")
+            return
+        revision = results[0]["revision"]
+        click.echo(f"accepted at offset {offset}, revision {revision}")
 
 
 pass_context = click.make_pass_decorator(Context)
--- a/sardinedrift/workcommands.py
+++ b/sardinedrift/workcommands.py
@@ -158,12 +158,11 @@
     context: Context, collection: str, object_id: str, timeout: float
 ) -> Iterator[dict]:
     deadline = time.time() + timeout
-    path = f"/v1/{collection}/{object_id}"
-    yield context.client.get(path)["item"]
+    yield context.client.item(collection, object_id)
     while time.time() < deadline:
         time.sleep(POLL_SECONDS)
         try:
-            yield context.client.get(path)["item"]
+            yield context.client.item(collection, object_id)
         except AdminUnreachable as error:
             # Entries are replaced at any time; what is watched goes on.
             click.echo(f"note: {error}; trying again", err=True)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -81,6 +81,9 @@
         result = self.run_program("config", "check", "missing", status=2)
         self.assertIn("missing: cannot be read", result.stderr)
         self.run_program("entry", status=2)
+        path = self.file("callers: here")
+        result = self.run_program("entry", "--config", path, status=2)
+        self.assertIn(f"{path}: callers: 'here'", result.stderr)
 
     def test_unreachable_is_status_3_and_says_nothing_was_done(self):
         result = self.run_program(
