Count a passing subtest as no failure

Cause: nose2 reports each subtest with an outcome of its own, which the counter took for a failure. Change: a subtest counts only when it carries an exception.

--- a/tests/outcomes.py
+++ b/tests/outcomes.py
@@ -16,7 +16,10 @@
     def testOutcome(self, event):  # noqa: N802
         """Records one outcome; a test with a failed part has failed."""
         name = event.test.id()
-        if event.outcome == result.SKIP:
+        if event.outcome == result.SUBTEST:
+            if event.exc_info is not None:
+                failed.add(name)
+        elif event.outcome == result.SKIP:
             skipped.add(name)
         elif event.outcome == result.PASS and event.expected:
             passed.add(name)
