--- /dev/null
+++ b/sardinedrift/logservice.py
@@ -0,0 +1,128 @@
+"""Log service over HTTP."""
+
+import aiohttp
+import msgspec
+
+from sardinedrift.exceptions import (
+    AppendUnknown,
+    LogUnavailable,
+    OffsetExpired,
+)
+from sardinedrift.identifiers import Identity, Offset
+from sardinedrift.ports import Clock, LogPage, LogService
+
+CONNECT_SECONDS = 1.0
+# The service ends a long poll at the deadline; its answer needs time to
+# arrive.
+READ_MARGIN_SECONDS = 1.0
+KEEPALIVE_SECONDS = 15.0
+_NOT_SENT = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    aiohttp.InvalidURL,
+)
+_BROKEN = (aiohttp.ClientError, OSError, TimeoutError)
+
+
+class _Appended(msgspec.Struct):
+    """Answer to an append."""
+
+    offset: int
+
+
+class _Expired(msgspec.Struct):
+    """Answer to a read of expired records."""
+
+    first: int
+
+
+class HttpLogService(LogService):
+    """Client of the platform's log; made inside a running event loop.
+
+    Args:
+        address: "host:port" of the service.
+        identity: whom the `Source` header names.
+        clock: against which deadlines are measured.
+    """
+
+    def __init__(self, address: str, identity: Identity, clock: Clock):
+        self._url = f"http://{address}"
+        self._clock = clock
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=KEEPALIVE_SECONDS
+            ),
+            headers={"Source": source_of(identity)},
+            trust_env=False,
+        )
+
+    async def append(self, data: bytes, deadline: float) -> Offset:
+        """Appends one record and returns its offset; see `LogService`."""
+        left = deadline - self._clock.now()
+        if left <= 0:
+            raise LogUnavailable("the deadline has passed")
+        try:
+            status, body = await self._append(data, left)
+        except _NOT_SENT as error:
+            raise LogUnavailable(str(error)) from error
+        except _BROKEN as error:
+            raise AppendUnknown(repr(error)) from error
+        if status == 503 or 400 <= status < 500:
+            raise LogUnavailable(f"append refused with status {status}")
+        if status != 200:
+            raise AppendUnknown(f"append answered with status {status}")
+        try:
+            appended = msgspec.json.decode(body, type=_Appended)
+        except msgspec.MsgspecError as error:
+            raise AppendUnknown("unreadable answer to an append") from error
+        return Offset(appended.offset)
+
+    async def read(self, start: Offset, limit: int, deadline: float) -> LogPage:
+        """Returns records from an offset on; see `LogService`."""
+        wait = max(deadline - self._clock.now(), 0.0)
+        try:
+            status, body = await self._read(start, limit, wait)
+        except _BROKEN as error:
+            raise LogUnavailable(repr(error)) from error
+        if status not in (200, 410):
+            raise LogUnavailable(f"read refused with status {status}")
+        try:
+            if status == 200:
+                return msgspec.json.decode(body, type=LogPage)
+            expired = msgspec.json.decode(body, type=_Expired)
+        except msgspec.MsgspecError as error:
+            raise LogUnavailable("unreadable answer to a read") from error
+        raise OffsetExpired(f"offset {start} expired", Offset(expired.first))
+
+    async def aclose(self) -> None:
+        """Closes the connections."""
+        await self._session.close()
+
+    async def _append(self, data: bytes, left: float) -> tuple[int, bytes]:
+        async with self._session.post(
+            f"{self._url}/append",
+            data=data,
+            timeout=_timeout(left),
+            allow_redirects=False,
+        ) as response:
+            return response.status, await response.read()
+
+    async def _read(
+        self, start: Offset, limit: int, wait: float
+    ) -> tuple[int, bytes]:
+        async with self._session.get(
+            f"{self._url}/records",
+            params={"from": start, "limit": limit, "wait": f"{wait:.3f}"},
+            timeout=_timeout(wait + READ_MARGIN_SECONDS),
+            allow_redirects=False,
+        ) as response:
+            return response.status, await response.read()
+
+
+def source_of(identity: Identity) -> str:
+    """Returns the `Source` header that names a caller of the platform."""
+    return f"{identity.entry_id},{identity.data_centre_id}"
+
+
+def _timeout(seconds: float) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(total=seconds, connect=CONNECT_SECONDS)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, for tests and demonstrations only."""
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,119 @@
+"""Runs the application of a stand-in on one address."""
+
+import asyncio
+import contextlib
+import json
+import signal
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import msgspec
+from aiohttp import web
+
+SERVER = web.AppKey("server", "Server")
+DRAIN = web.AppKey("drain", Callable[[], Awaitable[None]])
+
+
+class Server:
+    """Serves an application; the listener can be closed and reopened."""
+
+    def __init__(self, app: web.Application, host: str, port: int):
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=5, keepalive_timeout=600
+        )
+        self._host = host
+        self._port = port
+        self._site = None
+        app[SERVER] = self
+
+    @property
+    def address(self) -> str:
+        """The bound address as "host:port"."""
+        return f"{self._host}:{self._port}"
+
+    async def start(self) -> None:
+        """Binds the address and starts to serve."""
+        await self._runner.setup()
+        await self.open_listener()
+
+    async def open_listener(self) -> None:
+        """Listens; a port of 0 is replaced by the one that was bound."""
+        self._site = web.TCPSite(
+            self._runner, self._host, self._port, reuse_address=True
+        )
+        await self._site.start()
+        self._port = self._runner.addresses[0][1]
+
+    async def close_listener(self) -> None:
+        """Stops listening, so that dials are refused."""
+        await self._site.stop()
+
+    def transports(self) -> list[asyncio.Transport]:
+        """Returns the transports of the open connections, oldest first."""
+        handlers = self._runner.server.connections
+        return [h.transport for h in handlers if h.transport is not None]
+
+    async def stop(self) -> None:
+        """Stops serving."""
+        await self._runner.cleanup()
+
+
+@contextlib.asynccontextmanager
+async def serve(
+    app: web.Application, host: str = "127.0.0.1", port: int = 0
+) -> AsyncIterator[str]:
+    """Serves an application and yields its address."""
+    server = Server(app, host, port)
+    await server.start()
+    try:
+        yield server.address
+    finally:
+        await server.stop()
+
+
+def run(app: web.Application, host: str, port: int) -> None:
+    """Serves until SIGTERM or SIGINT; prints the bound address first."""
+    asyncio.run(_run(app, host, port))
+
+
+async def _run(app: web.Application, host: str, port: int) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    async with serve(app, host, port) as address:
+        print(json.dumps({"address": address}), flush=True)
+        await stopping.wait()
+        if DRAIN in app:
+            await app[DRAIN]()
+
+
+def json_response(message: object, status: int = 200) -> web.Response:
+    """Returns a message as a JSON answer."""
+    return web.Response(
+        body=msgspec.json.encode(message),
+        status=status,
+        content_type="application/json",
+    )
+
+
+def error(status: int, code: str) -> web.Response:
+    """Returns an error answer."""
+    return json_response({"code": code}, status)
+
+
+async def read_json(request: web.Request, message_type: type) -> object:
+    """Decodes the body of a request.
+
+    Raises:
+        web.HTTPBadRequest: the body is no such message.
+    """
+    try:
+        return msgspec.json.decode(await request.read(), type=message_type)
+    except msgspec.MsgspecError as decode_error:
+        raise web.HTTPBadRequest(text=str(decode_error)) from decode_error
+
+
+def source_blocked(request: web.Request, blocked: frozenset[str]) -> bool:
+    """Tells whether the `Source` header names a blocked caller."""
+    names = request.headers.get("Source", "").split(",")
+    return any(name.strip() in blocked for name in names)
