--- /dev/null
+++ b/sardinedrift/instancelist.py
@@ -0,0 +1,204 @@
+"""Instance list over HTTP, and the view an entry keeps of it."""
+
+import asyncio
+from typing import Literal
+
+import aiohttp
+import msgspec
+from loguru import logger
+
+from sardinedrift.exceptions import InstanceListError
+from sardinedrift.identifiers import DataCentreId, Identity, InstanceId
+from sardinedrift.logservice import source_of
+from sardinedrift.ports import Clock, InstanceList, ListedInstance
+
+CONNECT_SECONDS = 1.0
+POLL_SECONDS = 10.0
+RETRY_SECONDS = 0.5
+# The service ends a long poll at the deadline; its answer needs time to
+# arrive.
+READ_MARGIN_SECONDS = 1.0
+_BROKEN = (aiohttp.ClientError, OSError, TimeoutError)
+
+
+class _Line(msgspec.Struct):
+    """One listed instance."""
+
+    id: str
+    kind: str
+    address: str
+    state: Literal["live", "leaving"]
+
+
+class _Listing(msgspec.Struct):
+    """Answer to a read; no instances when the version is unchanged."""
+
+    version: int
+    instances: list[_Line] | None = None
+
+
+class HttpInstanceList(InstanceList):
+    """Client of the instance list; made inside a running event loop.
+
+    Args:
+        address: "host:port" of the service.
+        identity: whom the `Source` header names.
+        clock: against which deadlines are measured.
+    """
+
+    def __init__(self, address: str, identity: Identity, clock: Clock):
+        self._url = f"http://{address}"
+        self._clock = clock
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            headers={"Source": source_of(identity)},
+            trust_env=False,
+        )
+
+    async def read(
+        self, data_centre_id: DataCentreId, since: int, deadline: float
+    ) -> tuple[int, tuple[ListedInstance, ...] | None]:
+        """Returns version and instances; see `InstanceList`."""
+        wait = max(deadline - self._clock.now(), 0.0)
+        query = {"data_centre": data_centre_id, "since": since}
+        query["wait"] = f"{wait:.3f}"
+        body = await self._call(
+            "GET", "/instances", wait + READ_MARGIN_SECONDS, params=query
+        )
+        try:
+            listing = msgspec.json.decode(body, type=_Listing)
+        except msgspec.MsgspecError as error:
+            raise InstanceListError("unreadable instance list") from error
+        if listing.instances is None:
+            return listing.version, None
+        return listing.version, tuple(
+            _listed(line, data_centre_id) for line in listing.instances
+        )
+
+    async def reboot(self, instance_id: InstanceId, deadline: float) -> None:
+        """Asks for a reboot; see `InstanceList`."""
+        left = deadline - self._clock.now()
+        if left <= 0:
+            raise InstanceListError("the deadline has passed")
+        order = {"instance_id": instance_id}
+        await self._call("POST", "/reboot", left, json=order)
+
+    async def aclose(self) -> None:
+        """Closes the connections."""
+        await self._session.close()
+
+    async def _call(
+        self, method: str, path: str, seconds: float, **arguments
+    ) -> bytes:
+        timeout = aiohttp.ClientTimeout(total=seconds, connect=CONNECT_SECONDS)
+        try:
+            async with self._session.request(
+                method,
+                self._url + path,
+                timeout=timeout,
+                allow_redirects=False,
+                **arguments,
+            ) as response:
+                status, body = response.status, await response.read()
+        except _BROKEN as error:
+            raise InstanceListError(repr(error)) from error
+        if status != 200:
+            raise InstanceListError(f"{path} refused with status {status}")
+        return body
+
+
+class InstanceView:
+    """The last known list of one data centre, kept through outages.
+
+    Attributes:
+        version: counts the views received; 0 before the first.
+        current_at: when the list was last read, in unix seconds.
+    """
+
+    def __init__(
+        self,
+        instance_list: InstanceList,
+        data_centre_id: DataCentreId,
+        clock: Clock,
+    ):
+        self.version = 0
+        self.current_at = 0.0
+        self._list = instance_list
+        self._data_centre_id = data_centre_id
+        self._clock = clock
+        self._instance_by_id: dict[str, ListedInstance] = {}
+        self._since = 0
+        self._reachable = True
+        self._changed = asyncio.Event()
+
+    def leaving(self, instance_id: str) -> bool:
+        """Tells whether an instance is listed as leaving."""
+        instance = self._instance_by_id.get(instance_id)
+        return instance is not None and instance.leaving
+
+    def listed(self, instance_id: str) -> bool:
+        """Tells whether an instance is listed, live or leaving."""
+        return instance_id in self._instance_by_id
+
+    def instances(self) -> tuple[ListedInstance, ...]:
+        """Returns every listed instance."""
+        return tuple(self._instance_by_id.values())
+
+    def entries(self) -> tuple[ListedInstance, ...]:
+        """Returns the listed entry instances."""
+        return tuple(i for i in self.instances() if i.kind == "entry")
+
+    async def changed(self, after: int | None = None) -> int:
+        """Waits for a view newer than a version; returns its version.
+
+        Args:
+            after: a `version` seen before; None for the present one.
+        """
+        if after is None:
+            after = self.version
+        while self.version <= after:
+            await self._changed.wait()
+        return self.version
+
+    async def run(self) -> None:
+        """Follows the list until it is cancelled."""
+        while True:
+            try:
+                await self._poll()
+            except InstanceListError as error:
+                self._set_reachable(False, str(error))
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _poll(self) -> None:
+        deadline = self._clock.now() + POLL_SECONDS
+        version, instances = await self._list.read(
+            self._data_centre_id, self._since, deadline
+        )
+        self._set_reachable(True)
+        self.current_at = self._clock.now()
+        if instances is None:
+            return
+        self._since = version
+        self._instance_by_id = {i.instance_id: i for i in instances}
+        self.version += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _set_reachable(self, reachable: bool, reason: str = "") -> None:
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        if reachable:
+            logger.info("instance list reachable again")
+        else:
+            logger.warning("instance list unreachable: {}", reason)
+
+
+def _listed(line: _Line, data_centre_id: DataCentreId) -> ListedInstance:
+    return ListedInstance(
+        instance_id=line.id,
+        kind=line.kind,
+        data_centre_id=data_centre_id,
+        address=line.address,
+        leaving=line.state == "leaving",
+    )
--- a/standins/minion.py
+++ b/standins/minion.py
@@ -95,6 +95,7 @@
         self.silent: set[asyncio.Transport] = set()
         self.stopped = asyncio.Event()
         self._killed = asyncio.Event()
+        self._idle = asyncio.Event()
         self._journal = journal
 
     async def execute(
@@ -103,6 +104,7 @@
         """Runs an execution and sets how it ended."""
         self.executions.append(execution)
         self.running.append(execution)
+        self._idle.clear()
         self._write("start", execution)
         killed = self._killed
         allowed = max(deadline - time.time(), 0.0)
@@ -118,6 +120,8 @@
             raise
         finally:
             self.running.remove(execution)
+            if not self.running:
+                self._idle.set()
             execution.end = time.time()
             execution.ended_by = ended_by
             self._write("end", execution)
@@ -130,8 +134,8 @@
     async def drain(self) -> None:
         """Refuses new work and waits for what runs."""
         self.faults.draining = True
-        while self.running:
-            await asyncio.sleep(0.02)
+        if self.running:
+            await self._idle.wait()
         await asyncio.sleep(LINGER_SECONDS)
         self.stopped.set()
 
--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,311 @@
+"""Stand-in for a guarded worker: tasks run under a lease."""
+
+import time
+
+import click
+import msgspec
+from aiohttp import web
+
+from standins import serving
+
+
+class LeaseRequest(msgspec.Struct):
+    """Asks for a lease or renews it; the deadline is in unix seconds."""
+
+    holder: str
+    lease_number: int
+    deadline: float
+
+
+class TaskRequest(msgspec.Struct):
+    """Starts a task; memory is in GB.
+
+    Attributes:
+        actual_memory_gb: what the task really uses, or None for the declared
+            size.
+    """
+
+    task_id: str
+    lease_number: int
+    cores: float
+    memory_gb: float
+    accelerators: int = 0
+    run_seconds: float = 1.0
+    actual_memory_gb: float | None = None
+
+
+class Throttle(msgspec.Struct):
+    """Slows a task down to a factor of its speed and use."""
+
+    factor: float = 0.5
+
+
+class Task(msgspec.Struct):
+    """A started task.
+
+    Attributes:
+        state: "running", "done", "stopped" or "failed".
+        progress: seconds of work done at full speed.
+        checkpoint: progress at the last checkpoint.
+    """
+
+    request: TaskRequest
+    started_at: float
+    updated_at: float
+    state: str = "running"
+    ended_at: float | None = None
+    progress: float = 0.0
+    checkpoint: float = 0.0
+    factor: float = 1.0
+
+    def advance(self, now: float) -> None:
+        """Brings progress and state up to a time."""
+        if self.state != "running":
+            return
+        needed = (self.request.run_seconds - self.progress) / self.factor
+        if self.updated_at + needed <= now:
+            self.progress = self.request.run_seconds
+            self.ended_at = self.updated_at + needed
+            self.state = "done"
+            return
+        self.progress += (now - self.updated_at) * self.factor
+        self.updated_at = now
+
+    def end(self, state: str, now: float) -> None:
+        """Ends the task, if it still runs."""
+        if self.state == "running":
+            self.state = state
+            self.ended_at = now
+
+    def ran_at(self, moment: float) -> bool:
+        """Tells whether the task ran at a time."""
+        ended_at = float("inf") if self.ended_at is None else self.ended_at
+        return self.started_at <= moment < ended_at
+
+
+class Refused(Exception):  # noqa: N818
+    """An order is refused; the text is a stable code."""
+
+
+class Worker:
+    """State of one worker.
+
+    Args:
+        usage_lag_seconds: age of the usage report.
+        fail_everything: whether every task fails at its start.
+    """
+
+    def __init__(
+        self,
+        cores: float = 32,
+        memory_gb: float = 64,
+        accelerators: int = 0,
+        usage_lag_seconds: float = 0.0,
+        fail_everything: bool = False,
+    ):
+        self.cores = cores
+        self.memory_gb = memory_gb
+        self.accelerators = accelerators
+        self.usage_lag_seconds = usage_lag_seconds
+        self.fail_everything = fail_everything
+        self.lease = LeaseRequest(holder="", lease_number=0, deadline=0.0)
+        self.task_by_id: dict[str, Task] = {}
+
+    def grant(self, asked: LeaseRequest, now: float) -> None:
+        """Grants or renews a lease.
+
+        Raises:
+            Refused: the number is older, or another holder has the lease.
+        """
+        lease = self.lease
+        if asked.lease_number < lease.lease_number:
+            raise Refused("older_lease_number")
+        if asked.holder != lease.holder:
+            if lease.deadline > now:
+                raise Refused("held_by_another")
+            if asked.lease_number == lease.lease_number:
+                raise Refused("lease_number_used")
+        self.lease = asked
+
+    def start(self, asked: TaskRequest, now: float) -> Task:
+        """Starts a task; a known task id changes nothing.
+
+        Raises:
+            Refused: the lease is not in force or the task does not fit.
+        """
+        known = self.task_by_id.get(asked.task_id)
+        if known is not None:
+            known.advance(now)
+            return known
+        if asked.lease_number != self.lease.lease_number:
+            raise Refused("wrong_lease_number")
+        if self.lease.deadline <= now:
+            raise Refused("lease_lapsed")
+        if not self._fits(asked, now):
+            raise Refused("does_not_fit")
+        task = Task(asked, now, now)
+        if self.fail_everything:
+            task.end("failed", now)
+        self.task_by_id[asked.task_id] = task
+        return task
+
+    def task(self, task_id: str, now: float) -> Task:
+        """Returns a task as of now.
+
+        Raises:
+            Refused: there is no such task.
+        """
+        task = self.task_by_id.get(task_id)
+        if task is None:
+            raise Refused("no_such_task")
+        task.advance(now)
+        return task
+
+    def usage(self, now: float) -> dict:
+        """Returns the tasks and their use as they were before the lag."""
+        moment = now - self.usage_lag_seconds
+        for task in self.task_by_id.values():
+            task.advance(now)
+        known = {
+            task_id: task
+            for task_id, task in self.task_by_id.items()
+            if task.started_at <= moment
+        }
+        return {
+            "at": moment,
+            "cores": self.cores,
+            "memory_gb": self.memory_gb,
+            "accelerators": self.accelerators,
+            "tasks": [_usage_line(known[i], moment) for i in sorted(known)],
+        }
+
+    def _fits(self, asked: TaskRequest, now: float) -> bool:
+        running = [asked]
+        for task in self.task_by_id.values():
+            task.advance(now)
+            if task.state == "running":
+                running.append(task.request)
+        return (
+            sum(each.cores for each in running) <= self.cores
+            and sum(each.memory_gb for each in running) <= self.memory_gb
+            and sum(each.accelerators for each in running) <= self.accelerators
+        )
+
+
+def _usage_line(task: Task, moment: float) -> dict:
+    """Returns one line of the usage report."""
+    asked = task.request
+    running = task.ran_at(moment)
+    factor = task.factor if running else 0.0
+    memory_gb = asked.actual_memory_gb
+    if memory_gb is None:
+        memory_gb = asked.memory_gb
+    return {
+        "task_id": asked.task_id,
+        "state": "running" if running else task.state,
+        "cores": asked.cores * factor,
+        "memory_gb": memory_gb * factor,
+        "accelerators": asked.accelerators if running else 0,
+    }
+
+
+WORKER = web.AppKey("worker", Worker)
+
+
+def make_app(**options) -> web.Application:
+    """Returns the application; options are those of `Worker`."""
+    app = web.Application(middlewares=[_show_refusals])
+    app[WORKER] = Worker(**options)
+    app.router.add_post("/leases", _lease)
+    app.router.add_post("/tasks", _start)
+    app.router.add_post("/tasks/{id}/checkpoint", _checkpoint)
+    app.router.add_post("/tasks/{id}/throttle", _throttle)
+    app.router.add_post("/tasks/{id}/stop", _stop)
+    app.router.add_get("/usage", _usage)
+    app.router.add_get("/health", _health)
+    return app
+
+
+@web.middleware
+async def _show_refusals(request, handler):
+    try:
+        return await handler(request)
+    except Refused as refused:
+        code = str(refused)
+        return serving.error(404 if code == "no_such_task" else 409, code)
+
+
+async def _lease(request: web.Request) -> web.Response:
+    worker = request.app[WORKER]
+    asked = await serving.read_json(request, LeaseRequest)
+    worker.grant(asked, time.time())
+    return serving.json_response(worker.lease)
+
+
+async def _start(request: web.Request) -> web.Response:
+    asked = await serving.read_json(request, TaskRequest)
+    return _shown(request.app[WORKER].start(asked, time.time()))
+
+
+async def _checkpoint(request: web.Request) -> web.Response:
+    task = _named_task(request)
+    if task.state == "running":
+        task.checkpoint = task.progress
+    return _shown(task)
+
+
+async def _throttle(request: web.Request) -> web.Response:
+    throttle = await serving.read_json(request, Throttle)
+    if not 0 < throttle.factor <= 1:
+        raise web.HTTPBadRequest(text="factor must be above 0, at most 1")
+    task = _named_task(request)
+    task.factor = throttle.factor
+    return _shown(task)
+
+
+async def _stop(request: web.Request) -> web.Response:
+    task = _named_task(request)
+    task.end("stopped", time.time())
+    return _shown(task)
+
+
+async def _usage(request: web.Request) -> web.Response:
+    return serving.json_response(request.app[WORKER].usage(time.time()))
+
+
+async def _health(request: web.Request) -> web.Response:
+    del request
+    return serving.json_response({"ok": True})
+
+
+def _named_task(request: web.Request) -> Task:
+    return request.app[WORKER].task(request.match_info["id"], time.time())
+
+
+def _shown(task: Task) -> web.Response:
+    return serving.json_response(
+        {
+            "task_id": task.request.task_id,
+            "state": task.state,
+            "progress": task.progress,
+            "checkpoint": task.checkpoint,
+            "factor": task.factor,
+        }
+    )
+
+
+@click.command()
+@click.option("--host", default="127.0.0.1")
+@click.option("--port", default=0, help="0 binds any free port.")
+@click.option("--cores", default=32.0)
+@click.option("--memory-gb", default=64.0)
+@click.option("--accelerators", default=0)
+@click.option("--usage-lag-seconds", default=0.0)
+@click.option("--fail-everything", is_flag=True)
+def main(host: str, port: int, **options) -> None:
+    """Runs a guarded worker until SIGTERM."""
+    serving.run(make_app(**options), host, port)
+
+
+if __name__ == "__main__":
+    main()
