--- a/sardinedrift/instancelist.py
+++ b/sardinedrift/instancelist.py
@@ -112,6 +112,7 @@
 
     Attributes:
         version: counts the views received; 0 before the first.
+        reachable: whether the last read succeeded.
         current_at: when the list was last read, in unix seconds.
     """
 
@@ -128,7 +129,7 @@
         self._clock = clock
         self._instance_by_id: dict[str, ListedInstance] = {}
         self._since = 0
-        self._reachable = True
+        self.reachable = True
         self._changed = asyncio.Event()
 
     def leaving(self, instance_id: str) -> bool:
@@ -185,9 +186,9 @@
         self._changed = asyncio.Event()
 
     def _set_reachable(self, reachable: bool, reason: str = "") -> None:
-        if reachable == self._reachable:
+        if reachable == self.reachable:
             return
-        self._reachable = reachable
+        self.reachable = reachable
         if reachable:
             logger.info("instance list reachable again")
         else:
--- a/sardinedrift/minions.py
+++ b/sardinedrift/minions.py
@@ -3,6 +3,7 @@
 import socket
 
 import aiohttp
+from aiohttp.connector import Connection
 
 from sardinedrift.exceptions import (
     DialFailed,
@@ -102,10 +103,30 @@
                 return await _checked_answer(response, dispatch)
             except OutcomeUnknown:
                 # What else arrives on this connection cannot be trusted.
-                response.close()
+                response.abort()
                 raise
 
 
+class _Response(aiohttp.ClientResponse):
+    """A response whose connection can still be closed after its end.
+
+    `close` does nothing once the whole answer has arrived, because the
+    connection is then already back in the pool.
+    """
+
+    _transport = None
+
+    async def start(self, connection: Connection) -> aiohttp.ClientResponse:
+        """Reads the head of the answer."""
+        self._transport = connection.transport
+        return await super().start(connection)
+
+    def abort(self) -> None:
+        """Closes the connection at once, in the pool or not."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
 def _headers(dispatch: Dispatch) -> dict[str, str]:
     return {
         "Dispatch-Id": dispatch.dispatch_id,
@@ -116,9 +137,7 @@
     }
 
 
-async def _checked_answer(
-    response: aiohttp.ClientResponse, dispatch: Dispatch
-) -> Answer:
+async def _checked_answer(response: _Response, dispatch: Dispatch) -> Answer:
     """Returns the answer once it is complete and belongs to the dispatch."""
     echoed = response.headers.getall("Dispatch-Id", [])
     if echoed != [dispatch.dispatch_id]:
@@ -174,6 +193,7 @@
     )
     return aiohttp.ClientSession(
         connector=connector,
+        response_class=_Response,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         trust_env=False,
--- a/standins/instancelist.py
+++ b/standins/instancelist.py
@@ -120,10 +120,10 @@
         ]
 
     async def wait(self, data_centre_id: str, since: int, seconds: float):
-        """Waits for a version other than `since`, at most some seconds."""
+        """Waits for a version other than `since`, or for an outage."""
         try:
             async with asyncio.timeout(seconds):
-                while self.version(data_centre_id) == since:
+                while not self.outage and self.version(data_centre_id) == since:
                     await self._changed.wait()
         except TimeoutError:
             return
@@ -148,6 +148,10 @@
             if changed is not None:
                 name = changed.data_centre_id
                 self._version_by_data_centre[name] = self.version(name) + 1
+        self.wake()
+
+    def wake(self) -> None:
+        """Wakes the long polls."""
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -226,6 +230,7 @@
         instances.lag_seconds = control.lag_seconds
     if control.outage is not None:
         instances.outage = control.outage
+        instances.wake()
     if control.never_return is not None:
         instances.never_return = control.never_return
     if control.blocked_sources is not None:
--- a/standins/logservice.py
+++ b/standins/logservice.py
@@ -149,6 +149,9 @@
     if request.path not in ("/append", "/records"):
         return await handler(request)
     if faults.slow_seconds:
+        # Received first, so that the append takes effect even when its caller
+        # stops waiting.
+        await request.read()
         await asyncio.sleep(faults.slow_seconds)
     if faults.outage or serving.source_blocked(request, faults.blocked_sources):
         return serving.error(503, "unavailable")
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -17,8 +17,13 @@
     """Serves an application; the listener can be closed and reopened."""
 
     def __init__(self, app: web.Application, host: str, port: int):
+        # Long polls end only with their connection; work gets time to end.
+        shutdown_seconds = 5.0 if DRAIN in app else 0.1
         self._runner = web.AppRunner(
-            app, access_log=None, shutdown_timeout=5, keepalive_timeout=600
+            app,
+            access_log=None,
+            shutdown_timeout=shutdown_seconds,
+            keepalive_timeout=600,
         )
         self._host = host
         self._port = port
--- /dev/null
+++ b/tests/test_instancelist.py
@@ -0,0 +1,78 @@
+"""Instance list: changes arrive, and an outage keeps the last view."""
+
+import asyncio
+import contextlib
+import time
+import unittest
+
+from sardinedrift.exceptions import InstanceListError
+from sardinedrift.instancelist import HttpInstanceList, InstanceView
+from standins import instancelist, minion
+from tests import servers
+
+
+def instance(instance_id, kind="minion", **fields):
+    return {
+        "id": instance_id,
+        "kind": kind,
+        "data_centre_id": "dc1",
+        "address": "127.0.0.1:1",
+        **fields,
+    }
+
+
+class InstanceListTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        stack = await self.enterAsyncContext(contextlib.AsyncExitStack())
+        self.address = await stack.enter_async_context(
+            servers.serve(instancelist.make_app(reboot_seconds=0.05))
+        )
+        clock = servers.SystemClock()
+        self.list = HttpInstanceList(self.address, servers.IDENTITY, clock)
+        stack.push_async_callback(self.list.aclose)
+        self.view = InstanceView(self.list, "dc1", clock)
+        following = asyncio.create_task(self.view.run())
+        stack.callback(following.cancel)
+
+    async def until(self, condition):
+        async with asyncio.timeout(20):
+            while not condition():
+                await self.view.changed()
+
+    async def only_m2_reboots(self):
+        return (await servers.control(self.address))["rebooting"] == ["m2"]
+
+    async def unreachable(self):
+        return not self.view.reachable
+
+    async def test_view_follows_changes_and_outlasts_an_outage(self):
+        """Guards against endpoints forgotten because the list is down."""
+        put = instance("e1", "entry")
+        await servers.control(self.address, put=put)
+        await self.until(lambda: self.view.listed("e1"))
+        self.assertEqual([e.instance_id for e in self.view.entries()], ["e1"])
+        await servers.control(self.address, outage=True)
+        with self.assertRaises(InstanceListError):
+            await self.list.read("dc1", 0, time.time() + 1)
+        await servers.until(self.unreachable)
+        self.assertTrue(self.view.listed("e1"))
+        put["leaving"] = True
+        await servers.control(self.address, put=put, outage=False)
+        await self.until(lambda: self.view.leaving("e1"))
+
+    async def test_reboot_returns_all_but_the_lost_instances(self):
+        """Guards against a wave that sees no reboot, or a false return."""
+        app = minion.make_app()
+        async with servers.serve(app) as address:
+            lost = instance("m2", control=address)
+            await servers.control(self.address, put=instance("m1"))
+            await servers.control(self.address, put=lost, never_return=["m2"])
+            await self.until(lambda: self.view.listed("m2"))
+            for instance_id in ("m2", "m2", "m1"):
+                await self.list.reboot(instance_id, time.time() + 20)
+            # Its reboot ends after that of m2 would.
+            await servers.until(self.only_m2_reboots)
+            await self.until(lambda: not self.view.listed("m2"))
+            await self.until(lambda: self.view.listed("m1"))
+        with self.assertRaises(InstanceListError):
+            await self.list.reboot("unknown", time.time() + 20)
