--- /dev/null
+++ b/sardinedrift/grants.py
@@ -0,0 +1,103 @@
+"""Slots in use, as a scheduler knows them."""
+
+import collections
+from collections.abc import Iterable
+
+from sardinedrift.identifiers import (
+    EntryId,
+    GrantId,
+    InstanceId,
+    WorkClass,
+)
+from sardinedrift.messages import HeldGrant
+
+# One report may have been made before the answer with the grant arrived.
+REPORTS_UNTIL_LOST = 2
+# A late repetition of an ask that ended must not take a slot again.
+_MOST_ENDED = 20_000
+
+
+class Grants:
+    """Grants by id, with the running counts per minion and work class."""
+
+    def __init__(self):
+        self.running_by_instance: collections.Counter[InstanceId] = (
+            collections.Counter()
+        )
+        self.running_by_class: collections.Counter[WorkClass] = (
+            collections.Counter()
+        )
+        self._grant_by_id: dict[GrantId, HeldGrant] = {}
+        self._address_by_id: dict[GrantId, str] = {}
+        self._missed_by_id: dict[GrantId, int] = {}
+        self._ids_by_entry: dict[EntryId, set[GrantId]] = {}
+        self._entry_by_id: dict[GrantId, EntryId] = {}
+        self._ended: dict[GrantId, None] = {}
+
+    def __len__(self) -> int:
+        return len(self._grant_by_id)
+
+    def get(self, grant_id: GrantId) -> HeldGrant | None:
+        """Returns a grant in use."""
+        return self._grant_by_id.get(grant_id)
+
+    def address_of(self, grant_id: GrantId) -> str:
+        """Returns the address of the minion of a grant."""
+        return self._address_by_id.get(grant_id, "")
+
+    def ended(self, grant_id: GrantId) -> bool:
+        """Tells whether a grant or an ask ended a short time ago."""
+        return grant_id in self._ended
+
+    def add(self, entry_id: EntryId, grant: HeldGrant, address: str) -> None:
+        """Counts a slot as in use."""
+        self._grant_by_id[grant.grant_id] = grant
+        self._address_by_id[grant.grant_id] = address
+        self._missed_by_id[grant.grant_id] = 0
+        self._entry_by_id[grant.grant_id] = entry_id
+        self._ids_by_entry.setdefault(entry_id, set()).add(grant.grant_id)
+        self.running_by_instance[grant.instance_id] += 1
+        self.running_by_class[grant.work_class] += 1
+
+    def end(self, grant_id: GrantId) -> HeldGrant | None:
+        """Frees a slot; returns its grant, or None when it was not in use."""
+        self._ended[grant_id] = None
+        if len(self._ended) > _MOST_ENDED:
+            del self._ended[next(iter(self._ended))]
+        grant = self._grant_by_id.pop(grant_id, None)
+        if grant is None:
+            return None
+        del self._address_by_id[grant_id]
+        del self._missed_by_id[grant_id]
+        entry_id = self._entry_by_id.pop(grant_id)
+        self._ids_by_entry[entry_id].discard(grant_id)
+        if not self._ids_by_entry[entry_id]:
+            del self._ids_by_entry[entry_id]
+        _decrease(self.running_by_instance, grant.instance_id)
+        _decrease(self.running_by_class, grant.work_class)
+        return grant
+
+    def of_entry(self, entry_id: EntryId) -> list[GrantId]:
+        """Returns the grants of one entry."""
+        return list(self._ids_by_entry.get(entry_id, ()))
+
+    def lost(
+        self, entry_id: EntryId, listed: Iterable[GrantId]
+    ) -> list[GrantId]:
+        """Counts one report and returns the grants it shows to be lost."""
+        listed = set(listed)
+        lost = []
+        for grant_id in self.of_entry(entry_id):
+            if grant_id in listed:
+                self._missed_by_id[grant_id] = 0
+                continue
+            self._missed_by_id[grant_id] += 1
+            if self._missed_by_id[grant_id] >= REPORTS_UNTIL_LOST:
+                lost.append(grant_id)
+        return lost
+
+
+def _decrease(counter: collections.Counter, key) -> None:
+    counter[key] -= 1
+    if not counter[key]:
+        del counter[key]
--- /dev/null
+++ b/sardinedrift/health.py
@@ -0,0 +1,110 @@
+"""Which minion gets the next request, and how failing ones are tried."""
+
+import random as random_module
+from collections.abc import Mapping
+
+from sardinedrift.identifiers import InstanceId
+from sardinedrift.objects import Instance
+
+FIRST_PROBATION_SECONDS = 0.25
+LONGEST_PROBATION_SECONDS = 30.0
+# Long enough that a full minion is not asked again at once, short enough that
+# its slots are not wasted when the report was about a passing moment.
+BUSY_SECONDS = 0.1
+
+
+class _Health:
+    __slots__ = ("busy_until", "failed_at", "failures", "retry_at")
+
+    def __init__(self):
+        self.failures = 0
+        self.failed_at = 0.0
+        self.retry_at = 0.0
+        self.busy_until = 0.0
+
+
+class MinionHealth:
+    """Probation and busy reports of the minions of one pool.
+
+    A minion that failed gets one request at a time after an exponential
+    delay, so that failing fast does not attract more work.
+    """
+
+    def __init__(self, random: random_module.Random):
+        self._random = random
+        self._health_by_id: dict[InstanceId, _Health] = {}
+
+    def failed(
+        self, instance_id: InstanceId, granted_at: float, now: float
+    ) -> None:
+        """Notes that a request granted at a time has failed."""
+        health = self._health_by_id.setdefault(instance_id, _Health())
+        if health.failures and granted_at < health.failed_at:
+            return  # Sent before the failure that is counted already.
+        health.failures += 1
+        health.failed_at = now
+        exponent = min(health.failures - 1, 16)
+        delay = min(
+            FIRST_PROBATION_SECONDS * 2**exponent, LONGEST_PROBATION_SECONDS
+        )
+        health.retry_at = now + delay * self._random.uniform(1.0, 1.5)
+
+    def succeeded(self, instance_id: InstanceId, granted_at: float) -> None:
+        """Ends probation when the request was granted after the failure."""
+        health = self._health_by_id.get(instance_id)
+        if health and granted_at >= health.failed_at:
+            health.failures = 0
+
+    def busy(self, instance_id: InstanceId, now: float) -> None:
+        """Notes that a minion stated that all its slots are taken."""
+        health = self._health_by_id.setdefault(instance_id, _Health())
+        health.busy_until = now + BUSY_SECONDS
+
+    def free(self, instance: Instance, running: int, now: float) -> int:
+        """Returns how many more requests a minion may get now."""
+        free = max(0, instance.slots - running)
+        health = self._health_by_id.get(instance.instance_id)
+        if health is None:
+            return free
+        if now < health.busy_until:
+            return 0
+        if not health.failures:
+            return free
+        if now < health.retry_at or running:
+            return 0
+        return min(free, 1)
+
+    def next_change(self, now: float) -> float | None:
+        """Returns the next unix time at which a minion becomes free again."""
+        times = [
+            time
+            for health in self._health_by_id.values()
+            for time in (
+                health.busy_until,
+                health.retry_at if health.failures else 0.0,
+            )
+            if time > now
+        ]
+        return min(times, default=None)
+
+    def keep(self, instance_ids: set[InstanceId]) -> None:
+        """Forgets the minions that are not among these."""
+        for instance_id in set(self._health_by_id) - instance_ids:
+            del self._health_by_id[instance_id]
+
+
+def choose(
+    candidates: list[Instance],
+    running_by_id: Mapping[InstanceId, int],
+    random: random_module.Random,
+) -> Instance:
+    """Returns the less loaded of two candidates picked at random.
+
+    Source: Mitzenmacher, "The Power of Two Choices in Randomized Load
+    Balancing" (2001).
+    """
+    picked = random.sample(candidates, min(2, len(candidates)))
+    return min(
+        picked,
+        key=lambda each: running_by_id.get(each.instance_id, 0) / each.slots,
+    )
--- /dev/null
+++ b/sardinedrift/scheduler.py
@@ -0,0 +1,364 @@
+"""Grants the slots of one pool in one data centre."""
+
+import asyncio
+import random as random_module
+
+from sardinedrift import health
+from sardinedrift.grants import Grants
+from sardinedrift.identifiers import (
+    DataCentreId,
+    EntryId,
+    InstanceId,
+    InstanceKind,
+    InstanceState,
+    PoolId,
+    TeamId,
+    WorkClass,
+)
+from sardinedrift.messages import HeldGrant, SlotAsk, SlotRelease, SlotReply
+from sardinedrift.objects import Instance
+from sardinedrift.ports import Clock
+from sardinedrift.shares import ShareLedger
+from sardinedrift.state import State
+from sardinedrift.waiting import AskQueues
+
+# About twelve seconds of work of a pool of 64 slots at 0.1 s per request.
+MOST_WAITING_PER_TEAM = 8192
+# Asks left by their askers and past deadlines are looked for this often.
+_TICK_SECONDS = 0.25
+
+
+def usable_instances(
+    state: State, data_centre_id: DataCentreId, pool_id: PoolId, view
+) -> list[Instance]:
+    """Returns the minions of a pool that may receive work now."""
+    return [
+        instance
+        for instance in state.instances_at(data_centre_id, pool_id)
+        if _usable(instance, view)
+    ]
+
+
+def usable_pools(
+    state: State, data_centre_id: DataCentreId, view
+) -> list[PoolId]:
+    """Returns the pools with a usable minion in a data centre."""
+    return [
+        pool_id
+        for pool_id in state.tables.pool_by_id
+        if usable_instances(state, data_centre_id, pool_id, view)
+    ]
+
+
+def _usable(instance: Instance, view) -> bool:
+    return (
+        instance.kind is InstanceKind.MINION
+        and instance.state is InstanceState.ACTIVE
+        and instance.up
+        and instance.slots > 0
+        and not view.leaving(instance.instance_id)
+    )
+
+
+class Scheduler:
+    """Slots of one pool in one data centre, shared fairly by the teams.
+
+    Args:
+        pool_id: the pool.
+        data_centre_id: the data centre.
+        state: the folded state, or a callable that returns it.
+        view: tells which instances are `leaving(instance_id)`.
+        clock: gives the current time.
+        random: source of choices and jitter.
+        most_waiting: how many asks of one team wait at most.
+    """
+
+    def __init__(
+        self,
+        pool_id: PoolId,
+        data_centre_id: DataCentreId,
+        state,
+        view,
+        clock: Clock,
+        random: random_module.Random | None = None,
+        most_waiting: int = MOST_WAITING_PER_TEAM,
+    ):
+        self._pool_id = pool_id
+        self._data_centre_id = data_centre_id
+        self._state_of = state if callable(state) else lambda: state
+        self._view = view
+        self._clock = clock
+        self._random = random or random_module.Random()
+        self._health = health.MinionHealth(self._random)
+        self._queues = AskQueues(most_waiting)
+        self._grants = Grants()
+        self._ledger = ShareLedger(self._share_of)
+        self._seen_use_by_data_centre: dict[
+            DataCentreId, dict[TeamId, float]
+        ] = {}
+        self._instances: list[Instance] = []
+        self._weight_by_team: dict[TeamId, float] = {}
+        self._versions: tuple = ()
+        self._timer: asyncio.TimerHandle | None = None
+        self._stopped = False
+
+    async def acquire(self, ask: SlotAsk) -> SlotReply:
+        """Waits for a slot until the deadline of the ask.
+
+        An ask repeated with the same id keeps its place, and after its grant
+        it is answered with the same grant.
+        """
+        if self._stopped:
+            return SlotReply(code="not_scheduler")
+        granted = self._grants.get(ask.ask_id)
+        if granted:
+            return SlotReply(
+                grant=granted, address=self._grants.address_of(ask.ask_id)
+            )
+        if self._grants.ended(ask.ask_id) or ask.deadline <= self._clock.now():
+            return SlotReply(code="deadline")
+        waiting = self._queues.get(ask.ask_id) or self._queues.add(ask)
+        if waiting is None:
+            return SlotReply(code="queue_full")
+        self._ledger.wait(ask.team_id, self._clock.now())
+        waiting.listeners += 1
+        try:
+            self._fill()
+            self._start_timer()
+            return await asyncio.shield(waiting.reply)
+        finally:
+            waiting.listeners -= 1
+            waiting.abandoned_at = self._clock.now()
+
+    def release(self, release: SlotRelease) -> None:
+        """Frees a slot or withdraws an ask, and notes how the minion did."""
+        now = self._clock.now()
+        self._end_ask(release.grant_id, "deadline")
+        grant = self._free(release.grant_id)
+        if grant:
+            self._judge(release, grant, now)
+        self._fill()
+
+    def report_held(self, entry_id: EntryId, grants: list[HeldGrant]) -> None:
+        """Takes the list of slots that an entry holds in this pool.
+
+        Unknown slots are counted as in use, so that a new scheduler does not
+        grant them again. Grants missing in two reports are freed.
+        """
+        now = self._clock.now()
+        for grant in grants:
+            known = self._grants.get(grant.grant_id)
+            if known or self._grants.ended(grant.grant_id):
+                continue
+            if grant.pool_id == self._pool_id:
+                address = self._address_of(grant.instance_id)
+                self._grants.add(entry_id, grant, address)
+                self._ledger.start(grant.team_id, now)
+        listed = [grant.grant_id for grant in grants]
+        for grant_id in self._grants.lost(entry_id, listed):
+            self._free(grant_id)
+        self._fill()
+
+    def forget_entry(self, entry_id: EntryId) -> None:
+        """Drops the asks and grants of an entry that has ended.
+
+        Its work may still run; a minion that is full refuses further work
+        before it starts.
+        """
+        for ask in self._queues.asks_of(entry_id):
+            self._end_ask(ask.ask_id, "deadline")
+        for grant_id in self._grants.of_entry(entry_id):
+            self._free(grant_id)
+        self._fill()
+
+    def contended_use(self) -> dict[TeamId, float]:
+        """Returns slot-seconds per team while asks waited, ever growing."""
+        return self._ledger.contended_use(self._clock.now())
+
+    def add_remote_use(
+        self, data_centre_id: DataCentreId, use: dict[TeamId, float]
+    ) -> None:
+        """Charges the use reported by the scheduler of a data centre.
+
+        Args:
+            data_centre_id: where the slots are.
+            use: cumulative slot-seconds; a smaller number than before means
+                that a new scheduler counts from zero.
+        """
+        seen = self._seen_use_by_data_centre.get(data_centre_id)
+        if seen is not None:
+            for team_id, total in use.items():
+                before = seen.get(team_id, 0.0)
+                grown = total - before if total >= before else total
+                self._ledger.add_use(team_id, grown)
+        self._seen_use_by_data_centre[data_centre_id] = dict(use)
+
+    def has_endpoint(self) -> bool:
+        """Tells whether the pool has a usable minion here."""
+        self._read_state()
+        return any(_usable(each, self._view) for each in self._instances)
+
+    def refresh(self) -> None:
+        """Takes changes of the state, the instance view and the time in."""
+        self._fill()
+
+    def stop(self) -> None:
+        """Answers all asks with "not_scheduler"; another entry took over."""
+        self._stopped = True
+        for ask in self._queues.asks():
+            self._end_ask(ask.ask_id, "not_scheduler")
+
+    def _fill(self) -> None:
+        """Grants free slots until none is left that a waiting ask may use."""
+        now = self._clock.now()
+        self._read_state()
+        for ask_id in self._queues.overdue(now):
+            self._end_ask(ask_id, "deadline")
+        if not len(self._queues):
+            return
+        instances = [e for e in self._instances if _usable(e, self._view)]
+        if not instances:
+            for ask in self._queues.asks():
+                self._end_ask(ask.ask_id, "no_endpoint")
+            return
+        self._refuse_avoiding(instances)
+        while self._grant_one(instances, now):
+            pass
+
+    def _refuse_avoiding(self, instances: list[Instance]) -> None:
+        """Ends asks that have failed on every usable minion."""
+        usable = {each.instance_id for each in instances}
+        for ask in self._queues.asks():
+            if ask.avoid and usable <= set(ask.avoid):
+                self._end_ask(ask.ask_id, "no_endpoint")
+
+    def _grant_one(self, instances: list[Instance], now: float) -> bool:
+        free = [each for each in instances if self._free_slots(each, now) > 0]
+        if not free:
+            return False
+        for work_class in self._class_order(instances):
+            teams = self._queues.teams(work_class)
+            while teams:
+                team_id = self._ledger.next_team(teams, now)
+                ask = self._queues.first(work_class, team_id)
+                if ask and self._grant(ask, free, now):
+                    return True
+                teams.remove(team_id)
+        return False
+
+    def _class_order(self, instances: list[Instance]) -> list[WorkClass]:
+        """Returns the classes that may get a slot now, in order."""
+        pool = self._state_of().tables.pool_by_id.get(self._pool_id)
+        if pool is None:
+            return []
+        slots = sum(each.slots for each in instances)
+        running = self._grants.running_by_class[WorkClass.LONG]
+        if running < _part(slots, pool.long_floor):
+            return [WorkClass.LONG, WorkClass.QUICK]
+        if running < slots - _part(slots, pool.quick_reserve):
+            return [WorkClass.QUICK, WorkClass.LONG]
+        return [WorkClass.QUICK]
+
+    def _grant(self, ask: SlotAsk, free: list[Instance], now: float) -> bool:
+        candidates = [e for e in free if e.instance_id not in ask.avoid]
+        if not candidates:
+            return False
+        instance = health.choose(
+            candidates, self._grants.running_by_instance, self._random
+        )
+        grant = HeldGrant(
+            ask.ask_id,
+            self._pool_id,
+            instance.instance_id,
+            ask.team_id,
+            ask.work_class,
+            now,
+        )
+        self._grants.add(ask.entry_id, grant, instance.address)
+        self._ledger.start(ask.team_id, now)
+        reply = SlotReply(grant=grant, address=instance.address)
+        self._queues.end(ask.ask_id, reply)
+        self._note_waiting(ask.team_id, now)
+        return True
+
+    def _free_slots(self, instance: Instance, now: float) -> int:
+        running = self._grants.running_by_instance[instance.instance_id]
+        return self._health.free(instance, running, now)
+
+    def _end_ask(self, ask_id, code: str) -> None:
+        waiting = self._queues.get(ask_id)
+        if waiting is None:
+            return
+        self._queues.end(ask_id, SlotReply(code=code))
+        self._note_waiting(waiting.ask.team_id, self._clock.now())
+
+    def _note_waiting(self, team_id: TeamId, now: float) -> None:
+        if team_id not in self._queues.teams():
+            self._ledger.stop_waiting(team_id, now)
+
+    def _free(self, grant_id) -> HeldGrant | None:
+        grant = self._grants.end(grant_id)
+        if grant:
+            self._ledger.finish(grant.team_id, self._clock.now())
+        return grant
+
+    def _judge(
+        self, release: SlotRelease, grant: HeldGrant, now: float
+    ) -> None:
+        if release.busy:
+            self._health.busy(grant.instance_id, now)
+        elif release.failed:
+            self._health.failed(grant.instance_id, grant.since, now)
+        else:
+            self._health.succeeded(grant.instance_id, grant.since)
+
+    def _address_of(self, instance_id: InstanceId) -> str:
+        instance = self._state_of().tables.instance_by_id.get(instance_id)
+        return instance.address if instance else ""
+
+    def _share_of(self, team_id: TeamId) -> float:
+        weight = self._weight_by_team.get(team_id)
+        if weight is None:
+            weight = self._state_of().share_of(team_id, self._pool_id)
+            self._weight_by_team[team_id] = weight
+        return weight
+
+    def _read_state(self) -> None:
+        """Keeps the minions and weights until a table changes."""
+        state = self._state_of()
+        counts = state.version_by_table
+        tables = ("instance_by_id", "team_by_id", "rule_by_id")
+        versions = (id(state), *(counts[each] for each in tables))
+        if versions == self._versions:
+            return
+        self._versions = versions
+        self._weight_by_team.clear()
+        self._instances = state.instances_at(
+            self._data_centre_id, self._pool_id
+        )
+        self._health.keep({each.instance_id for each in self._instances})
+
+    def _start_timer(self) -> None:
+        """Looks again at waiting asks when only time can change the answer."""
+        if self._timer or not len(self._queues):
+            return
+        now = self._clock.now()
+        due = self._health.next_change(now)
+        wait = min(_TICK_SECONDS, due - now) if due else _TICK_SECONDS
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(max(wait, 0.001), self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._fill()
+        self._start_timer()
+
+
+def _part(slots: int, part: float) -> int:
+    """Returns a part of slots, rounded down, at least one if it is not 0.
+
+    With a single slot no part is set aside, so that both classes can run.
+    """
+    if part <= 0 or slots < 2:
+        return 0
+    return min(slots - 1, max(1, int(slots * part)))
--- /dev/null
+++ b/sardinedrift/waiting.py
@@ -0,0 +1,109 @@
+"""Asks for slots that wait, by work class and team, in order of arrival."""
+
+import asyncio
+import collections
+from collections.abc import Iterable, Iterator
+
+from sardinedrift.identifiers import EntryId, GrantId, TeamId, WorkClass
+from sardinedrift.messages import SlotAsk, SlotReply
+
+# An ask without a listener keeps its place for this long, so that a repeated
+# call with the same ask id does not go to the end.
+REPEAT_SECONDS = 1.0
+
+
+class WaitingAsk:
+    """One ask; `reply` is done once it is granted or refused."""
+
+    __slots__ = ("abandoned_at", "ask", "listeners", "reply")
+
+    def __init__(self, ask: SlotAsk):
+        self.ask = ask
+        self.reply: asyncio.Future[SlotReply] = asyncio.Future()
+        self.listeners = 0
+        self.abandoned_at = 0.0
+
+
+class AskQueues:
+    """Queues by work class and team, first in first out within a team.
+
+    Args:
+        most_per_team: how many asks of a team wait at most.
+    """
+
+    def __init__(self, most_per_team: int):
+        self._most_per_team = most_per_team
+        self._waiting_by_id: dict[GrantId, WaitingAsk] = {}
+        self._count_by_team: collections.Counter[TeamId] = collections.Counter()
+        self._ids_by_team_by_class: dict[
+            WorkClass, dict[TeamId, dict[GrantId, None]]
+        ] = {each: {} for each in WorkClass}
+
+    def __len__(self) -> int:
+        return len(self._waiting_by_id)
+
+    def get(self, ask_id: GrantId) -> WaitingAsk | None:
+        """Returns a waiting ask."""
+        return self._waiting_by_id.get(ask_id)
+
+    def add(self, ask: SlotAsk) -> WaitingAsk | None:
+        """Appends an ask; None when the queue of its team is full."""
+        if self._count_by_team[ask.team_id] >= self._most_per_team:
+            return None
+        waiting = WaitingAsk(ask)
+        self._waiting_by_id[ask.ask_id] = waiting
+        self._count_by_team[ask.team_id] += 1
+        by_team = self._ids_by_team_by_class[ask.work_class]
+        by_team.setdefault(ask.team_id, {})[ask.ask_id] = None
+        return waiting
+
+    def end(self, ask_id: GrantId, reply: SlotReply) -> None:
+        """Removes an ask and replies to it; no effect when it is gone."""
+        waiting = self._waiting_by_id.pop(ask_id, None)
+        if waiting is None:
+            return
+        ask = waiting.ask
+        by_team = self._ids_by_team_by_class[ask.work_class]
+        del by_team[ask.team_id][ask_id]
+        if not by_team[ask.team_id]:
+            del by_team[ask.team_id]
+        self._count_by_team[ask.team_id] -= 1
+        if not self._count_by_team[ask.team_id]:
+            del self._count_by_team[ask.team_id]
+        if not waiting.reply.done():
+            waiting.reply.set_result(reply)
+
+    def teams(self, work_class: WorkClass | None = None) -> list[TeamId]:
+        """Returns the teams with asks of a class, or of any."""
+        if work_class is None:
+            return list(self._count_by_team)
+        return list(self._ids_by_team_by_class[work_class])
+
+    def first(self, work_class: WorkClass, team_id: TeamId) -> SlotAsk | None:
+        """Returns the oldest ask of a team that somebody listens to."""
+        for ask_id in self._ids_by_team_by_class[work_class].get(team_id, ()):
+            waiting = self._waiting_by_id[ask_id]
+            if waiting.listeners:
+                return waiting.ask
+        return None
+
+    def asks(self) -> Iterator[SlotAsk]:
+        """Yields all asks; the queues may be changed meanwhile."""
+        for waiting in list(self._waiting_by_id.values()):
+            yield waiting.ask
+
+    def asks_of(self, entry_id: EntryId) -> Iterable[SlotAsk]:
+        """Returns the asks of one entry."""
+        return [each for each in self.asks() if each.entry_id == entry_id]
+
+    def overdue(self, now: float) -> list[GrantId]:
+        """Returns the asks past their deadline or left by their asker."""
+        return [
+            ask_id
+            for ask_id, waiting in self._waiting_by_id.items()
+            if waiting.ask.deadline <= now
+            or (
+                not waiting.listeners
+                and waiting.abandoned_at + REPEAT_SECONDS <= now
+            )
+        ]
