--- a/sardinedrift/health.py
+++ b/sardinedrift/health.py
@@ -60,6 +60,11 @@
         health = self._health_by_id.setdefault(instance_id, _Health())
         health.busy_until = now + BUSY_SECONDS
 
+    def on_probation(self, instance_id: InstanceId) -> bool:
+        """Tells whether the last request of a minion has failed."""
+        health = self._health_by_id.get(instance_id)
+        return health is not None and health.failures > 0
+
     def free(self, instance: Instance, running: int, now: float) -> int:
         """Returns how many more requests a minion may get now."""
         free = max(0, instance.slots - running)
--- /dev/null
+++ b/sardinedrift/limits.py
@@ -0,0 +1,352 @@
+"""Use of this entry's part of the team limits.
+
+A unit of allowance is the right to have one request running. This entry
+counts what runs against the units it holds in the fold, less the units it has
+promised away. Only this entry gives its units away, so a fold that lags never
+shows it more than it may use.
+"""
+
+import asyncio
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from sardinedrift import changes as ch
+from sardinedrift.demand import TeamUse
+from sardinedrift.exceptions import (
+    LogServiceError,
+    PeerError,
+    PublishUnknown,
+)
+from sardinedrift.identifiers import (
+    EntryId,
+    EntryState,
+    Identity,
+    TeamId,
+)
+from sardinedrift.messages import Acknowledged, AllowanceAsk
+from sardinedrift.ports import Clock
+from sardinedrift.transfers import Transfers
+
+BATCH_SECONDS = 1.0
+_PUBLISH_SECONDS = 10.0
+_ASK_SECONDS = 2.0
+
+
+class Units(NamedTuple):
+    """What the fold says about a team for this entry.
+
+    Attributes:
+        held: units of this entry.
+        unallocated: limit less all units; negative after a cut.
+        total: units of all holders.
+    """
+
+    held: int
+    unallocated: int
+    total: int
+
+
+class Limits:
+    """Allowances of one entry.
+
+    Args:
+        identity: this entry.
+        follower: `.state`, `result_of` and `changed`.
+        publisher: `publish(changes, deadline)`.
+        peers: `exchange_of` and `call`.
+        clock: gives the current time.
+    """
+
+    def __init__(
+        self, identity: Identity, follower, publisher, peers, clock: Clock
+    ):
+        self._identity = identity
+        self._follower = follower
+        self._publisher = publisher
+        self._peers = peers
+        self._clock = clock
+        self._use_by_team: dict[TeamId, TeamUse] = {}
+        self._transfers = Transfers(identity.entry_id, follower)
+        self._wake = asyncio.Event()
+        self._stopped = False
+
+    def try_acquire(self, team_id: TeamId) -> bool:
+        """Takes a unit for one request; False when none is free."""
+        use = self._use(team_id)
+        use.admitted = max(0, use.admitted - 1)
+        if self._free(team_id) <= 0:
+            self._wake.set()
+            return False
+        use.start()
+        return True
+
+    def release(self, team_id: TeamId) -> None:
+        """Ends the use of a unit."""
+        self._use(team_id).finish()
+        self._admit(team_id)
+
+    async def wait(self, team_id: TeamId, deadline: float) -> bool:
+        """Waits in order of arrival until a unit is free.
+
+        The unit is not taken; the caller calls `try_acquire` when it starts.
+        False when none was free at the deadline.
+        """
+        use = self._use(team_id)
+        if not use.waiters and self._free(team_id) > use.admitted:
+            use.admitted += 1
+            return True
+        timeout = deadline - self._clock.now()
+        if timeout <= 0 or self._stopped:
+            return False
+        waiter = use.add_waiter()
+        self._wake.set()
+        try:
+            await asyncio.wait((waiter,), timeout=timeout)
+            return waiter.done() and waiter.result()
+        finally:
+            use.remove_waiter(waiter)
+
+    def spare(self) -> dict[TeamId, int]:
+        """Returns idle units that peers may ask for, by team."""
+        spare = {team: self._surplus(team) for team in self._use_by_team}
+        return {team: units for team, units in spare.items() if units > 0}
+
+    def wanted(self) -> dict[TeamId, int]:
+        """Returns the units that work waits for, by team."""
+        return {
+            team_id: len(use.waiters)
+            for team_id, use in self._use_by_team.items()
+            if use.waiters
+        }
+
+    def running(self, team_id: TeamId) -> int:
+        """Returns how many requests of a team run at this entry."""
+        return self._use(team_id).running
+
+    async def give(self, ask: AllowanceAsk) -> dict[TeamId, int]:
+        """Locks units for a peer; returns what it may expect, by team.
+
+        Idle surplus is given at once. Without any, an entry that holds more
+        than its part gives units as its requests end.
+        """
+        if self._stopped or ask.entry_id == self._identity.entry_id:
+            return {}
+        promised = {}
+        for team_id, wanted in ask.units_by_team.items():
+            units = min(wanted, self._surplus(team_id))
+            if units > 0:
+                promised[team_id] = units
+            elif wanted > 0:
+                self._reserve(team_id, ask.entry_id, wanted)
+        if promised:
+            self._transfers.give(ask.entry_id, promised, self._clock.now())
+        self._wake.set()
+        return promised
+
+    def stop(self) -> None:
+        """Starts nothing more; call it before `EntryLeave` is written."""
+        self._stopped = True
+        for use in self._use_by_team.values():
+            use.end_waiting()
+
+    async def run(self) -> None:
+        """Exchanges units with the log and with peers until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._watch())
+            while True:
+                await self.step()
+                await asyncio.sleep(BATCH_SECONDS)
+                await self._next_step()
+
+    async def step(self) -> None:
+        """Publishes one batch and asks peers for what is still missing."""
+        self._wake.clear()
+        self._transfers.settle()
+        self._return_debts()
+        self._give_reserved()
+        await self._publish()
+        for team_id, use in self._use_by_team.items():
+            use.remember()
+            use.admitted = 0
+            self._admit(team_id)
+        await self._ask_peers()
+
+    async def _next_step(self) -> None:
+        """Waits for a reason to act, at most a few seconds."""
+        try:
+            async with asyncio.timeout(BATCH_SECONDS):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    async def _watch(self) -> None:
+        """Admits waiting work as soon as the fold shows new units."""
+        while True:
+            offset = self._follower.state.offset
+            self._transfers.settle()
+            for team_id in self._use_by_team:
+                self._admit(team_id)
+            await self._follower.changed(offset)
+
+    def _use(self, team_id: TeamId) -> TeamUse:
+        use = self._use_by_team.get(team_id)
+        if use is None:
+            use = self._use_by_team[team_id] = TeamUse()
+        return use
+
+    def _units(self, team_id: TeamId) -> Units:
+        state = self._follower.state
+        entry = state.tables.entry_by_id.get(self._identity.entry_id)
+        allowances = state.tables.allowances_by_team.get(team_id)
+        if allowances is None or team_id not in state.tables.team_by_id:
+            return Units(0, 0, 0)
+        held = 0
+        if entry and entry.state is EntryState.ACTIVE:
+            held = allowances.units_by_entry.get(entry.entry_id, 0)
+        return Units(held, state.unallocated(team_id), allowances.total)
+
+    def _idle(self, team_id: TeamId) -> int:
+        """Returns the units on which nothing runs and that are not locked."""
+        locked = self._transfers.locked(team_id)
+        return self._units(team_id).held - locked - self._use(team_id).running
+
+    def _free(self, team_id: TeamId) -> int:
+        """Returns how many requests may start now."""
+        if self._stopped or self._units(team_id).unallocated < 0:
+            return 0
+        return self._idle(team_id) - self._use(team_id).reserved
+
+    def _surplus(self, team_id: TeamId) -> int:
+        if self._units(team_id).unallocated < 0:
+            return 0
+        use = self._use(team_id)
+        idle = self._free(team_id) - len(use.waiters) - use.admitted
+        # Keeping what was used lately stops units from going back and forth.
+        return max(0, min(idle, use.running + idle - use.target()))
+
+    def _admit(self, team_id: TeamId) -> None:
+        use = self._use(team_id)
+        use.admit(self._free(team_id))
+
+    def _reserve(self, team_id: TeamId, peer: EntryId, wanted: int) -> None:
+        """Keeps units that become free for a peer with waiting work."""
+        use = self._use(team_id)
+        held = self._units(team_id).held - self._transfers.locked(team_id)
+        own = use.running + len(use.waiters)
+        part = held * own // max(1, own + wanted)
+        units = min(wanted, held - max(part, 1), max(1, held // 4))
+        if units > 0 and not use.reserved:
+            use.reserve(peer, units)
+
+    def _give_reserved(self) -> None:
+        for team_id, use in self._use_by_team.items():
+            if not use.reserved:
+                continue
+            peer, units = use.end_reservation()
+            units = min(units, self._idle(team_id))
+            if units > 0 and peer:
+                now = self._clock.now()
+                self._transfers.give(peer, {team_id: units}, now)
+
+    def _return_debts(self) -> None:
+        """Returns idle units of teams whose limit was lowered."""
+        returned = {}
+        for team_id in self._teams():
+            held, unallocated, total = self._units(team_id)
+            if unallocated >= 0 or held <= 0:
+                continue
+            # Each holder returns its part, rounded up, so that the holders
+            # together do not return much more than the debt.
+            part = -(unallocated * held // total)
+            units = min(part, self._idle(team_id))
+            if units > 0:
+                returned[team_id] = units
+        if returned:
+            self._transfers.give_back(returned, self._clock.now())
+
+    def _teams(self) -> Iterator[TeamId]:
+        """Yields the teams of which this entry holds units."""
+        rows = self._follower.state.tables.allowances_by_team
+        for team_id, allowances in list(rows.items()):
+            if self._identity.entry_id in allowances.units_by_entry:
+                yield team_id
+
+    def _missing(self) -> Iterator[tuple[TeamId, int, int]]:
+        """Yields teams with units missing, the units, and the unallocated."""
+        for team_id, use in self._use_by_team.items():
+            held, unallocated, _ = self._units(team_id)
+            needed = max(use.target(), use.running + len(use.waiters))
+            missing = needed - (held - self._transfers.locked(team_id))
+            if missing > 0 and unallocated >= 0:
+                yield team_id, missing, unallocated
+
+    async def _publish(self) -> None:
+        now = self._clock.now()
+        batch: list[ch.AnyChange] = list(self._transfers.unsettled(now))
+        takes = {
+            team_id: min(missing, unallocated)
+            for team_id, missing, unallocated in self._missing()
+            if unallocated > 0
+        }
+        if takes and self._is_member():
+            batch.append(
+                ch.AllowanceTake(
+                    change_id=self._transfers.fresh_id(),
+                    entry_id=self._identity.entry_id,
+                    units_by_team=takes,
+                )
+            )
+        if not batch:
+            return
+        try:
+            await self._publisher.publish(batch, now + _PUBLISH_SECONDS)
+        except (LogServiceError, PublishUnknown):
+            # Nothing is assumed: gives stay locked and are published again
+            # with the same ids; takes count only once they are folded.
+            return
+        finally:
+            self._transfers.settle()
+
+    def _is_member(self) -> bool:
+        rows = self._follower.state.tables.entry_by_id
+        entry = rows.get(self._identity.entry_id)
+        return entry is not None and entry.state is EntryState.ACTIVE
+
+    async def _ask_peers(self) -> None:
+        """Asks one peer per step for each team that lacks units."""
+        asks_by_peer: dict[EntryId, dict[TeamId, int]] = {}
+        for team_id, missing, unallocated in self._missing():
+            waiting = len(self._use(team_id).waiters)
+            if unallocated > 0 or not waiting:
+                continue
+            peer = self._richest_peer(team_id)
+            if peer:
+                asks_by_peer.setdefault(peer, {})[team_id] = missing
+        for peer, units_by_team in asks_by_peer.items():
+            ask = AllowanceAsk(
+                entry_id=self._identity.entry_id, units_by_team=units_by_team
+            )
+            try:
+                await self._peers.call(
+                    peer,
+                    "/peer/allowances",
+                    ask,
+                    Acknowledged,
+                    self._clock.now() + _ASK_SECONDS,
+                )
+            except PeerError:
+                continue
+
+    def _richest_peer(self, team_id: TeamId) -> EntryId | None:
+        """Returns the reachable holder with most spare units, then most."""
+        rows = self._follower.state.tables.allowances_by_team
+        best: tuple[int, int, EntryId] | None = None
+        for entry_id, units in rows[team_id].units_by_entry.items():
+            if entry_id == self._identity.entry_id:
+                continue
+            exchange = self._peers.exchange_of(entry_id)
+            if exchange is None or exchange.stopping:
+                continue
+            spare = exchange.spare_by_team.get(team_id, 0)
+            best = max(best or (0, 0, entry_id), (spare, units, entry_id))
+        return best[2] if best else None
--- a/sardinedrift/scheduler.py
+++ b/sardinedrift/scheduler.py
@@ -124,6 +124,8 @@
         waiting.listeners += 1
         try:
             self._fill()
+            if ask.avoid and not waiting.reply.done():
+                self._refuse_avoiding(ask, self._usable_ids())
             self._start_timer()
             return await asyncio.shield(waiting.reply)
         finally:
@@ -195,11 +197,11 @@
 
     def has_endpoint(self) -> bool:
         """Tells whether the pool has a usable minion here."""
-        self._read_state()
-        return any(_usable(each, self._view) for each in self._instances)
+        return bool(self._usable_instances())
 
     def refresh(self) -> None:
         """Takes changes of the state, the instance view and the time in."""
+        self._sweep()
         self._fill()
 
     def stop(self) -> None:
@@ -210,27 +212,38 @@
 
     def _fill(self) -> None:
         """Grants free slots until none is left that a waiting ask may use."""
-        now = self._clock.now()
-        self._read_state()
-        for ask_id in self._queues.overdue(now):
-            self._end_ask(ask_id, "deadline")
         if not len(self._queues):
             return
-        instances = [e for e in self._instances if _usable(e, self._view)]
+        now = self._clock.now()
+        instances = self._usable_instances()
         if not instances:
-            for ask in self._queues.asks():
-                self._end_ask(ask.ask_id, "no_endpoint")
+            self._sweep()
             return
-        self._refuse_avoiding(instances)
         while self._grant_one(instances, now):
             pass
 
-    def _refuse_avoiding(self, instances: list[Instance]) -> None:
-        """Ends asks that have failed on every usable minion."""
-        usable = {each.instance_id for each in instances}
+    def _sweep(self) -> None:
+        """Ends the asks that are overdue or that no minion may serve.
+
+        One step per waiting ask, so this runs on changes and on the timer
+        and not for every request.
+        """
+        for ask_id in self._queues.overdue(self._clock.now()):
+            self._end_ask(ask_id, "deadline")
+        usable = self._usable_ids()
         for ask in self._queues.asks():
-            if ask.avoid and usable <= set(ask.avoid):
-                self._end_ask(ask.ask_id, "no_endpoint")
+            self._refuse_avoiding(ask, usable)
+
+    def _refuse_avoiding(self, ask: SlotAsk, usable: set[InstanceId]) -> None:
+        if usable <= set(ask.avoid):
+            self._end_ask(ask.ask_id, "no_endpoint")
+
+    def _usable_ids(self) -> set[InstanceId]:
+        return {each.instance_id for each in self._usable_instances()}
+
+    def _usable_instances(self) -> list[Instance]:
+        self._read_state()
+        return [e for e in self._instances if _usable(e, self._view)]
 
     def _grant_one(self, instances: list[Instance], now: float) -> bool:
         free = [each for each in instances if self._free_slots(each, now) > 0]
@@ -241,6 +254,9 @@
             while teams:
                 team_id = self._ledger.next_team(teams, now)
                 ask = self._queues.first(work_class, team_id)
+                if ask and ask.deadline <= now:
+                    self._end_ask(ask.ask_id, "deadline")
+                    return True
                 if ask and self._grant(ask, free, now):
                     return True
                 teams.remove(team_id)
@@ -251,7 +267,14 @@
         pool = self._state_of().tables.pool_by_id.get(self._pool_id)
         if pool is None:
             return []
-        slots = sum(each.slots for each in instances)
+        # Minions on probation offer no slots that could be set aside.
+        slots = sum(
+            each.slots
+            for each in instances
+            if not self._health.on_probation(each.instance_id)
+        )
+        if not slots:
+            return [WorkClass.QUICK, WorkClass.LONG]
         running = self._grants.running_by_class[WorkClass.LONG]
         if running < _part(slots, pool.long_floor):
             return [WorkClass.LONG, WorkClass.QUICK]
@@ -293,7 +316,7 @@
         self._note_waiting(waiting.ask.team_id, self._clock.now())
 
     def _note_waiting(self, team_id: TeamId, now: float) -> None:
-        if team_id not in self._queues.teams():
+        if not self._queues.has(team_id):
             self._ledger.stop_waiting(team_id, now)
 
     def _free(self, grant_id) -> HeldGrant | None:
@@ -350,7 +373,7 @@
 
     def _on_timer(self) -> None:
         self._timer = None
-        self._fill()
+        self.refresh()
         self._start_timer()
 
 
--- /dev/null
+++ b/sardinedrift/transfers.py
@@ -0,0 +1,85 @@
+"""Units that this entry has locked because it gives or returns them."""
+
+import uuid
+from collections import Counter
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from sardinedrift import changes as ch
+from sardinedrift.fold import RESULT_LIFETIME_SECONDS
+from sardinedrift.identifiers import ChangeId, EntryId, TeamId
+
+
+class _Transfer(NamedTuple):
+    change: ch.AllowanceGive | ch.AllowanceReturn
+    publish_until: float
+
+
+class Transfers:
+    """Locked units, until the fold shows what became of them.
+
+    Args:
+        entry_id: this entry.
+        follower: tells the result of a change id with `result_of`.
+    """
+
+    def __init__(self, entry_id: EntryId, follower):
+        self._entry_id = entry_id
+        self._follower = follower
+        self._locked_by_team: Counter[TeamId] = Counter()
+        self._transfer_by_id: dict[ChangeId, _Transfer] = {}
+
+    def locked(self, team_id: TeamId) -> int:
+        """Returns the units of a team that must not be used."""
+        return self._locked_by_team[team_id]
+
+    def give(
+        self, receiver: EntryId, units_by_team: dict[TeamId, int], now: float
+    ) -> None:
+        """Locks units for a peer; published with the next batch."""
+        change = ch.AllowanceGive(
+            change_id=self.fresh_id(),
+            giver_id=self._entry_id,
+            receiver_id=receiver,
+            units_by_team=units_by_team,
+        )
+        self._lock(change, now)
+
+    def give_back(self, units_by_team: dict[TeamId, int], now: float) -> None:
+        """Locks units to return them to the limit."""
+        change = ch.AllowanceReturn(
+            change_id=self.fresh_id(),
+            entry_id=self._entry_id,
+            units_by_team=units_by_team,
+        )
+        self._lock(change, now)
+
+    def unsettled(self, now: float) -> Iterator[ch.AnyChange]:
+        """Yields the changes to publish, again or for the first time.
+
+        A change is not published again when the fold may have forgotten its
+        first result, because it would then be applied twice.
+        """
+        self.settle()
+        for transfer in self._transfer_by_id.values():
+            if now < transfer.publish_until:
+                yield transfer.change
+
+    def settle(self) -> None:
+        """Unlocks what the fold has given away or refused to give."""
+        for change_id, transfer in list(self._transfer_by_id.items()):
+            if self._follower.result_of(change_id) is None:
+                continue
+            del self._transfer_by_id[change_id]
+            self._locked_by_team.subtract(transfer.change.units_by_team)
+
+    def fresh_id(self) -> ChangeId:
+        """Returns a new change id."""
+        return ChangeId(f"{self._entry_id}-{uuid.uuid4().hex}")
+
+    def _lock(
+        self, change: ch.AllowanceGive | ch.AllowanceReturn, now: float
+    ) -> None:
+        until = now + RESULT_LIFETIME_SECONDS / 2
+        self._transfer_by_id[change.change_id] = _Transfer(change, until)
+        self._locked_by_team.update(change.units_by_team)
--- a/sardinedrift/waiting.py
+++ b/sardinedrift/waiting.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import collections
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 from sardinedrift.identifiers import EntryId, GrantId, TeamId, WorkClass
 from sardinedrift.messages import SlotAsk, SlotReply
@@ -73,10 +73,12 @@
         if not waiting.reply.done():
             waiting.reply.set_result(reply)
 
-    def teams(self, work_class: WorkClass | None = None) -> list[TeamId]:
-        """Returns the teams with asks of a class, or of any."""
-        if work_class is None:
-            return list(self._count_by_team)
+    def has(self, team_id: TeamId) -> bool:
+        """Tells whether a team has asks of any class."""
+        return team_id in self._count_by_team
+
+    def teams(self, work_class: WorkClass) -> list[TeamId]:
+        """Returns the teams with asks of a class."""
         return list(self._ids_by_team_by_class[work_class])
 
     def first(self, work_class: WorkClass, team_id: TeamId) -> SlotAsk | None:
@@ -92,7 +94,7 @@
         for waiting in list(self._waiting_by_id.values()):
             yield waiting.ask
 
-    def asks_of(self, entry_id: EntryId) -> Iterable[SlotAsk]:
+    def asks_of(self, entry_id: EntryId) -> list[SlotAsk]:
         """Returns the asks of one entry."""
         return [each for each in self.asks() if each.entry_id == entry_id]
 
