--- a/sardinedrift/limits.py
+++ b/sardinedrift/limits.py
@@ -28,6 +28,7 @@
 from sardinedrift.transfers import Transfers
 
 BATCH_SECONDS = 1.0
+_PAUSE_SECONDS = 0.05
 _PUBLISH_SECONDS = 10.0
 _ASK_SECONDS = 2.0
 
@@ -68,6 +69,7 @@
         self._use_by_team: dict[TeamId, TeamUse] = {}
         self._transfers = Transfers(identity.entry_id, follower)
         self._wake = asyncio.Event()
+        self._remembered_at = clock.now()
         self._stopped = False
 
     def try_acquire(self, team_id: TeamId) -> bool:
@@ -131,6 +133,8 @@
         """
         if self._stopped or ask.entry_id == self._identity.entry_id:
             return {}
+        if not self._is_member(ask.entry_id):
+            return {}
         promised = {}
         for team_id, wanted in ask.units_by_team.items():
             units = min(wanted, self._surplus(team_id))
@@ -154,22 +158,35 @@
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._watch())
             while True:
-                await self.step()
-                await asyncio.sleep(BATCH_SECONDS)
+                published = await self.step()
+                pause = BATCH_SECONDS if published else _PAUSE_SECONDS
+                await asyncio.sleep(pause)
                 await self._next_step()
 
-    async def step(self) -> None:
-        """Publishes one batch and asks peers for what is still missing."""
+    async def step(self) -> bool:
+        """Publishes one batch and asks peers for what is still missing.
+
+        Returns whether a record was published.
+        """
         self._wake.clear()
         self._transfers.settle()
         self._return_debts()
         self._give_reserved()
-        await self._publish()
+        published = await self._publish()
+        self._remember()
+        await self._ask_peers()
+        return published
+
+    def _remember(self) -> None:
+        """Lets recent use decay once a second, however often steps run."""
+        now = self._clock.now()
+        if now - self._remembered_at < BATCH_SECONDS:
+            return
+        self._remembered_at = now
         for team_id, use in self._use_by_team.items():
             use.remember()
             use.admitted = 0
             self._admit(team_id)
-        await self._ask_peers()
 
     async def _next_step(self) -> None:
         """Waits for a reason to act, at most a few seconds."""
@@ -184,7 +201,7 @@
         while True:
             offset = self._follower.state.offset
             self._transfers.settle()
-            for team_id in self._use_by_team:
+            for team_id in list(self._use_by_team):
                 self._admit(team_id)
             await self._follower.changed(offset)
 
@@ -273,14 +290,15 @@
 
     def _missing(self) -> Iterator[tuple[TeamId, int, int]]:
         """Yields teams with units missing, the units, and the unallocated."""
-        for team_id, use in self._use_by_team.items():
+        for team_id, use in list(self._use_by_team.items()):
             held, unallocated, _ = self._units(team_id)
             needed = max(use.target(), use.running + len(use.waiters))
             missing = needed - (held - self._transfers.locked(team_id))
             if missing > 0 and unallocated >= 0:
                 yield team_id, missing, unallocated
 
-    async def _publish(self) -> None:
+    async def _publish(self) -> bool:
+        """Publishes one batch, if there is anything to change."""
         now = self._clock.now()
         batch: list[ch.AnyChange] = list(self._transfers.unsettled(now))
         takes = {
@@ -288,7 +306,7 @@
             for team_id, missing, unallocated in self._missing()
             if unallocated > 0
         }
-        if takes and self._is_member():
+        if takes and self._is_member(self._identity.entry_id):
             batch.append(
                 ch.AllowanceTake(
                     change_id=self._transfers.fresh_id(),
@@ -297,19 +315,21 @@
                 )
             )
         if not batch:
-            return
+            return False
         try:
-            await self._publisher.publish(batch, now + _PUBLISH_SECONDS)
+            results = await self._publisher.publish(
+                batch, now + _PUBLISH_SECONDS
+            )
+            self._transfers.drop_refused(results)
         except (LogServiceError, PublishUnknown):
             # Nothing is assumed: gives stay locked and are published again
             # with the same ids; takes count only once they are folded.
-            return
-        finally:
-            self._transfers.settle()
+            pass
+        self._transfers.settle()
+        return True
 
-    def _is_member(self) -> bool:
-        rows = self._follower.state.tables.entry_by_id
-        entry = rows.get(self._identity.entry_id)
+    def _is_member(self, entry_id: EntryId) -> bool:
+        entry = self._follower.state.tables.entry_by_id.get(entry_id)
         return entry is not None and entry.state is EntryState.ACTIVE
 
     async def _ask_peers(self) -> None:
--- a/sardinedrift/transfers.py
+++ b/sardinedrift/transfers.py
@@ -68,15 +68,29 @@
     def settle(self) -> None:
         """Unlocks what the fold has given away or refused to give."""
         for change_id, transfer in list(self._transfer_by_id.items()):
-            if self._follower.result_of(change_id) is None:
-                continue
-            del self._transfer_by_id[change_id]
-            self._locked_by_team.subtract(transfer.change.units_by_team)
+            if self._follower.result_of(change_id) is not None:
+                self._unlock(transfer)
+
+    def drop_refused(self, results: list[ch.Result]) -> None:
+        """Unlocks what was refused before it was appended.
+
+        A receiver was a member when the units were locked, so a refusal means
+        that it has ended. That is final: no earlier append of the same change
+        can still be accepted.
+        """
+        for result in results:
+            transfer = self._transfer_by_id.get(result.change_id)
+            if transfer and not result.accepted:
+                self._unlock(transfer)
 
     def fresh_id(self) -> ChangeId:
         """Returns a new change id."""
         return ChangeId(f"{self._entry_id}-{uuid.uuid4().hex}")
 
+    def _unlock(self, transfer: _Transfer) -> None:
+        del self._transfer_by_id[transfer.change.change_id]
+        self._locked_by_team.subtract(transfer.change.units_by_team)
+
     def _lock(
         self, change: ch.AllowanceGive | ch.AllowanceReturn, now: float
     ) -> None:
--- /dev/null
+++ b/tests/decision_fakes.py
@@ -0,0 +1,145 @@
+"""An in-memory log with lagging readers, and a clock set by the test."""
+
+import itertools
+import random
+
+from sardinedrift import changes as ch
+from sardinedrift import fold
+from sardinedrift.exceptions import LogUnavailable, PublishUnknown
+from sardinedrift.identifiers import Identity
+from sardinedrift.ports import Clock
+from sardinedrift.state import State
+
+_ids = itertools.count()
+
+
+def cid():
+    return f"fake{next(_ids)}"
+
+
+class FakeClock(Clock):
+    def __init__(self, time=1_000_000.0):
+        self.time = time
+
+    def now(self):
+        return self.time
+
+
+class FakeLog:
+    """Records with their times; `head` is the state of a reader at the end."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.records = []
+        self.head = State()
+
+    def append(self, *changes):
+        data = ch.encode_batch(ch.Batch(tuple(changes)))
+        self.records.append((self.clock.now(), data))
+        return fold.apply_record(
+            self.head, len(self.records) - 1, self.clock.now(), data
+        )
+
+
+class FakeFollower:
+    """A reader that folds only when it is told to."""
+
+    def __init__(self, log):
+        self.log = log
+        self.state = State()
+
+    def fold(self, count=1_000_000):
+        while count and self.state.offset + 1 < len(self.log.records):
+            offset = self.state.offset + 1
+            fold.apply_record(self.state, offset, *self.log.records[offset])
+            count -= 1
+
+    def result_of(self, change_id):
+        row = self.state.tables.result_by_change_id.get(change_id)
+        return row[1] if row else None
+
+
+class FakePublisher:
+    """Publishes as `mode` says: "ok", "lost", "late" or "down"."""
+
+    def __init__(self, follower):
+        self.follower = follower
+        self.mode = "ok"
+        self.late = []
+
+    async def publish(self, changes, deadline, atomic=False):
+        del deadline, atomic
+        if self.mode == "down":
+            raise LogUnavailable("down")
+        if self.mode == "late":
+            self.late.append(changes)
+            raise PublishUnknown("late")
+        self.follower.log.append(*changes)
+        if self.mode == "lost":
+            raise PublishUnknown("lost")
+        self.follower.fold()
+        return [self.follower.result_of(each.change_id) for each in changes]
+
+    def deliver(self):
+        """Appends what was on its way when its publisher gave up."""
+        for changes in self.late:
+            self.follower.log.append(*changes)
+        self.late.clear()
+
+
+class FakePeers:
+    """Peers without any exchange; asks are recorded."""
+
+    def __init__(self):
+        self.calls = []
+        self.exchange_by_id = {}
+
+    def exchange_of(self, entry_id):
+        return self.exchange_by_id.get(entry_id)
+
+    async def call(self, entry_id, path, message, reply_type, deadline):
+        self.calls.append((entry_id, path, message))
+        return reply_type()
+
+
+def identity(entry_id):
+    return Identity(entry_id, "dc1", "127.0.0.1:1")
+
+
+def join(entry_id):
+    return ch.EntryJoin(
+        change_id=cid(),
+        entry_id=entry_id,
+        data_centre_id="dc1",
+        address="127.0.0.1:1",
+    )
+
+
+def ack(entry_id, joiner_id):
+    return ch.EntryJoinAck(
+        change_id=cid(), entry_id=entry_id, joiner_id=joiner_id
+    )
+
+
+def gone(entry_id):
+    return ch.EntryGone(change_id=cid(), entry_id=entry_id, evidence="test")
+
+
+def put_team(team_id="red", revision=0, limit=4, share=1.0):
+    return ch.PutTeam(
+        change_id=cid(),
+        expected_revision=revision,
+        team_id=team_id,
+        share=share,
+        limit=limit,
+    )
+
+
+def request_id(made, number):
+    """Returns a UUIDv7 made at a time."""
+    bits = random.Random(number).getrandbits(74)
+    value = int(made * 1000) << 80 | 7 << 76 | (bits >> 62) << 64
+    value |= 2 << 62 | bits & ((1 << 62) - 1)
+    text = f"{value:032x}"
+    parts = (text[:8], text[8:12], text[12:16], text[16:20], text[20:])
+    return "-".join(parts)
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,149 @@
+"""Fair shares: simulated pools whose run times the ledger does not know."""
+
+import heapq
+import random
+import unittest
+
+from sardinedrift.retries import RetryBudget, delay
+from sardinedrift.shares import ShareLedger
+
+SHARES = {"red": 1.0, "blue": 2.0, "green": 5.0}
+MEAN_RUN = {"red": 1.0, "blue": 0.005, "green": 0.1}
+
+
+class _Unfair(ShareLedger):
+    """Serves teams at random, as a queue without shares would."""
+
+    def next_team(self, waiting_teams, now):
+        return random.Random(now).choice(sorted(waiting_teams))
+
+
+class _Saving(ShareLedger):
+    """Lets an idle team keep the share it did not use."""
+
+    def _lowest_waiting(self):
+        return 0.0
+
+
+def simulate(ledger, windows, seed=1, slots=64):
+    """Returns the slot-seconds by team in each (start, end) window.
+
+    Args:
+        ledger: chooses the teams.
+        windows: list of ((start, end), teams with endless work).
+        seed: of the run times.
+        slots: size of the pool.
+    """
+    source = random.Random(seed)
+    used = [dict.fromkeys(SHARES, 0.0) for _ in windows]
+    ends, now, base = [], 0.0, 1000.0
+    waiting = set()
+    for (start, end), teams in windows:
+        now = max(now, start)
+        while now < end:
+            for team in waiting - set(teams):
+                ledger.stop_waiting(team, base + now)
+            waiting = set(teams)
+            while len(ends) < slots:
+                team = ledger.next_team(sorted(teams), base + now)
+                ledger.start(team, base + now)
+                run = source.expovariate(1.0 / MEAN_RUN[team])
+                heapq.heappush(ends, (now + run, team, now))
+            finished, team, began = heapq.heappop(ends)
+            ledger.finish(team, base + finished)
+            now = finished
+            for each, ((low, high), _) in enumerate(windows):
+                part = min(finished, high) - max(began, low)
+                used[each][team] += max(0.0, part)
+    for finished, team, began in ends:
+        low, high = windows[-1][0]
+        used[-1][team] += max(0.0, min(finished, high) - max(began, low))
+    return used
+
+
+def distance(used, teams):
+    """Returns the largest relative distance of a team from its share."""
+    total = sum(used[team] for team in teams)
+    weights = sum(SHARES[team] for team in teams)
+    return max(
+        abs(used[team] / total / (SHARES[team] / weights) - 1) for team in teams
+    )
+
+
+class ShareTest(unittest.TestCase):
+    def _full(self, ledger, seed):
+        teams = list(SHARES)
+        windows = [((0.0, 2.0), teams), ((2.0, 12.0), teams)]
+        return distance(simulate(ledger, windows, seed)[1], teams)
+
+    def test_full_pool_is_divided_by_shares(self):
+        """Guards against long requests crowding out short ones."""
+        for seed in range(5):
+            distances = self._full(ShareLedger(SHARES.get), seed)
+            self.assertLess(distances, 0.05)
+
+    def test_random_choice_fails_the_same_check(self):
+        self.assertGreater(self._full(_Unfair(SHARES.get), 1), 0.05)
+
+    def _return(self, ledger):
+        others = ["red", "blue"]
+        windows = [((0.0, 20.0), others), ((20.0, 30.0), list(SHARES))]
+        return simulate(ledger, windows)
+
+    def test_lent_share_comes_back_and_is_not_saved_up(self):
+        """Guards against a returning team that takes the whole pool."""
+        lent, after = self._return(ShareLedger(SHARES.get))
+        self.assertLess(distance(lent, ["red", "blue"]), 0.05)
+        self.assertGreater(sum(lent.values()), 0.99 * 20 * 64)
+        # The first second goes to work that was running at the return.
+        self.assertLess(distance(after, list(SHARES)), 0.1)
+
+    def test_saved_share_fails_the_same_check(self):
+        _, after = self._return(_Saving(SHARES.get))
+        self.assertGreater(distance(after, list(SHARES)), 0.1)
+
+    def test_use_elsewhere_counts(self):
+        """Guards against a team that gets its share once per data centre."""
+        ledger = ShareLedger(lambda team: 1.0)
+        ledger.wait("red", 1.0)
+        ledger.wait("blue", 1.0)
+        ledger.add_use("blue", 1.0)
+        self.assertEqual(ledger.next_team(["blue", "red"], 1.0), "red")
+
+    def test_use_counts_only_while_somebody_waits(self):
+        """Guards against charging a team for slots nobody else wanted."""
+        ledger = ShareLedger(lambda team: 1.0)
+        ledger.start("red", 1.0)
+        self.assertEqual(ledger.contended_use(5.0), {"red": 0.0})
+        ledger.wait("blue", 5.0)
+        self.assertEqual(ledger.contended_use(7.0), {"red": 2.0})
+
+    def test_six_hundred_teams_stay_near_their_share(self):
+        """Guards against a team that is never served among many."""
+        ledger = ShareLedger(lambda team: 1.0)
+        teams = [f"t{number}" for number in range(600)]
+        served = dict.fromkeys(teams, 0)
+        for step in range(1800):
+            now = 1.0 + step * 0.01
+            team = ledger.next_team(teams, now)
+            served[team] += 1
+            ledger.start(team, now)
+            ledger.finish(team, now + 0.01)
+        self.assertEqual(set(served.values()), {3})
+
+
+class RetryTest(unittest.TestCase):
+    def test_retries_are_a_tenth_of_successes(self):
+        """Guards against retries that multiply load in an outage."""
+        budget = RetryBudget()
+        self.assertEqual(sum(budget.try_spend() for _ in range(50)), 10)
+        for _ in range(10):
+            self.assertFalse(budget.try_spend())
+            budget.succeeded()
+        self.assertTrue(budget.try_spend())
+
+    def test_delay_is_bounded(self):
+        """Guards against a delay that overflows or grows without end."""
+        source = random.Random(1)
+        delays = [delay(attempt, source) for attempt in (0, 1, 5, 10_000)]
+        self.assertTrue(all(0 <= each <= 2.0 for each in delays))
