Test limits with lost answers, lagging folds and ended entries

Cause: a limit holds only if units are locked before they are given. Change: stateful test over one log; a missed unit now counts as demand, as otherwise an entry that never waits would never take units.

--- a/sardinedrift/demand.py
+++ b/sardinedrift/demand.py
@@ -34,6 +34,10 @@
         self.running += 1
         self._recent = max(self._recent, float(self.running))
 
+    def miss(self) -> None:
+        """Notes that a request found no unit."""
+        self._recent = max(self._recent, float(self.running + 1))
+
     def finish(self) -> None:
         """Counts one request less."""
         if self.running == 0:
--- a/sardinedrift/limits.py
+++ b/sardinedrift/limits.py
@@ -77,6 +77,7 @@
         use = self._use(team_id)
         use.admitted = max(0, use.admitted - 1)
         if self._free(team_id) <= 0:
+            use.miss()
             self._wake.set()
             return False
         use.start()
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,461 @@
+"""Limits: what runs never passes the units that the log has given out."""
+
+import asyncio
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from sardinedrift import changes as ch
+from sardinedrift.limits import Limits
+from sardinedrift.messages import AllowanceAsk, Exchange
+from sardinedrift.transfers import Transfers
+from tests.decision_fakes import (
+    FakeClock,
+    FakeFollower,
+    FakeLog,
+    FakePeers,
+    FakePublisher,
+    cid,
+    gone,
+    identity,
+    join,
+    put_team,
+)
+
+MODES = ["ok", "ok", "lost", "late", "down"]
+RUN_SECONDS = 60.0
+
+
+class _Unlocked(Transfers):
+    """Uses units until their transfer is folded."""
+
+    def locked(self, team_id):
+        return 0
+
+
+class _EarlyUnlock(Transfers):
+    """Unlocks units when the outcome of a give is not known."""
+
+    def unsettled(self, now):
+        changes = list(super().unsettled(now))
+        for change in changes:
+            self._unlock(self._transfer_by_id[change.change_id])
+        return iter(changes)
+
+
+class _Entry:
+    def __init__(self, world, entry_id, transfers):
+        self.entry_id = entry_id
+        self.follower = FakeFollower(world.log)
+        self.publisher = FakePublisher(self.follower)
+        self.peers = FakePeers()
+        self.limits = Limits(
+            identity(entry_id),
+            self.follower,
+            self.publisher,
+            self.peers,
+            world.clock,
+        )
+        self.limits._transfers = transfers(entry_id, self.follower)
+
+
+class World:
+    """Entries with lagging folds over one log, and the work they run."""
+
+    def __init__(self, transfers=Transfers, entries=3, limit=6):
+        self.transfers = transfers
+        self.clock = FakeClock()
+        self.log = FakeLog(self.clock)
+        self.loop = asyncio.new_event_loop()
+        self.entry_by_id = {}
+        self.ends_by_entry = {}
+        self.count = 0
+        self.revision = 1
+        self.limit = limit
+        self.log.append(
+            put_team(limit=limit),
+            ch.PutPool(change_id=cid(), expected_revision=0, pool_id="pairing"),
+            ch.PutQueue(
+                change_id=cid(),
+                expected_revision=0,
+                queue_id="q",
+                pool_id="pairing",
+                max_run_seconds=RUN_SECONDS,
+            ),
+        )
+        for _ in range(entries):
+            self.join()
+
+    def close(self):
+        self.loop.close()
+
+    def join(self):
+        entry_id = f"e{self.count}"
+        self.count += 1
+        joining = join(entry_id)
+        # Alone in its data centre, an entry is a member at once.
+        self.log.append(
+            ch.EntryJoin(
+                change_id=joining.change_id,
+                entry_id=entry_id,
+                data_centre_id=f"dc-{entry_id}",
+                address=joining.address,
+            )
+        )
+        entry = _Entry(self, entry_id, self.transfers)
+        self.entry_by_id[entry_id] = entry
+        self.ends_by_entry[entry_id] = []
+        entry.follower.fold()
+
+    def set_limit(self, limit):
+        self.log.append(put_team(revision=self.revision, limit=limit))
+        self.revision += 1
+        self.limit = limit
+
+    def start(self, entry_id):
+        entry = self.entry_by_id[entry_id]
+        if not entry.limits.try_acquire("red"):
+            return False
+        assert entry.follower.state.unallocated("red") >= 0, "debt ignored"
+        self.ends_by_entry[entry_id].append(self.clock.time + RUN_SECONDS)
+        self.check()
+        return True
+
+    def finish(self, entry_id):
+        if self.ends_by_entry[entry_id]:
+            self.ends_by_entry[entry_id].pop(0)
+            self.entry_by_id[entry_id].limits.release("red")
+
+    def step(self, entry_id, mode="ok"):
+        entry = self.entry_by_id[entry_id]
+        entry.publisher.mode = mode
+        self.loop.run_until_complete(entry.limits.step())
+
+    def give(self, giver, receiver, units):
+        ask = AllowanceAsk(entry_id=receiver, units_by_team={"red": units})
+        limits = self.entry_by_id[giver].limits
+        return self.loop.run_until_complete(limits.give(ask))
+
+    def end_entry(self, entry_id):
+        """Kills an entry; its minions work on until their deadlines."""
+        del self.entry_by_id[entry_id]
+        self.log.append(gone(entry_id))
+
+    def pass_time(self, seconds):
+        self.clock.time += seconds
+        for entry_id, ends in self.ends_by_entry.items():
+            while ends and ends[0] <= self.clock.time:
+                if entry_id in self.entry_by_id:
+                    self.finish(entry_id)
+                else:
+                    ends.pop(0)
+
+    def running(self):
+        return sum(len(ends) for ends in self.ends_by_entry.values())
+
+    def held(self):
+        allowances = self.log.head.tables.allowances_by_team["red"]
+        return dict(allowances.units_by_entry)
+
+    def check(self):
+        """Running work is covered by units; units pass no lasting limit."""
+        total = self.log.head.tables.allowances_by_team["red"].total
+        assert self.running() <= total, f"{self.running()} run on {total}"
+
+
+class LimitMachine(RuleBasedStateMachine):
+    cuts = True
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+
+    def teardown(self):
+        self.world.close()
+
+    def _entry(self, data):
+        return data.draw(st.sampled_from(sorted(self.world.entry_by_id)))
+
+    @rule(data=st.data(), count=st.integers(1, 4))
+    def start(self, data, count):
+        entry_id = self._entry(data)
+        for _ in range(count):
+            self.world.start(entry_id)
+
+    @rule(data=st.data())
+    def finish(self, data):
+        self.world.finish(self._entry(data))
+
+    @rule(data=st.data(), mode=st.sampled_from(MODES))
+    def step(self, data, mode):
+        self.world.step(self._entry(data), mode)
+
+    @rule(data=st.data())
+    def deliver_late(self, data):
+        self.world.entry_by_id[self._entry(data)].publisher.deliver()
+
+    @rule(data=st.data(), count=st.integers(1, 3))
+    def fold(self, data, count):
+        self.world.entry_by_id[self._entry(data)].follower.fold(count)
+
+    @rule(data=st.data(), units=st.integers(1, 6))
+    def give(self, data, units):
+        self.world.give(self._entry(data), self._entry(data), units)
+
+    @precondition(lambda self: len(self.world.entry_by_id) > 1)
+    @rule(data=st.data())
+    def end_entry(self, data):
+        self.world.end_entry(self._entry(data))
+
+    @precondition(lambda self: len(self.world.entry_by_id) < 4)
+    @rule()
+    def join(self):
+        self.world.join()
+
+    @precondition(lambda self: self.cuts)
+    @rule(limit=st.integers(0, 9))
+    def set_limit(self, limit):
+        self.world.set_limit(limit)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 10.0, 130.0]))
+    def pass_time(self, seconds):
+        self.world.pass_time(seconds)
+
+    @invariant()
+    def covered(self):
+        self.world.check()
+        if not self.cuts:
+            assert self.world.running() <= self.world.limit
+
+
+class _ConstantLimitMachine(LimitMachine):
+    cuts = False
+
+
+class LimitTest(unittest.TestCase):
+    def _world(self, *arguments, **options):
+        world = World(*arguments, **options)
+        self.addCleanup(world.close)
+        return world
+
+    def _run_machine(self, machine):
+        run_state_machine_as_test(
+            machine,
+            settings=settings(
+                derandomize=True,
+                max_examples=150,
+                stateful_step_count=60,
+                deadline=None,
+            ),
+        )
+
+    def test_running_is_covered_by_units(self):
+        """Guards against work beyond the units, also when limits change."""
+        self._run_machine(LimitMachine)
+
+    def test_running_never_passes_a_constant_limit(self):
+        """Guards against a limit passed in any order of faults."""
+        self._run_machine(_ConstantLimitMachine)
+
+    def _give_scenario(self, transfers, mode):
+        """The giver starts work after the receiver has folded the give."""
+        world = self._world(transfers, entries=2, limit=4)
+        for _ in range(4):
+            world.start("e0")
+            world.step("e0")
+        self.assertEqual(world.held(), {"e0": 4})
+        world.pass_time(RUN_SECONDS)
+        for _ in range(60):
+            world.pass_time(1.0)
+            world.step("e0")
+        self.assertEqual(world.give("e0", "e1", 4), {"red": 4})
+        world.step("e0", mode)
+        world.entry_by_id["e0"].publisher.deliver()
+        world.entry_by_id["e1"].follower.fold()
+        for _ in range(4):
+            world.start("e1")
+            world.start("e0")
+        return world.running()
+
+    def test_given_units_stay_locked(self):
+        """Guards against units used by giver and receiver at once."""
+        for mode in ("ok", "lost", "late"):
+            self.assertEqual(self._give_scenario(Transfers, mode), 4)
+        for broken in (_Unlocked, _EarlyUnlock):
+            with self.assertRaisesRegex(AssertionError, "run on"):
+                self._give_scenario(broken, "late")
+
+    def test_give_of_unknown_outcome_takes_effect_once(self):
+        """Guards against units lost or doubled by a repeated append."""
+        world = self._world(entries=2, limit=4)
+        for _ in range(4):
+            world.start("e0")
+            world.step("e0")
+        world.finish("e0")
+        world.finish("e0")
+        for _ in range(20):
+            world.pass_time(1.0)
+            world.step("e0")
+        world.give("e0", "e1", 1)
+        world.step("e0", "late")
+        world.step("e0", "lost")
+        world.entry_by_id["e0"].publisher.deliver()
+        world.entry_by_id["e0"].follower.fold()
+        world.step("e0")
+        self.assertEqual(world.held(), {"e0": 3, "e1": 1})
+        self.assertEqual(
+            world.entry_by_id["e0"].limits._transfers._locked_by_team["red"], 0
+        )
+
+    def test_give_to_an_ended_entry_is_unlocked(self):
+        """Guards against units locked for ever."""
+        world = self._world(entries=2, limit=2)
+        world.start("e0")
+        world.step("e0")
+        for _ in range(40):
+            world.pass_time(1.0)
+            world.step("e0")
+        units = world.held()["e0"]
+        world.give("e0", "e1", 1)
+        world.end_entry("e1")
+        world.step("e0")
+        started = sum(world.start("e0") for _ in range(units + 2))
+        self.assertEqual(started, units)
+
+    def test_log_down_freezes_units(self):
+        """Guards against a limit that grows in an outage of the log."""
+        world = self._world(entries=1)
+        self.assertFalse(world.start("e0"))
+        world.step("e0", "down")
+        self.assertFalse(world.start("e0"))
+        world.step("e0")
+        self.assertTrue(world.start("e0"))
+
+    def test_cut_limit_is_reached_by_returns(self):
+        """Guards against a debt that idle units never repay."""
+        world = self._world(entries=2, limit=8)
+        for entry_id in ("e0", "e1"):
+            for _ in range(4):
+                world.start(entry_id)
+                world.step(entry_id)
+        world.set_limit(2)
+        for _ in range(12):
+            for entry_id in ("e0", "e1"):
+                world.entry_by_id[entry_id].follower.fold()
+                world.finish(entry_id)
+                world.step(entry_id)
+                world.start(entry_id)
+        self.assertLessEqual(sum(world.held().values()), 2)
+        self.assertLessEqual(world.running(), 2)
+
+    def test_busy_holder_yields_to_a_waiting_peer(self):
+        """Guards against an entry that never gets a unit of a full limit."""
+        world = self._world(entries=2, limit=4)
+        for _ in range(5):
+            world.start("e0")
+            world.step("e0")
+        self.assertEqual(world.running(), 4)
+        for _ in range(3):
+            world.give("e0", "e1", 4)
+            world.finish("e0")
+            world.step("e0")
+            while world.start("e0"):
+                pass
+        self.assertGreaterEqual(world.held().get("e1", 0), 1)
+        self.assertGreaterEqual(world.held()["e0"], 1)
+
+    def test_one_entry_does_not_take_the_whole_limit(self):
+        """Guards against units idle at one entry and missing at another."""
+        world = self._world(entries=2, limit=100)
+        for _ in range(3):
+            world.start("e0")
+            world.step("e0")
+        self.assertLess(world.held()["e0"], 10)
+
+
+class WaitTest(unittest.IsolatedAsyncioTestCase):
+    async def test_waiting_work_starts_in_order_and_asks_the_richest(self):
+        """Guards against waiting work overtaken by later work."""
+        clock = FakeClock()
+        log = FakeLog(clock)
+        log.append(put_team(limit=1), join("e0"))
+        log.append(
+            ch.AllowanceTake(
+                change_id=cid(), entry_id="e0", units_by_team={"red": 1}
+            )
+        )
+        follower = FakeFollower(log)
+        follower.fold()
+        limits = Limits(
+            identity("e0"),
+            follower,
+            FakePublisher(follower),
+            FakePeers(),
+            clock,
+        )
+        self.assertTrue(await limits.wait("red", clock.now() + 60))
+        self.assertTrue(limits.try_acquire("red"))
+        order = []
+
+        async def work(name):
+            if await limits.wait("red", clock.now() + 60):
+                order.append(name)
+                self.assertTrue(limits.try_acquire("red"))
+                limits.release("red")
+
+        tasks = []
+        for name in ("a", "b", "c"):
+            tasks.append(asyncio.create_task(work(name)))
+            await asyncio.sleep(0)
+        self.assertEqual(limits.wanted(), {"red": 3})
+        limits.release("red")
+        await asyncio.gather(*tasks)
+        self.assertEqual(order, ["a", "b", "c"])
+
+    async def test_waiting_entry_asks_the_holder_with_spare_units(self):
+        """Guards against work that waits beside idle units of a peer."""
+        clock = FakeClock()
+        log = FakeLog(clock)
+        log.append(put_team(limit=2), join("e0"))
+        take = {"red": 2}
+        log.append(
+            ch.AllowanceTake(change_id=cid(), entry_id="e0", units_by_team=take)
+        )
+        joining = ch.EntryJoin(
+            change_id=cid(),
+            entry_id="e1",
+            data_centre_id="dc2",
+            address="127.0.0.1:2",
+        )
+        log.append(joining)
+        follower = FakeFollower(log)
+        follower.fold()
+        peers = FakePeers()
+        peers.exchange_by_id["e0"] = Exchange(
+            entry_id="e0",
+            data_centre_id="dc1",
+            address="127.0.0.1:1",
+            member=True,
+            ready=True,
+            stopping=False,
+            offset=0,
+            current_at=0.0,
+            spare_by_team={"red": 2},
+        )
+        limits = Limits(
+            identity("e1"), follower, FakePublisher(follower), peers, clock
+        )
+        waiting = asyncio.create_task(limits.wait("red", clock.now() + 60))
+        await asyncio.sleep(0)
+        await limits.step()
+        self.assertEqual([call[0] for call in peers.calls], ["e0"])
+        limits.stop()
+        self.assertFalse(await waiting)
