Strengthen the machines and the steps of limits

Cause: random steps alone did not reach a give used at both ends or a claim at a lagging old owner. Change: rules that build these situations; a step of limits skips deleted teams and asks its peers at the same time.

--- a/sardinedrift/limits.py
+++ b/sardinedrift/limits.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -291,7 +292,10 @@
 
     def _missing(self) -> Iterator[tuple[TeamId, int, int]]:
         """Yields teams with units missing, the units, and the unallocated."""
+        rows = self._follower.state.tables.allowances_by_team
         for team_id, use in list(self._use_by_team.items()):
+            if team_id not in rows:
+                continue
             held, unallocated, _ = self._units(team_id)
             needed = max(use.target(), use.running + len(use.waiters))
             missing = needed - (held - self._transfers.locked(team_id))
@@ -343,20 +347,21 @@
             peer = self._richest_peer(team_id)
             if peer:
                 asks_by_peer.setdefault(peer, {})[team_id] = missing
-        for peer, units_by_team in asks_by_peer.items():
-            ask = AllowanceAsk(
-                entry_id=self._identity.entry_id, units_by_team=units_by_team
+        asks = (self._ask(*item) for item in asks_by_peer.items())
+        await asyncio.gather(*asks)
+
+    async def _ask(
+        self, peer: EntryId, units_by_team: dict[TeamId, int]
+    ) -> None:
+        """Asks a peer; without an answer the next step asks again."""
+        ask = AllowanceAsk(
+            entry_id=self._identity.entry_id, units_by_team=units_by_team
+        )
+        deadline = self._clock.now() + _ASK_SECONDS
+        with contextlib.suppress(PeerError):
+            await self._peers.call(
+                peer, "/peer/allowances", ask, Acknowledged, deadline
             )
-            try:
-                await self._peers.call(
-                    peer,
-                    "/peer/allowances",
-                    ask,
-                    Acknowledged,
-                    self._clock.now() + _ASK_SECONDS,
-                )
-            except PeerError:
-                continue
 
     def _richest_peer(self, team_id: TeamId) -> EntryId | None:
         """Returns the reachable holder with most spare units, then most."""
--- a/tests/decision_fakes.py
+++ b/tests/decision_fakes.py
@@ -1,5 +1,6 @@
 """An in-memory log with lagging readers, and a clock set by the test."""
 
+import asyncio
 import itertools
 import random
 
@@ -48,6 +49,10 @@
         self.log = log
         self.state = State()
 
+    async def changed(self, after):
+        while self.state.offset <= after:
+            await asyncio.sleep(0.01)
+
     def fold(self, count=1_000_000):
         while count and self.state.offset + 1 < len(self.log.records):
             offset = self.state.offset + 1
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -202,12 +202,45 @@
         for entry_id in entries:
             self.world.claim(entry_id, name, holder)
 
+    @precondition(lambda self: self.world.entry_by_id)
+    @rule(data=st.data())
+    def make_and_claim_everywhere(self, data):
+        self.world.make()
+        self.claim_everywhere(data, "h1")
+
+    @precondition(lambda self: 0 < len(self.world.entry_by_id) < 5)
+    @rule(data=st.data())
+    def join_seen_by_the_joiner_first(self, data):
+        """Members acknowledge a join and lag behind its activation."""
+        members = sorted(self.world.entry_by_id)
+        joiner_id = self.world.join()
+        for entry_id in members:
+            self.world.fold(entry_id)
+        for entry_id in members:
+            self.world.acknowledge(entry_id)
+        self.world.fold(joiner_id)
+        self.world.clock.time += 3.0
+        for _ in range(3):
+            self.make_and_claim_everywhere(data)
+
     @precondition(lambda self: self.world.holder_by_claimed)
     @rule(data=st.data(), outcome=st.sampled_from(list(Outcome)))
     def end(self, data, outcome):
         names = sorted(self.world.holder_by_claimed)
         self.world.end(data.draw(st.sampled_from(names)), outcome)
 
+    @precondition(lambda self: self.world.holder_by_claimed)
+    @rule(data=st.data())
+    def release_repeatedly(self, data):
+        """Claims a released id again and repeats the first release."""
+        name = data.draw(st.sampled_from(sorted(self.world.holder_by_claimed)))
+        entry_id, holder = self.world.holder_by_claimed[name]
+        self.world.end(name, Outcome.NOT_RUN)
+        if entry_id in self.world.entry_by_id:
+            self.world.claim(entry_id, name, holder)
+            self.world.send_end(-1)
+            self.world.claim(entry_id, name, "h3")
+
     @precondition(lambda self: self.world.ends)
     @rule(data=st.data())
     def repeat_end(self, data):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -214,6 +214,22 @@
     def give(self, data, units):
         self.world.give(self._entry(data), self._entry(data), units)
 
+    @rule(data=st.data(), mode=st.sampled_from(MODES), late=st.booleans())
+    def give_and_start_everywhere(self, data, mode, late):
+        """Starts work at both ends of a give before the giver folds it."""
+        giver, receiver = self._entry(data), self._entry(data)
+        entry = self.world.entry_by_id[giver]
+        self.world.finish(giver)
+        entry.limits._use("red")._recent = 0.0
+        self.world.give(giver, receiver, 6)
+        self.world.step(giver, mode)
+        if late:
+            entry.publisher.deliver()
+        self.world.entry_by_id[receiver].follower.fold()
+        for entry_id in (receiver, giver):
+            while self.world.start(entry_id):
+                pass
+
     @precondition(lambda self: len(self.world.entry_by_id) > 1)
     @rule(data=st.data())
     def end_entry(self, data):
@@ -463,3 +479,27 @@
         self.assertEqual([call[0] for call in peers.calls], ["e0"])
         limits.stop()
         self.assertFalse(await waiting)
+
+    async def test_run_takes_units_for_waiting_work(self):
+        """Guards against waiting work that no task serves."""
+        clock = FakeClock()
+        log = FakeLog(clock)
+        log.append(put_team(limit=3), join("e0"))
+        follower = FakeFollower(log)
+        follower.fold()
+        limits = Limits(
+            identity("e0"),
+            follower,
+            FakePublisher(follower),
+            FakePeers(),
+            clock,
+        )
+        running = asyncio.create_task(limits.run())
+        absent = asyncio.create_task(limits.wait("absent", clock.now() + 60))
+        self.assertTrue(await limits.wait("red", clock.now() + 60))
+        self.assertTrue(limits.try_acquire("red"))
+        self.assertFalse(running.done())
+        limits.stop()
+        self.assertFalse(await absent)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
