Add the follower and the publisher

The follower folds the log and records relayed by peers; the publisher appends with stable change ids until its own fold shows the result. Not yet tested.

--- /dev/null
+++ b/sardinedrift/follower.py
@@ -0,0 +1,350 @@
+"""Follows the log and folds it into the state of this entry."""
+
+import abc
+import asyncio
+import random
+import zlib
+from collections.abc import AsyncIterator, Callable, Iterable
+
+import msgspec
+from loguru import logger
+from prometheus_client import Counter
+
+from sardinedrift import changes as ch
+from sardinedrift import fold, snapshots
+from sardinedrift.exceptions import LogUnavailable, NoSnapshot, OffsetExpired
+from sardinedrift.identifiers import ChangeId, Offset
+from sardinedrift.ports import Clock, LogRecord, LogService
+from sardinedrift.ring import RecordRing
+from sardinedrift.state import State, Tables
+
+READ_LIMIT = 512
+# The state counts as current from the start of the read that proved it, so a
+# longer poll would make the configuration look older than it is.
+POLL_SECONDS = 1.0
+READ_TIMEOUT_SECONDS = 5.0
+FIRST_BACKOFF_SECONDS = 0.1
+LONGEST_BACKOFF_SECONDS = 2.0
+# Beyond the end of any log; a read there reports which offsets are kept.
+_FAR = Offset(1 << 52)
+
+_folded = Counter(
+    "sardinedrift_records_folded_total", "Log records folded.", ["source"]
+)
+_loaded = Counter(
+    "sardinedrift_snapshots_loaded_total", "Snapshots loaded.", ["source"]
+)
+_log_errors = Counter(
+    "sardinedrift_log_read_errors_total", "Reads of the log that failed."
+)
+
+
+class PeerSource(abc.ABC):
+    """What the follower needs to know from the other entries."""
+
+    @abc.abstractmethod
+    async def snapshot(self, beyond: Offset) -> State | None:
+        """Returns the state of a ready peer above an offset, if there is one.
+
+        A failure to fetch it counts as having none.
+        """
+
+    @abc.abstractmethod
+    def highest_offset(self) -> Offset | None:
+        """Returns the highest offset among the reachable peers.
+
+        None when no ready peer is reachable.
+        """
+
+
+class Follower:
+    """The folded state of the log, kept up to date.
+
+    Attributes:
+        state: the state; replaced as a whole when a snapshot is loaded.
+        current_at: last unix time at which the state was known to be at the
+            end of the log; 0.0 before the first time.
+        ready: whether the entry may serve; once True it stays True.
+        not_ready_reason: why it is not ready, else "".
+    """
+
+    def __init__(
+        self,
+        log: LogService,
+        clock: Clock,
+        peers: PeerSource | None = None,
+        poll_seconds: float = POLL_SECONDS,
+        longest_backoff_seconds: float = LONGEST_BACKOFF_SECONDS,
+    ):
+        self.state = State()
+        self.current_at = 0.0
+        self.ready = False
+        self.not_ready_reason = "the log has not been read yet"
+        self._log = log
+        self._clock = clock
+        self._peers = peers
+        self._poll_seconds = poll_seconds
+        self._longest_backoff_seconds = longest_backoff_seconds
+        self._ring = RecordRing()
+        self._event = asyncio.Event()
+        self._watchers: list[Callable[[list[ch.Result]], None]] = []
+        self._from_peer = False
+        self._gap = False
+        self._log_up = True
+        self._random = random.Random()
+
+    def attach(self, peers: PeerSource) -> None:
+        """Sets where snapshots are fetched from while the log is down."""
+        self._peers = peers
+
+    def watch(self, watcher: Callable[[list[ch.Result]], None]) -> None:
+        """Calls back with the results of each record as it is folded."""
+        self._watchers.append(watcher)
+
+    async def run(self) -> None:
+        """Follows the log until cancelled; failures are retried."""
+        attempt = 0
+        while True:
+            try:
+                await self._follow()
+                attempt = 0
+                self._set_log_up(True, "")
+                continue
+            except OffsetExpired:
+                failure = await self._load_after_expiry()
+            except LogUnavailable as error:
+                failure = str(error) or "the log is unavailable"
+                _log_errors.inc()
+                self._set_log_up(False, failure)
+            if failure is None:
+                continue
+            await self._use_peers(failure)
+            await asyncio.sleep(self._backoff(attempt))
+            attempt += 1
+
+    async def changed(self, after: Offset) -> None:
+        """Waits until the state is beyond an offset."""
+        while self.state.offset <= after:
+            await self._event.wait()
+
+    async def wait_offset(self, offset: Offset, deadline: float) -> bool:
+        """Waits until the state has reached an offset.
+
+        Args:
+            offset: the offset to reach.
+            deadline: unix seconds.
+
+        Returns:
+            Whether it was reached before the deadline.
+        """
+        rest = deadline - self._clock.now()
+        try:
+            async with asyncio.timeout(max(rest, 0.0)):
+                await self.changed(Offset(offset - 1))
+        except TimeoutError:
+            return False
+        return True
+
+    async def wait_ready(self) -> None:
+        """Waits until the entry may serve."""
+        while not self.ready:
+            await self._event.wait()
+
+    def result_of(self, change_id: ChangeId) -> ch.Result | None:
+        """Returns the outcome of a change folded in the last hour."""
+        known = self.state.tables.result_by_change_id.get(change_id)
+        return known[1] if known else None
+
+    def records_from(self, offset: Offset) -> list[LogRecord]:
+        """Returns recent records from an offset on.
+
+        Empty when there are none, or when `offset` is no longer kept.
+        """
+        return self._ring.records_from(offset)
+
+    def offer(self, records: Iterable[LogRecord]) -> None:
+        """Folds records received from a peer, as far as they follow on."""
+        self._fold(records, "peer")
+
+    def note_current(self, offset: Offset, current_at: float) -> None:
+        """Takes over that a peer's state was at the end of the log.
+
+        Args:
+            offset: offset of the peer's state.
+            current_at: unix seconds at which it was known to be current.
+        """
+        if offset <= self.state.offset:
+            current_at = min(current_at, self._clock.now())
+            self.current_at = max(self.current_at, current_at)
+
+    def note_gap(self) -> None:
+        """Notes that the peers no longer keep the next record."""
+        self._gap = True
+
+    async def _follow(self) -> None:
+        """Reads one page and folds it."""
+        started = self._clock.now()
+        start = Offset(self.state.offset + 1)
+        deadline = started + self._poll_seconds
+        page = await self._log.read(start, READ_LIMIT, deadline)
+        if page.first > start:
+            raise OffsetExpired(f"the log starts at {page.first}")
+        if page.next < start:
+            raise LogUnavailable(
+                f"the log ends at {page.next}, below the folded {start}"
+            )
+        self._fold(page.records, "log")
+        if self.state.offset + 1 >= page.next:
+            self.current_at = max(self.current_at, started)
+            self._set_ready()
+        else:
+            self._set_not_ready(
+                f"folded {self.state.offset + 1} of {page.next} records"
+            )
+
+    def _fold(self, records: Iterable[LogRecord], source: str) -> None:
+        """Folds the records that follow the state, in order."""
+        before = self.state.offset
+        for record in records:
+            if record.offset <= self.state.offset:
+                continue
+            if record.offset != self.state.offset + 1:
+                break
+            results = fold.apply_record(
+                self.state, record.offset, record.time, record.data
+            )
+            self._ring.add(record)
+            _folded.labels(source).inc()
+            for watcher in self._watchers:
+                watcher(results)
+        if self.state.offset != before:
+            self._gap = False
+            self._notify()
+
+    async def _load_after_expiry(self) -> str | None:
+        """Loads a newer snapshot; returns the reason when there is none."""
+        try:
+            state = await self._snapshot_in_log()
+            self._adopt(state, "log")
+            return None
+        except (NoSnapshot, LogUnavailable, OffsetExpired) as error:
+            failure = f"the next record has expired: {error}"
+        if await self._load_from_peer():
+            return None
+        return failure
+
+    async def _snapshot_in_log(self) -> State:
+        """Returns the newest usable snapshot above the own offset.
+
+        Raises:
+            NoSnapshot: the log holds none.
+        """
+        deadline = self._clock.now() + min(self._poll_seconds, 0.2)
+        first = (await self._log.read(_FAR, 1, deadline)).first
+        batches = [each async for each in self._snapshot_batches(first)]
+        try:
+            state = snapshots.newest(batches)
+        except (msgspec.DecodeError, zlib.error, ValueError) as error:
+            raise NoSnapshot(f"a snapshot is damaged: {error}") from error
+        if state is None:
+            raise NoSnapshot("the log holds no complete snapshot")
+        if state.offset + 1 < first:
+            raise NoSnapshot("records after the newest snapshot have expired")
+        if state.offset <= self.state.offset:
+            raise NoSnapshot("the newest snapshot is not newer")
+        return state
+
+    async def _snapshot_batches(
+        self, start: Offset
+    ) -> AsyncIterator[ch.Batch]:
+        """Yields the batches of the retained records that hold chunks."""
+        while True:
+            deadline = self._clock.now() + READ_TIMEOUT_SECONDS
+            page = await self._log.read(start, READ_LIMIT, deadline)
+            for record in page.records:
+                start = Offset(record.offset + 1)
+                if b"SnapshotChunk" not in record.data:
+                    continue
+                try:
+                    yield ch.decode_batch(record.data)
+                except msgspec.DecodeError:
+                    continue
+            if start >= page.next or not page.records:
+                return
+
+    async def _use_peers(self, failure: str) -> None:
+        """Becomes ready in an outage of the log, if the peers allow it."""
+        if self.ready and not self._gap:
+            return
+        if not self._from_peer or self._gap:
+            await self._load_from_peer()
+        highest = self._peers.highest_offset() if self._peers else None
+        if highest is None:
+            self._set_not_ready(f"{failure}; no ready peer is reachable")
+        elif not self._from_peer:
+            self._set_not_ready(f"{failure}; no snapshot from a peer")
+        elif self.state.offset < highest:
+            self._set_not_ready(
+                f"{failure}; at offset {self.state.offset}, peers at {highest}"
+            )
+        else:
+            self._set_ready()
+
+    async def _load_from_peer(self) -> bool:
+        """Loads a peer's snapshot; False without one above the own offset."""
+        if self._peers is None:
+            return False
+        beyond = self.state.offset
+        # Before the first load an equal offset shows that a ready peer has
+        # the same state.
+        if not self.ready and not self._from_peer:
+            beyond = Offset(beyond - 1)
+        state = await self._peers.snapshot(beyond)
+        if state is None:
+            return False
+        self._from_peer = True
+        # Records may have been folded during the fetch.
+        if state.offset > self.state.offset:
+            self._adopt(state, "peer")
+        return True
+
+    def _adopt(self, state: State, source: str) -> None:
+        """Replaces the state by a newer one."""
+        if state.offset <= self.state.offset:
+            return
+        # Readers compare the versions of tables to notice changes.
+        for table in Tables.__struct_fields__:
+            version = self.state.version_by_table[table]
+            state.version_by_table[table] = version + 1
+        self.state = state
+        self._ring.clear()
+        self._gap = False
+        _loaded.labels(source).inc()
+        logger.info("loaded a snapshot at {} from {}", state.offset, source)
+        self._notify()
+
+    def _set_ready(self) -> None:
+        if self.ready:
+            return
+        self.ready = True
+        self.not_ready_reason = ""
+        logger.info("ready at offset {}", self.state.offset)
+        self._notify()
+
+    def _set_not_ready(self, reason: str) -> None:
+        if not self.ready:
+            self.not_ready_reason = reason
+
+    def _set_log_up(self, up: bool, reason: str) -> None:
+        if up != self._log_up:
+            self._log_up = up
+            logger.info("log is {}: {}", "up" if up else "down", reason)
+
+    def _notify(self) -> None:
+        event, self._event = self._event, asyncio.Event()
+        event.set()
+
+    def _backoff(self, attempt: int) -> float:
+        delay = FIRST_BACKOFF_SECONDS * 2 ** min(attempt, 10)
+        delay = min(delay, self._longest_backoff_seconds)
+        return delay * self._random.uniform(0.5, 1.0)
--- /dev/null
+++ b/sardinedrift/publisher.py
@@ -0,0 +1,261 @@
+"""Publishes changes: appends them and waits until they are folded here."""
+
+import asyncio
+import itertools
+from collections.abc import Iterable, Iterator, Sequence
+
+from prometheus_client import Counter
+
+from sardinedrift import changes as ch
+from sardinedrift import fold
+from sardinedrift.exceptions import (
+    AppendUnknown,
+    LogUnavailable,
+    PublishUnknown,
+)
+from sardinedrift.follower import Follower
+from sardinedrift.identifiers import ChangeId
+from sardinedrift.ports import Clock, LogService
+
+GROUP_SECONDS = 0.05
+# Below the size of a chunk of a snapshot, so that a chunk has its own record.
+GROUP_BYTES = 96 * 1024
+GROUP_CHANGES = 512
+APPEND_SECONDS = 2.0
+FIRST_BACKOFF_SECONDS = 0.1
+LONGEST_BACKOFF_SECONDS = 2.0
+# Past this age the fold may have forgotten the result of a first append, and
+# a repeated append would be applied a second time.
+REPEAT_SECONDS = fold.RESULT_LIFETIME_SECONDS - 60.0
+# Rejections that hold for every state. Others are left to the fold: this
+# entry may be behind, or may not have folded an earlier append of the change.
+STATELESS_CODES = frozenset({"invalid", "invalid_value"})
+
+_appends = Counter(
+    "sardinedrift_log_appends_total", "Appends to the log.", ["outcome"]
+)
+
+
+class Publisher:
+    """Appends changes and reports what the fold decided about them."""
+
+    def __init__(
+        self,
+        log: LogService,
+        follower: Follower,
+        clock: Clock,
+        group_seconds: float = GROUP_SECONDS,
+        longest_backoff_seconds: float = LONGEST_BACKOFF_SECONDS,
+    ):
+        self._log = log
+        self._follower = follower
+        self._clock = clock
+        self._group_seconds = group_seconds
+        self._longest_backoff_seconds = longest_backoff_seconds
+        self._queued: list[tuple[ch.AnyChange, asyncio.Future]] = []
+        self._flushing: asyncio.Task | None = None
+        self._waiting_by_id: dict[ChangeId, list[asyncio.Future]] = {}
+        follower.watch(self._deliver)
+
+    async def publish(
+        self,
+        changes: Iterable[ch.AnyChange],
+        deadline: float,
+        atomic: bool = False,
+    ) -> list[ch.Result]:
+        """Publishes changes in one record.
+
+        Args:
+            changes: in order; an id used before gives the first result.
+            deadline: unix seconds until which to try.
+            atomic: when one change is rejected, all are.
+
+        Returns:
+            One result for each change, as folded by every reader, or as
+            refused before the append.
+
+        Raises:
+            PublishUnknown: the changes may or may not take effect.
+            LogUnavailable: nothing was appended.
+        """
+        changes = tuple(changes)
+        refused = self._refused(ch.Batch(changes, atomic))
+        if refused and atomic:
+            return refused
+        refused_by_id = {each.change_id: each for each in refused}
+        batch = ch.Batch(
+            tuple(
+                each
+                for each in changes
+                if each.change_id not in refused_by_id
+            ),
+            atomic,
+        )
+        result_by_id = dict(refused_by_id)
+        if batch.changes:
+            for result in await self._append_until_folded(batch, deadline):
+                result_by_id[result.change_id] = result
+        return [result_by_id[each.change_id] for each in changes]
+
+    async def publish_until_folded(self, change: ch.AnyChange) -> ch.Result:
+        """Publishes a change of the system, however long the log is down.
+
+        Changes queued shortly after one another share a record. A change
+        whose caller is cancelled before its append is not appended.
+
+        Raises:
+            PublishUnknown: an append may have taken effect so long ago that
+                its result can no longer be known.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._queued.append((change, future))
+        if self._flushing is None or self._flushing.done():
+            self._flushing = asyncio.create_task(self._flush())
+        return await future
+
+    def _refused(self, batch: ch.Batch) -> list[ch.Result]:
+        """Returns the results to give without an append."""
+        results = fold.rehearse(self._follower.state, batch)
+        refused = [each for each in results if each.code in STATELESS_CODES]
+        return results if refused and batch.atomic else refused
+
+    async def _flush(self) -> None:
+        """Appends what is queued, group by group, until nothing is left."""
+        while self._queued:
+            await asyncio.sleep(self._group_seconds)
+            queued = [each for each in self._queued if not each[1].done()]
+            self._queued = []
+            for group in _groups(queued):
+                await self._publish_group(group)
+
+    async def _publish_group(
+        self, group: Sequence[tuple[ch.AnyChange, asyncio.Future]]
+    ) -> None:
+        group = [each for each in group if not each[1].done()]
+        if not group:
+            return
+        batch = ch.Batch(tuple(change for change, _ in group))
+        try:
+            results = await self._append_until_folded(batch, None)
+        except PublishUnknown as error:
+            for _, future in group:
+                if not future.done():
+                    future.set_exception(PublishUnknown(str(error)))
+            return
+        for (_, future), result in zip(group, results, strict=True):
+            if not future.done():
+                future.set_result(result)
+
+    async def _append_until_folded(
+        self, batch: ch.Batch, deadline: float | None
+    ) -> list[ch.Result]:
+        """Appends a batch, again and again, until its results are folded."""
+        ids = [each.change_id for each in batch.changes]
+        data = ch.encode_batch(batch)
+        first_unknown: float | None = None
+        futures = [self._expect(each) for each in ids]
+        folded = asyncio.gather(*futures)
+        try:
+            for attempt in itertools.count():
+                if folded.done():
+                    break
+                now = self._clock.now()
+                if _passed(deadline, now) or _too_old(first_unknown, now):
+                    _give_up(first_unknown)
+                appended, unknown = await self._append(data, deadline)
+                if unknown and first_unknown is None:
+                    first_unknown = now
+                rest = self._rest(appended, attempt, deadline)
+                await asyncio.wait([folded], timeout=rest)
+            return list(folded.result())
+        finally:
+            folded.cancel()
+            for change_id, future in zip(ids, futures, strict=True):
+                self._forget(change_id, future)
+
+    async def _append(
+        self, data: bytes, deadline: float | None
+    ) -> tuple[bool, bool]:
+        """Returns whether an append succeeded, and whether it may have."""
+        limit = self._clock.now() + APPEND_SECONDS
+        if deadline is not None:
+            limit = min(limit, deadline)
+        try:
+            await self._log.append(data, limit)
+        except AppendUnknown:
+            _appends.labels("unknown").inc()
+            return False, True
+        except LogUnavailable:
+            _appends.labels("unavailable").inc()
+            return False, False
+        _appends.labels("appended").inc()
+        return True, True
+
+    def _rest(
+        self, appended: bool, attempt: int, deadline: float | None
+    ) -> float | None:
+        """Returns how long to wait for the fold before the next append."""
+        rest = None
+        if deadline is not None:
+            rest = max(deadline - self._clock.now(), 0.0)
+        if appended:
+            return rest
+        delay = FIRST_BACKOFF_SECONDS * 2 ** min(attempt, 10)
+        delay = min(delay, self._longest_backoff_seconds)
+        return delay if rest is None else min(delay, rest)
+
+    def _expect(self, change_id: ChangeId) -> asyncio.Future:
+        """Returns a future of the result of a change."""
+        future = asyncio.get_running_loop().create_future()
+        known = self._follower.result_of(change_id)
+        if known:
+            future.set_result(known)
+        else:
+            self._waiting_by_id.setdefault(change_id, []).append(future)
+        return future
+
+    def _forget(self, change_id: ChangeId, future: asyncio.Future) -> None:
+        waiting = self._waiting_by_id.get(change_id, [])
+        if future in waiting:
+            waiting.remove(future)
+        if not waiting:
+            self._waiting_by_id.pop(change_id, None)
+
+    def _deliver(self, results: list[ch.Result]) -> None:
+        for result in results:
+            for future in self._waiting_by_id.get(result.change_id, ()):
+                if not future.done():
+                    future.set_result(result)
+
+
+def _passed(deadline: float | None, now: float) -> bool:
+    return deadline is not None and now >= deadline
+
+
+def _too_old(first_unknown: float | None, now: float) -> bool:
+    return first_unknown is not None and now > first_unknown + REPEAT_SECONDS
+
+
+def _give_up(first_unknown: float | None) -> None:
+    if first_unknown is None:
+        raise LogUnavailable("the log was unavailable; nothing was appended")
+    raise PublishUnknown("the change was not seen in the log; it may appear")
+
+
+def _groups(
+    queued: list[tuple[ch.AnyChange, asyncio.Future]],
+) -> Iterator[list[tuple[ch.AnyChange, asyncio.Future]]]:
+    """Yields the queued changes in order, bounded by number and bytes."""
+    group: list[tuple[ch.AnyChange, asyncio.Future]] = []
+    size = 0
+    for change, future in queued:
+        length = len(ch.encode_batch(ch.Batch((change,))))
+        if group and (
+            size + length > GROUP_BYTES or len(group) >= GROUP_CHANGES
+        ):
+            yield group
+            group, size = [], 0
+        group.append((change, future))
+        size += length
+    if group:
+        yield group
