--- a/sardinedrift/follower.py
+++ b/sardinedrift/follower.py
@@ -98,7 +98,7 @@
         self._peers = peers
 
     def watch(self, watcher: Callable[[list[ch.Result]], None]) -> None:
-        """Calls back with the results of each record as it is folded."""
+        """Calls back with results as they are folded or loaded."""
         self._watchers.append(watcher)
 
     async def run(self) -> None:
@@ -215,8 +215,7 @@
             )
             self._ring.add(record)
             _folded.labels(source).inc()
-            for watcher in self._watchers:
-                watcher(results)
+            self._report(results)
         if self.state.offset != before:
             self._gap = False
             self._notify()
@@ -254,9 +253,7 @@
             raise NoSnapshot("the newest snapshot is not newer")
         return state
 
-    async def _snapshot_batches(
-        self, start: Offset
-    ) -> AsyncIterator[ch.Batch]:
+    async def _snapshot_batches(self, start: Offset) -> AsyncIterator[ch.Batch]:
         """Yields the batches of the retained records that hold chunks."""
         while True:
             deadline = self._clock.now() + READ_TIMEOUT_SECONDS
@@ -321,8 +318,14 @@
         self._gap = False
         _loaded.labels(source).inc()
         logger.info("loaded a snapshot at {} from {}", state.offset, source)
+        rows = state.tables.result_by_change_id.values()
+        self._report([result for _, result in rows])
         self._notify()
 
+    def _report(self, results: list[ch.Result]) -> None:
+        for watcher in self._watchers:
+            watcher(results)
+
     def _set_ready(self) -> None:
         if self.ready:
             return
--- a/sardinedrift/messages.py
+++ b/sardinedrift/messages.py
@@ -15,6 +15,7 @@
     TeamId,
     WorkClass,
 )
+from sardinedrift.ports import LogRecord
 
 
 class HeldGrant(msgspec.Struct, frozen=True):
@@ -173,3 +174,16 @@
     content_type: str
     hops: list[EntryId]
     claimed: bool
+
+
+class RecordsReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to `GET /peer/records?from=`.
+
+    Attributes:
+        records: consecutive records from the asked offset on; empty when
+            there are none, or when that offset is no longer kept.
+        next: offset after the last one that the sender has folded.
+    """
+
+    records: list[LogRecord]
+    next: Offset
--- /dev/null
+++ b/sardinedrift/peers.py
@@ -0,0 +1,397 @@
+"""Exchanges with the other entries: liveness, addresses, relayed records."""
+
+import asyncio
+import contextlib
+import zlib
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Any, TypeVar
+
+import msgspec
+from loguru import logger
+from prometheus_client import Counter
+
+from sardinedrift import snapshots
+from sardinedrift.exceptions import PeerError
+from sardinedrift.follower import Follower, PeerSource
+from sardinedrift.identifiers import (
+    DataCentreId,
+    EntryId,
+    EntryState,
+    Identity,
+    Offset,
+    PoolId,
+)
+from sardinedrift.messages import Exchange, RecordsReply
+from sardinedrift.peerclient import PeerClient
+from sardinedrift.peerlinks import Link, LinkTable, Timing
+from sardinedrift.ports import Clock
+from sardinedrift.routing import rendezvous
+from sardinedrift.state import State
+
+Reply = TypeVar("Reply")
+
+RELAY_SECONDS = 2.0
+SNAPSHOT_SECONDS = 10.0
+
+_exchanges = Counter(
+    "sardinedrift_exchanges_total", "Exchanges with peers.", ["outcome"]
+)
+
+
+class Peers(PeerSource):
+    """The other entries as this one sees them.
+
+    Attributes:
+        blocked: addresses and data centres to which calls fail and from which
+            exchanges are refused; for tests only.
+        observers: called with each exchange received from a peer.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        follower: Follower,
+        clock: Clock,
+        seeds: Iterable[str],
+        fill: Callable[[EntryId | None], Exchange],
+        *,
+        discover: Callable[[], Iterable[str]] = tuple,
+        near: Timing = Timing(0.25, 0.75),  # noqa: B008, immutable
+        far: Timing = Timing(1.0, 3.0),  # noqa: B008, immutable
+    ):
+        """Sets up the peers; nothing is sent before `run`.
+
+        Args:
+            identity: this entry.
+            follower: gets the records relayed by peers.
+            clock: source of the time.
+            seeds: "host:port" of entries to try first.
+            fill: makes the exchange to send to an entry; None: to an unknown
+                one.
+            discover: returns addresses of entries from the instance list.
+            near: timing within the data centre.
+            far: timing across data centres.
+        """
+        self.blocked: set[str] = set()
+        self.observers: list[Callable[[Exchange], None]] = []
+        self._identity = identity
+        self._follower = follower
+        self._clock = clock
+        self._seeds = tuple(seeds)
+        self._fill = fill
+        self._discover = discover
+        self._links = LinkTable(identity, clock, near, far)
+        self._client = PeerClient(clock)
+        self._task_by_address: dict[str, asyncio.Task] = {}
+        self._relaying = asyncio.Lock()
+        self._event = asyncio.Event()
+        self._seen: frozenset[tuple[EntryId, bool, bool]] = frozenset()
+        follower.attach(self)
+
+    async def run(self) -> None:
+        """Keeps one task per peer until cancelled."""
+        try:
+            while True:
+                self._find_peers()
+                self._notice_changes()
+                await asyncio.sleep(self._links.near.interval)
+        finally:
+            await self._stop()
+
+    def live(self, data_centre_id: DataCentreId) -> list[EntryId]:
+        """Returns the live entries that take new work, in id order."""
+        return sorted(
+            each.entry_id
+            for each in self._live_exchanges(data_centre_id)
+            if not each.stopping
+        )
+
+    def live_members(self, data_centre_id: DataCentreId) -> list[EntryId]:
+        """Returns those of the live entries that are members."""
+        return sorted(
+            each.entry_id
+            for each in self._live_exchanges(data_centre_id)
+            if each.member and not each.stopping
+        )
+
+    def scheduler(self, pool_id: PoolId) -> EntryId | None:
+        """Returns the scheduler of a pool in the own data centre, if any."""
+        members = self.live_members(self._identity.data_centre_id)
+        return rendezvous(f"scheduler/{pool_id}", members)
+
+    def address_of(self, entry_id: EntryId) -> str | None:
+        """Returns the address of an entry, if it is known."""
+        if entry_id == self._identity.entry_id:
+            return self._identity.address
+        link = self._links.of_entry(entry_id)
+        if link is not None:
+            return link.address
+        entry = self._follower.state.tables.entry_by_id.get(entry_id)
+        return entry.address if entry else None
+
+    def exchange_of(self, entry_id: EntryId) -> Exchange | None:
+        """Returns the last exchange of a live entry."""
+        link = self._links.of_entry(entry_id)
+        return link.exchange if link and self._links.is_live(link) else None
+
+    def ended_since(self, entry_id: EntryId) -> float | None:
+        """Returns since when a process has shown that it has ended.
+
+        Its address has refused every connection, or answered as another
+        entry, without interruption since that unix time. None: it has not.
+        """
+        entry = self._follower.state.tables.entry_by_id.get(entry_id)
+        address = entry.address if entry else self.address_of(entry_id)
+        link = self._links.by_address.get(address) if address else None
+        return link.ended_since(entry_id, self._clock.now()) if link else None
+
+    def highest_offset(self) -> Offset | None:
+        """Returns the highest offset of live peers, if one is ready."""
+        exchanges = [each.exchange for each in self._links.live()]
+        if not any(each.ready for each in exchanges):
+            return None
+        return max(each.offset for each in exchanges)
+
+    async def snapshot(self, beyond: Offset) -> State | None:
+        """Returns the state of a ready live peer above an offset."""
+        ready = [
+            each
+            for each in self._links.live()
+            if each.exchange.ready and each.exchange.offset > beyond
+        ]
+        for link in sorted(ready, key=lambda each: -each.exchange.offset):
+            try:
+                state = await self._fetch_snapshot(link)
+            except PeerError as error:
+                logger.warning("no snapshot from {}: {}", link.address, error)
+                continue
+            if state.offset > beyond:
+                return state
+        return None
+
+    async def changed(self) -> None:
+        """Waits until an entry becomes live, ends or changes its state."""
+        await self._event.wait()
+
+    def receive(self, exchange: Exchange) -> Exchange:
+        """Takes the exchange of a peer and returns the own one.
+
+        Raises:
+            PeerError: the peer is cut off by the fault injection.
+        """
+        if self.blocked & {exchange.address, exchange.data_centre_id}:
+            raise PeerError(f"{exchange.address} is blocked", sent=False)
+        if exchange.entry_id != self._identity.entry_id:
+            link = self._links.add(exchange.address)
+            self._links.heard(link, exchange)
+            self._observe(exchange)
+        return self._fill(exchange.entry_id)
+
+    async def call(
+        self,
+        entry_id: EntryId,
+        path: str,
+        message: msgspec.Struct,
+        reply_type: type[Reply],
+        deadline: float,
+    ) -> Reply:
+        """Sends a message to an entry and returns its reply.
+
+        Raises:
+            PeerError: there is no usable reply.
+        """
+        status, _, body = await self.post(
+            entry_id,
+            path,
+            {"Content-Type": "application/json"},
+            msgspec.json.encode(message),
+            deadline,
+        )
+        return _decode(status, body, reply_type, f"{entry_id} {path}")
+
+    async def post(
+        self,
+        entry_id: EntryId,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        deadline: float,
+    ) -> tuple[int, Mapping[str, str], bytes]:
+        """Sends one POST to an entry; see `PeerClient.request`.
+
+        Raises:
+            PeerError: there is no complete answer.
+        """
+        address = self.address_of(entry_id)
+        if address is None:
+            raise PeerError(f"no address of {entry_id} is known", sent=False)
+        return await self._request(
+            "POST", address, path, headers, body, deadline
+        )
+
+    def _live_exchanges(
+        self, data_centre_id: DataCentreId
+    ) -> Iterator[Exchange]:
+        """Yields the exchanges of live entries, the own one included."""
+        if data_centre_id == self._identity.data_centre_id:
+            yield self._fill(None)
+        entry_by_id = self._follower.state.tables.entry_by_id
+        for link in self._links.live():
+            entry = entry_by_id.get(link.entry_id)
+            gone = entry is not None and entry.state is EntryState.GONE
+            if link.exchange.data_centre_id == data_centre_id and not gone:
+                yield link.exchange
+
+    def _find_peers(self) -> None:
+        """Starts a task for each new address and ends those of old ones."""
+        entries = [
+            each
+            for each in self._follower.state.tables.entry_by_id.values()
+            if each.state is not EntryState.GONE
+        ]
+        for entry in entries:
+            link = self._links.add(entry.address)
+            if link is not None and link.data_centre_id is None:
+                link.data_centre_id = entry.data_centre_id
+        known = {*self._seeds, *self._discover()}
+        for address in known:
+            self._links.add(address)
+        self._links.forget(known | {each.address for each in entries})
+        for address in self._task_by_address.keys() - self._links.by_address:
+            self._task_by_address.pop(address).cancel()
+        for address, link in self._links.by_address.items():
+            task = self._task_by_address.get(address)
+            if task is None or task.done():
+                self._task_by_address[address] = asyncio.create_task(
+                    self._keep(link)
+                )
+
+    async def _keep(self, link: Link) -> None:
+        """Exchanges with one peer as long as it is known."""
+        while True:
+            started = self._clock.now()
+            timing = self._links.timing(link)
+            if self._links.wanted(link):
+                await self._exchange(link, started + timing.timeout)
+                await self._relay(link)
+            rest = started + timing.interval - self._clock.now()
+            await asyncio.sleep(min(max(rest, 0.01), timing.interval))
+
+    async def _exchange(self, link: Link, deadline: float) -> None:
+        sent = self._fill(link.entry_id)
+        try:
+            status, _, body = await self._request(
+                "POST",
+                link.address,
+                "/peer/exchange",
+                {"Content-Type": "application/json"},
+                msgspec.json.encode(sent),
+                deadline,
+            )
+            exchange = _decode(status, body, Exchange, link.address)
+            if exchange.data_centre_id in self.blocked:
+                raise PeerError(f"{link.address} is blocked")
+        except PeerError as error:
+            _exchanges.labels("failed").inc()
+            self._links.failed(link, error.refused)
+            self._notice_changes()
+            return
+        _exchanges.labels("answered").inc()
+        self._links.answered(link, exchange)
+        if exchange.entry_id != self._identity.entry_id:
+            self._observe(exchange)
+
+    async def _relay(self, link: Link) -> None:
+        """Fetches the records that a peer has folded beyond the own state."""
+        exchange = link.exchange
+        if not self._links.is_live(link) or self._relaying.locked():
+            return
+        start = self._follower.state.offset + 1
+        if exchange.offset < start:
+            return
+        async with self._relaying:
+            with contextlib.suppress(PeerError):
+                status, _, body = await self._request(
+                    "GET",
+                    link.address,
+                    f"/peer/records?from={start}",
+                    {},
+                    b"",
+                    self._clock.now() + RELAY_SECONDS,
+                )
+                reply = _decode(status, body, RecordsReply, link.address)
+                self._follower.offer(reply.records)
+                if not reply.records and reply.next > start:
+                    self._follower.note_gap()
+
+    async def _fetch_snapshot(self, link: Link) -> State:
+        status, _, body = await self._request(
+            "GET",
+            link.address,
+            "/peer/snapshot",
+            {},
+            b"",
+            self._clock.now() + SNAPSHOT_SECONDS,
+        )
+        if status != 200:
+            raise PeerError(f"{link.address} answered {status}")
+        try:
+            return snapshots.decode(body)
+        except (msgspec.DecodeError, zlib.error) as error:
+            raise PeerError(f"{link.address}: {error}") from error
+
+    async def _request(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        deadline: float,
+    ) -> tuple[int, Mapping[str, str], bytes]:
+        link = self._links.by_address.get(address)
+        data_centre_id = link.data_centre_id if link else None
+        if self.blocked & {address, data_centre_id}:
+            raise PeerError(f"{address} is blocked", sent=False)
+        return await self._client.request(
+            method, address, path, headers, body, deadline
+        )
+
+    def _observe(self, exchange: Exchange) -> None:
+        self._follower.note_current(exchange.offset, exchange.current_at)
+        for observer in self.observers:
+            observer(exchange)
+        self._notice_changes()
+
+    def _notice_changes(self) -> None:
+        """Wakes waiters when the live entries or their states changed."""
+        seen = frozenset(
+            (each.entry_id, each.exchange.member, each.exchange.stopping)
+            for each in self._links.live()
+        )
+        if seen == self._seen:
+            return
+        came, went = seen - self._seen, self._seen - seen
+        logger.info("peers changed: {} came, {} went", len(came), len(went))
+        self._seen = seen
+        event, self._event = self._event, asyncio.Event()
+        event.set()
+
+    async def _stop(self) -> None:
+        tasks = list(self._task_by_address.values())
+        self._task_by_address.clear()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._client.close()
+
+
+def _decode(
+    status: int, body: bytes, reply_type: type[Any], source: str
+) -> Any:
+    if status != 200:
+        raise PeerError(f"{source} answered {status}: {body[:200]!r}")
+    try:
+        return msgspec.json.decode(body, type=reply_type)
+    except msgspec.DecodeError as error:
+        raise PeerError(f"{source}: {error}") from error
--- a/sardinedrift/publisher.py
+++ b/sardinedrift/publisher.py
@@ -29,7 +29,12 @@
 REPEAT_SECONDS = fold.RESULT_LIFETIME_SECONDS - 60.0
 # Rejections that hold for every state. Others are left to the fold: this
 # entry may be behind, or may not have folded an earlier append of the change.
-STATELESS_CODES = frozenset({"invalid", "invalid_value"})
+STATELESS_CODES = frozenset(
+    {"invalid_digest", "invalid_kind", "invalid_name", "out_of_range"}
+)
+# An appended record not folded by then may have been skipped by a snapshot
+# that no longer holds its results.
+FOLD_SECONDS = 30.0
 
 _appends = Counter(
     "sardinedrift_log_appends_total", "Appends to the log.", ["outcome"]
@@ -85,9 +90,7 @@
         refused_by_id = {each.change_id: each for each in refused}
         batch = ch.Batch(
             tuple(
-                each
-                for each in changes
-                if each.change_id not in refused_by_id
+                each for each in changes if each.change_id not in refused_by_id
             ),
             atomic,
         )
@@ -193,13 +196,13 @@
 
     def _rest(
         self, appended: bool, attempt: int, deadline: float | None
-    ) -> float | None:
+    ) -> float:
         """Returns how long to wait for the fold before the next append."""
         rest = None
         if deadline is not None:
             rest = max(deadline - self._clock.now(), 0.0)
         if appended:
-            return rest
+            return FOLD_SECONDS if rest is None else rest
         delay = FIRST_BACKOFF_SECONDS * 2 ** min(attempt, 10)
         delay = min(delay, self._longest_backoff_seconds)
         return delay if rest is None else min(delay, rest)
