--- a/sardinedrift/exceptions.py
+++ b/sardinedrift/exceptions.py
@@ -1,6 +1,6 @@
 """The tree of errors. Each layer turns the errors of the one below."""
 
-from sardinedrift.identifiers import Outcome
+from sardinedrift.identifiers import Offset, Outcome
 
 
 class SardinedriftError(Exception):
@@ -24,7 +24,15 @@
 
 
 class OffsetExpired(LogServiceError):  # noqa: N818
-    """The requested records are older than the retention of the log."""
+    """The requested records are older than the retention of the log.
+
+    Attributes:
+        first: oldest offset the log still keeps, or None when not stated.
+    """
+
+    def __init__(self, message: str, first: Offset | None = None):
+        super().__init__(message)
+        self.first = first
 
 
 class InstanceListError(SardinedriftError):
--- a/sardinedrift/follower.py
+++ b/sardinedrift/follower.py
@@ -110,8 +110,8 @@
                 attempt = 0
                 self._set_log_up(True, "")
                 continue
-            except OffsetExpired:
-                failure = await self._load_after_expiry()
+            except OffsetExpired as error:
+                failure = await self._load_after_expiry(error.first)
             except LogUnavailable as error:
                 failure = str(error) or "the log is unavailable"
                 _log_errors.inc()
@@ -188,7 +188,7 @@
         deadline = started + self._poll_seconds
         page = await self._log.read(start, READ_LIMIT, deadline)
         if page.first > start:
-            raise OffsetExpired(f"the log starts at {page.first}")
+            raise OffsetExpired(f"the log starts at {page.first}", page.first)
         if page.next < start:
             raise LogUnavailable(
                 f"the log ends at {page.next}, below the folded {start}"
@@ -220,10 +220,10 @@
             self._gap = False
             self._notify()
 
-    async def _load_after_expiry(self) -> str | None:
+    async def _load_after_expiry(self, first: Offset | None) -> str | None:
         """Loads a newer snapshot; returns the reason when there is none."""
         try:
-            state = await self._snapshot_in_log()
+            state = await self._snapshot_in_log(first)
             self._adopt(state, "log")
             return None
         except (NoSnapshot, LogUnavailable, OffsetExpired) as error:
@@ -232,14 +232,15 @@
             return None
         return failure
 
-    async def _snapshot_in_log(self) -> State:
+    async def _snapshot_in_log(self, first: Offset | None) -> State:
         """Returns the newest usable snapshot above the own offset.
 
         Raises:
             NoSnapshot: the log holds none.
         """
-        deadline = self._clock.now() + min(self._poll_seconds, 0.2)
-        first = (await self._log.read(_FAR, 1, deadline)).first
+        if first is None:
+            deadline = self._clock.now() + min(self._poll_seconds, 0.2)
+            first = (await self._log.read(_FAR, 1, deadline)).first
         batches = [each async for each in self._snapshot_batches(first)]
         try:
             state = snapshots.newest(batches)
--- /dev/null
+++ b/sardinedrift/peerapi.py
@@ -0,0 +1,111 @@
+"""HTTP routes that entries offer to each other."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, TypeVar
+
+import msgspec
+from aiohttp import web
+
+from sardinedrift import snapshots
+from sardinedrift.exceptions import PeerError
+from sardinedrift.follower import Follower
+from sardinedrift.identifiers import Offset
+from sardinedrift.messages import Exchange, RecordsReply
+from sardinedrift.peers import Peers
+
+Message = TypeVar("Message", bound=msgspec.Struct)
+
+
+class Handlers(NamedTuple):
+    """What the routes of this module need."""
+
+    peers: Peers
+    follower: Follower
+
+
+def routes(handlers: Handlers) -> list[web.RouteDef]:
+    """Returns the routes of exchanges, records and snapshots."""
+
+    async def exchange(message: Exchange) -> Exchange:
+        return handlers.peers.receive(message)
+
+    async def records(request: web.Request) -> web.Response:
+        return _records(handlers.follower, request)
+
+    async def snapshot(request: web.Request) -> web.Response:
+        return _snapshot(handlers.follower)
+
+    return [
+        typed_route("/peer/exchange", Exchange, exchange),
+        web.get("/peer/records", records),
+        web.get("/peer/snapshot", snapshot),
+    ]
+
+
+def typed_route(
+    path: str,
+    message_type: type[Message],
+    handler: Callable[[Message], Awaitable[msgspec.Struct]],
+) -> web.RouteDef:
+    """Returns a POST route that decodes a message and encodes the reply.
+
+    A message of another form is answered with 400, a `PeerError` of the
+    handler with 503.
+
+    Args:
+        path: the path.
+        message_type: type of the message.
+        handler: answers a message.
+    """
+    decoder = msgspec.json.Decoder(message_type)
+
+    async def handle(request: web.Request) -> web.Response:
+        try:
+            message = decoder.decode(await request.read())
+        except msgspec.DecodeError as error:
+            return _failure(400, "bad_message", str(error))
+        try:
+            reply = await handler(message)
+        except PeerError as error:
+            return _failure(503, "unavailable", str(error))
+        return _json(200, reply)
+
+    return web.post(path, handle)
+
+
+def _records(follower: Follower, request: web.Request) -> web.Response:
+    try:
+        start = Offset(int(request.query["from"]))
+    except (KeyError, ValueError):
+        return _failure(400, "bad_message", "from must be an offset")
+    return _json(
+        200,
+        RecordsReply(
+            records=follower.records_from(start),
+            next=Offset(follower.state.offset + 1),
+        ),
+    )
+
+
+def _snapshot(follower: Follower) -> web.Response:
+    if not follower.ready:
+        return _failure(503, "not_ready", follower.not_ready_reason)
+    return web.Response(
+        body=snapshots.encode(follower.state),
+        content_type="application/octet-stream",
+    )
+
+
+def _json(status: int, value: msgspec.Struct) -> web.Response:
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(value),
+        content_type="application/json",
+    )
+
+
+def _failure(status: int, code: str, message: str) -> web.Response:
+    body = msgspec.json.encode({"code": code, "message": message})
+    return web.Response(
+        status=status, body=body, content_type="application/json"
+    )
