--- /dev/null
+++ b/sardinedrift/admission.py
@@ -0,0 +1,310 @@
+"""Checks a caller's request against the state before any work is done."""
+
+import hashlib
+import hmac
+import math
+import uuid
+from typing import NoReturn
+
+import msgspec
+import uuid6
+
+from sardinedrift import objects
+from sardinedrift.exceptions import AdmissionError
+from sardinedrift.identifiers import (
+    DataCentreId,
+    EntryId,
+    KeyId,
+    KeyState,
+    Outcome,
+    QueueId,
+    RequestId,
+    TeamId,
+    request_home,
+    request_time,
+)
+from sardinedrift.membership import CLOCK_ERROR_SECONDS
+from sardinedrift.state import State
+
+# How long a request may wait for a slot when its caller sets no deadline.
+DEFAULT_WAIT_SECONDS = 30.0
+# Bounds what one caller can keep queued; a later deadline is shortened.
+MAX_WAIT_SECONDS = 600.0
+
+
+class CallerRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """The headers of a caller's request as received, before any check."""
+
+    queue: str
+    key: str | None = None
+    team: str | None = None
+    request_id: str | None = None
+    attempt: str | None = None
+    deadline: str | None = None
+    content_type: str = "application/octet-stream"
+
+
+class Admitted(msgspec.Struct, frozen=True, kw_only=True):
+    """A request that passed the checks.
+
+    Attributes:
+        made_by_caller: the caller made the id, so it can be repeated.
+        first_attempt: the caller states that no other attempt exists.
+        deadline: unix seconds until which the caller waits.
+        run_deadline_bound: unix seconds at which any run has ended.
+        hops: entries that have relayed the request, the receiver first.
+    """
+
+    request_id: RequestId
+    made_by_caller: bool
+    first_attempt: bool
+    queue: objects.Queue
+    team_id: TeamId
+    deadline: float
+    run_deadline_bound: float
+    body: bytes = b""
+    content_type: str = "application/octet-stream"
+    hops: tuple[EntryId, ...] = ()
+
+    @property
+    def needs_claim(self) -> bool:
+        """Whether the owner of the id must allow the request first."""
+        return self.made_by_caller and not self.queue.idempotent
+
+    @property
+    def refused(self) -> Outcome:
+        """Outcome of a refusal before the id is claimed."""
+        return outcome_unclaimed(self.made_by_caller, self.first_attempt)
+
+
+def outcome_unclaimed(made_by_caller: bool, first_attempt: bool) -> Outcome:
+    """Returns what a refusal before the claim proves about a request id.
+
+    An earlier attempt with the same id may have run, unless the caller states
+    that there is none.
+    """
+    if made_by_caller and not first_attempt:
+        return Outcome.UNKNOWN
+    return Outcome.NOT_RUN
+
+
+def new_request_id(data_centre_id: DataCentreId) -> RequestId:
+    """Returns a fresh request id whose home is a data centre."""
+    return RequestId(f"{data_centre_id}.{uuid6.uuid7()}")
+
+
+class Admission:
+    """Checks requests at one entry.
+
+    Args:
+        data_centre_id: home of the ids made here.
+    """
+
+    def __init__(self, data_centre_id: DataCentreId):
+        self._data_centre_id = data_centre_id
+
+    def admit(
+        self, state: State, asked: CallerRequest, now: float, current_at: float
+    ) -> Admitted:
+        """Checks everything but the body.
+
+        Args:
+            state: the folded state.
+            asked: what the caller sent.
+            now: unix seconds.
+            current_at: last unix time the state was known to be complete.
+
+        Raises:
+            AdmissionError: the request is refused.
+        """
+        try:
+            return self._admit(state, asked, now, current_at)
+        except AdmissionError as error:
+            error.outcome = outcome_unclaimed(
+                asked.request_id is not None, asked.attempt == "1"
+            )
+            raise
+
+    def _admit(
+        self, state: State, asked: CallerRequest, now: float, current_at: float
+    ) -> Admitted:
+        queue = _queue(state, asked.queue)
+        team_id = _team(state, queue, asked)
+        _check_team(state, queue, team_id, now - current_at)
+        deadline = _deadline(asked.deadline, queue, now)
+        return Admitted(
+            request_id=self._request_id(state, asked.request_id, now),
+            made_by_caller=asked.request_id is not None,
+            first_attempt=_attempt(asked.attempt) == 1,
+            queue=queue,
+            team_id=team_id,
+            deadline=deadline,
+            run_deadline_bound=deadline,
+            content_type=asked.content_type,
+        )
+
+    def _request_id(
+        self, state: State, text: str | None, now: float
+    ) -> RequestId:
+        if text is None:
+            return new_request_id(self._data_centre_id)
+        return check_request_id(state, text, now)
+
+
+def check_request_id(state: State, text: str, now: float) -> RequestId:
+    """Checks a request id made by a caller.
+
+    Raises:
+        AdmissionError: the id is malformed or has no known home.
+    """
+    request_id = RequestId(text)
+    try:
+        made = request_time(request_id)
+    except ValueError:
+        _refuse_request_id("Request-Id must be <data centre>.<UUIDv7>")
+    # Other spellings of the same UUID would count as other requests.
+    plain = text.rpartition(".")[2]
+    if str(uuid.UUID(plain)) != plain:
+        _refuse_request_id("write the UUID in lower case with hyphens")
+    if made > now + CLOCK_ERROR_SECONDS:
+        _refuse_request_id("its time is in the future; check the clock")
+    home = request_home(request_id)
+    if home is None:
+        raise AdmissionError(
+            "request_id_without_home",
+            "prefix the id with its home data centre, or get one from "
+            "GET /v1/request-ids",
+            400,
+        )
+    if home not in state.tables.data_centre_by_id:
+        raise AdmissionError(
+            "unknown_home",
+            f"no data centre {home!r}; get an id from GET /v1/request-ids",
+            400,
+        )
+    return request_id
+
+
+def check_body_size(admitted: Admitted, size: int) -> None:
+    """Refuses a body above the limit of the queue.
+
+    Raises:
+        AdmissionError: code `body_too_large`.
+    """
+    if size > admitted.queue.max_body_bytes:
+        raise AdmissionError(
+            "body_too_large",
+            f"send at most {admitted.queue.max_body_bytes} bytes",
+            413,
+            admitted.refused,
+        )
+
+
+def _refuse_request_id(message: str) -> NoReturn:
+    raise AdmissionError("malformed_request_id", message, 400)
+
+
+def _queue(state: State, name: str) -> objects.Queue:
+    queue = state.tables.queue_by_id.get(QueueId(name))
+    if queue is None:
+        raise AdmissionError(
+            "unknown_queue", "check the queue's name in the path", 404
+        )
+    return queue
+
+
+def _team(state: State, queue: objects.Queue, asked: CallerRequest) -> TeamId:
+    if asked.key is None and queue.open_team is not None:
+        team_id = queue.open_team
+    else:
+        team_id = authenticate(state, asked.key)
+    if asked.team is not None and asked.team != team_id:
+        raise AdmissionError(
+            "team_mismatch",
+            "Sardinedrift-Team differs from the team of the key; omit it",
+            403,
+        )
+    return team_id
+
+
+def authenticate(state: State, text: str | None) -> TeamId:
+    """Returns the team of a key, sent as `<key_id>.<secret>`.
+
+    Raises:
+        AdmissionError: `key_missing`, or `key_refused` for unknown, wrong and
+            withdrawn keys alike.
+    """
+    if not text:
+        raise AdmissionError(
+            "key_missing", "send the header Sardinedrift-Key", 401
+        )
+    key_id, _, secret = text.partition(".")
+    digest = hashlib.sha256(secret.encode(errors="replace")).hexdigest()
+    key = state.tables.key_by_id.get(KeyId(key_id))
+    recorded = key.digest if key else ""
+    equal = hmac.compare_digest(digest.encode(), recorded.lower().encode())
+    if key is None or not equal or key.state is not KeyState.GRANTED:
+        raise AdmissionError(
+            "key_refused",
+            "the key is not valid; ask an operator for a new one",
+            401,
+        )
+    return key.team_id
+
+
+def _check_team(
+    state: State, queue: objects.Queue, team_id: TeamId, age: float
+) -> None:
+    is_open = queue.open_team == team_id
+    if queue.team_ids and team_id not in queue.team_ids and not is_open:
+        raise AdmissionError(
+            "team_not_on_queue",
+            "ask an operator to add the team to the queue",
+            403,
+        )
+    team = state.tables.team_by_id.get(team_id)
+    if team is None:
+        raise AdmissionError(
+            "key_refused",
+            "the key is not valid; ask an operator for a new one",
+            401,
+        )
+    bound = team.max_configuration_age
+    if bound is not None and age > bound:
+        raise AdmissionError(
+            "configuration_too_old",
+            "this entry is cut off from changes; try another data centre",
+            503,
+        )
+
+
+def _attempt(text: str | None) -> int | None:
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdigit()) or text.startswith("0"):
+        raise AdmissionError(
+            "malformed_attempt",
+            "Sardinedrift-Attempt must be a whole number from 1",
+            400,
+        )
+    return int(text[:9])
+
+
+def _deadline(text: str | None, queue: objects.Queue, now: float) -> float:
+    if text is None:
+        return now + DEFAULT_WAIT_SECONDS + queue.max_run_seconds
+    try:
+        deadline = float(text)
+    except ValueError:
+        deadline = math.nan
+    if not math.isfinite(deadline):
+        raise AdmissionError(
+            "malformed_deadline",
+            "Sardinedrift-Deadline must be unix seconds",
+            400,
+        )
+    if deadline <= now:
+        raise AdmissionError(
+            "deadline_passed", "send a deadline that is in the future", 408
+        )
+    return min(deadline, now + MAX_WAIT_SECONDS + queue.max_run_seconds)
--- /dev/null
+++ b/sardinedrift/callers.py
@@ -0,0 +1,253 @@
+"""HTTP application for callers, and the receiving side of relays."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from sardinedrift.admission import (
+    Admission,
+    Admitted,
+    CallerRequest,
+    check_body_size,
+    new_request_id,
+    outcome_unclaimed,
+)
+from sardinedrift.exceptions import AdmissionError
+from sardinedrift.identifiers import Identity, RequestId
+from sardinedrift.messages import RelayedRequest
+from sardinedrift.ports import Answer, Clock
+from sardinedrift.relays import (
+    ATTEMPT_HEADER,
+    OUTCOME_HEADER,
+    RELAY_HEADER,
+    RELAY_PATH,
+    ErrorBody,
+)
+
+REQUEST_ID_HEADER = "Sardinedrift-Request-Id"
+DATA_CENTRE_HEADER = "Sardinedrift-Data-Centre"
+_DRAIN_POLL_SECONDS = 0.05
+
+
+class Callers:
+    """Serves callers and counts the requests in progress.
+
+    Args:
+        identity: this entry.
+        follower: holds the folded state.
+        dispatcher: handles admitted requests.
+        clock: source of the time.
+    """
+
+    def __init__(
+        self, identity: Identity, follower: Any, dispatcher: Any, clock: Clock
+    ):
+        self._identity = identity
+        self._follower = follower
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._admission = Admission(identity.data_centre_id)
+        self._stopping = False
+        self._in_progress = 0
+
+    @property
+    def in_progress(self) -> int:
+        """How many requests are being handled."""
+        return self._in_progress
+
+    def application(self) -> web.Application:
+        """Returns the application for callers."""
+        application = web.Application()
+        application.add_routes(
+            [
+                web.post("/v1/queues/{queue}/requests", self.receive),
+                web.get("/v1/request-ids", self.make_request_id),
+            ]
+        )
+        return application
+
+    def peer_routes(self) -> list[web.RouteDef]:
+        """Returns the routes for relays by other entries."""
+        return [web.post(RELAY_PATH, self.receive_relay)]
+
+    def stop(self) -> None:
+        """Refuses further requests; those in progress go on."""
+        self._stopping = True
+
+    async def drain(self, deadline: float) -> bool:
+        """Waits until no request is in progress.
+
+        Returns:
+            False when requests are left at the deadline (unix seconds).
+        """
+        while self._in_progress:
+            if self._clock.now() >= deadline:
+                return False
+            await asyncio.sleep(_DRAIN_POLL_SECONDS)
+        return True
+
+    async def make_request_id(self, request: web.Request) -> web.Response:
+        """Answers with a fresh request id homed in this data centre."""
+        request_id = new_request_id(self._identity.data_centre_id)
+        return web.json_response({"request_id": request_id})
+
+    async def receive(self, request: web.Request) -> web.Response:
+        """Handles a request of a caller."""
+        with self._counted():
+            asked = _asked(request)
+            return await self._respond(
+                asked.request_id or "", self._handle(request, asked)
+            )
+
+    async def receive_relay(self, request: web.Request) -> web.Response:
+        """Handles a request relayed by another entry."""
+        with self._counted():
+            try:
+                relayed = msgspec.json.decode(
+                    request.headers.get(RELAY_HEADER, ""), type=RelayedRequest
+                )
+            except msgspec.DecodeError as error:
+                return web.Response(status=400, text=str(error))
+            return await self._respond(
+                relayed.request_id, self._handle_relay(request, relayed)
+            )
+
+    async def _handle(
+        self, request: web.Request, asked: CallerRequest
+    ) -> tuple[RequestId, Answer]:
+        self._check_serving(asked.request_id is not None, asked.attempt == "1")
+        admitted = self._admission.admit(
+            self._follower.state,
+            asked,
+            self._clock.now(),
+            self._follower.current_at,
+        )
+        return await self._dispatch(request, admitted)
+
+    async def _handle_relay(
+        self, request: web.Request, relayed: RelayedRequest
+    ) -> tuple[RequestId, Answer]:
+        made_by_caller = not relayed.claimed
+        first_attempt = request.headers.get(ATTEMPT_HEADER) == "1"
+        self._check_serving(made_by_caller, first_attempt)
+        queue = self._follower.state.tables.queue_by_id.get(relayed.queue_id)
+        if queue is None:
+            raise AdmissionError(
+                "unknown_queue",
+                "the queue is not known at the entry with endpoints",
+                503,
+                outcome_unclaimed(made_by_caller, first_attempt),
+            )
+        admitted = Admitted(
+            request_id=relayed.request_id,
+            made_by_caller=made_by_caller,
+            first_attempt=first_attempt,
+            queue=queue,
+            team_id=relayed.team_id,
+            deadline=relayed.deadline,
+            run_deadline_bound=relayed.deadline,
+            content_type=relayed.content_type,
+            hops=tuple(relayed.hops),
+        )
+        return await self._dispatch(request, admitted)
+
+    async def _dispatch(
+        self, request: web.Request, admitted: Admitted
+    ) -> tuple[RequestId, Answer]:
+        body = await self._read_body(request, admitted)
+        admitted = msgspec.structs.replace(admitted, body=body)
+        try:
+            answer = await self._dispatcher.handle(admitted)
+        except AdmissionError as error:
+            error.request_id = admitted.request_id
+            raise
+        return admitted.request_id, answer
+
+    async def _read_body(
+        self, request: web.Request, admitted: Admitted
+    ) -> bytes:
+        """Reads the body, and stops at the limit of the queue."""
+        check_body_size(admitted, request.content_length or 0)
+        body = bytearray()
+        try:
+            async with asyncio.timeout(admitted.deadline - self._clock.now()):
+                async for chunk in request.content.iter_any():
+                    body += chunk
+                    check_body_size(admitted, len(body))
+        except TimeoutError as error:
+            raise AdmissionError(
+                "body_too_slow",
+                "the body did not arrive before the deadline",
+                408,
+                admitted.refused,
+            ) from error
+        return bytes(body)
+
+    def _check_serving(self, made_by_caller: bool, first: bool) -> None:
+        outcome = outcome_unclaimed(made_by_caller, first)
+        if self._stopping:
+            text = "this entry is stopping; send to another one"
+            raise AdmissionError("stopping", text, 503, outcome)
+        if not self._follower.ready:
+            text = "this entry is starting; send to another one"
+            raise AdmissionError("not_ready", text, 503, outcome)
+
+    async def _respond(
+        self, request_id: str, work: Awaitable[tuple[RequestId, Answer]]
+    ) -> web.Response:
+        try:
+            request_id, answer = await work
+        except AdmissionError as error:
+            known = error.request_id or request_id
+            return self._refusal(error, known)
+        return web.Response(
+            status=answer.status,
+            body=answer.body,
+            headers={
+                "Content-Type": answer.content_type,
+                **self._headers(request_id, "answered"),
+            },
+        )
+
+    def _refusal(self, error: AdmissionError, request_id: str) -> web.Response:
+        body = ErrorBody(error.code, str(error), error.outcome, request_id)
+        return web.Response(
+            status=error.status,
+            body=msgspec.json.encode(body),
+            headers={
+                "Content-Type": "application/json",
+                **self._headers(request_id, error.outcome.value),
+            },
+        )
+
+    def _headers(self, request_id: str, outcome: str) -> dict[str, str]:
+        return {
+            REQUEST_ID_HEADER: request_id,
+            OUTCOME_HEADER: outcome,
+            DATA_CENTRE_HEADER: self._identity.data_centre_id,
+        }
+
+    @contextlib.contextmanager
+    def _counted(self) -> Iterator[None]:
+        self._in_progress += 1
+        try:
+            yield
+        finally:
+            self._in_progress -= 1
+
+
+def _asked(request: web.Request) -> CallerRequest:
+    get: Callable[[str], str | None] = request.headers.get
+    return CallerRequest(
+        queue=request.match_info["queue"],
+        key=get("Sardinedrift-Key"),
+        team=get("Sardinedrift-Team"),
+        request_id=get("Request-Id"),
+        attempt=get(ATTEMPT_HEADER),
+        deadline=get("Sardinedrift-Deadline"),
+        content_type=get("Content-Type") or "application/octet-stream",
+    )
--- /dev/null
+++ b/sardinedrift/claiming.py
@@ -0,0 +1,192 @@
+"""Claims request ids at their owners, from the side of the entry that asks."""
+
+import asyncio
+import uuid
+from typing import Any
+
+from sardinedrift import membership
+from sardinedrift.admission import Admitted
+from sardinedrift.exceptions import AdmissionError, PeerError
+from sardinedrift.identifiers import (
+    EntryId,
+    Identity,
+    Outcome,
+    RequestId,
+    request_home,
+)
+from sardinedrift.messages import (
+    Acknowledged,
+    ClaimAsk,
+    ClaimEnd,
+    ClaimReply,
+)
+from sardinedrift.ports import Clock
+
+CLAIM_CALL_SECONDS = 2.0
+# An end that cannot be delivered leaves the id claimed, which is safe.
+END_TRIES = 5
+END_AGAIN_SECONDS = 0.2
+
+
+class Claim:
+    """One claim of a request id; `end` may be called again without effect."""
+
+    def __init__(
+        self, asker: "ClaimAsker", request_id: RequestId, owner: EntryId
+    ):
+        self._asker = asker
+        self._ended = False
+        self.request_id = request_id
+        self.owner = owner
+        # Unique per request: a late end of one request must not remove the
+        # claim of a repeat that came to the same entry.
+        self.holder = EntryId(f"{asker.entry_id}.{uuid.uuid4().hex}")
+
+    def end(self, outcome: Outcome) -> None:
+        """Tells the owner how the request ended, without waiting."""
+        if not self._ended:
+            self._ended = True
+            self._asker.deliver_end(self, outcome)
+
+
+class ClaimAsker:
+    """Claims ids for this entry.
+
+    Args:
+        identity: this entry.
+        follower: holds the folded state.
+        peers: calls owners on other entries.
+        claims: the claims this entry owns itself.
+        clock: source of the time.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        follower: Any,
+        peers: Any,
+        claims: Any,
+        clock: Clock,
+    ):
+        self.entry_id = identity.entry_id
+        self._follower = follower
+        self._peers = peers
+        self._claims = claims
+        self._clock = clock
+        self._tasks: set[asyncio.Task] = set()
+
+    async def claim(self, admitted: Admitted) -> Claim:
+        """Claims the id of a request at its owner.
+
+        Raises:
+            AdmissionError: the request must not run.
+        """
+        owner = self._owner(admitted.request_id)
+        if owner is None:
+            raise _unreachable(admitted)
+        claim = Claim(self, admitted.request_id, owner)
+        try:
+            reply = await self._ask(claim, admitted.deadline)
+        except PeerError as error:
+            claim.end(Outcome.NOT_RUN)
+            raise _unreachable(admitted) from error
+        except asyncio.CancelledError:
+            claim.end(Outcome.NOT_RUN)
+            raise
+        if reply.code != "claimed":
+            raise _refusal(reply.code, admitted)
+        return claim
+
+    def deliver_end(self, claim: Claim, outcome: Outcome) -> None:
+        """Delivers the end of a claim in the background."""
+        if claim.owner == self.entry_id:
+            self._claims.end(claim.request_id, claim.holder, outcome)
+            return
+        task = asyncio.create_task(self._deliver(claim, outcome))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def flush(self) -> None:
+        """Waits until every end is delivered or given up."""
+        while self._tasks:
+            await asyncio.wait(set(self._tasks))
+
+    def _owner(self, request_id: RequestId) -> EntryId | None:
+        home = request_home(request_id)
+        if home is None:
+            return None
+        return membership.owner(self._follower.state, home, request_id)
+
+    async def _ask(self, claim: Claim, deadline: float) -> ClaimReply:
+        if claim.owner == self.entry_id:
+            return self._claims.claim(claim.request_id, claim.holder)
+        message = ClaimAsk(request_id=claim.request_id, holder=claim.holder)
+        deadline = min(deadline, self._clock.now() + CLAIM_CALL_SECONDS)
+        return await self._peers.call(
+            claim.owner, "/peer/claims", message, ClaimReply, deadline
+        )
+
+    async def _deliver(self, claim: Claim, outcome: Outcome) -> None:
+        message = ClaimEnd(
+            request_id=claim.request_id, holder=claim.holder, outcome=outcome
+        )
+        for attempt in range(END_TRIES):
+            deadline = self._clock.now() + CLAIM_CALL_SECONDS
+            try:
+                await self._peers.call(
+                    claim.owner,
+                    "/peer/claims/end",
+                    message,
+                    Acknowledged,
+                    deadline,
+                )
+            except PeerError:
+                await asyncio.sleep(END_AGAIN_SECONDS * 2**attempt)
+            else:
+                return
+
+
+def _unreachable(admitted: Admitted) -> AdmissionError:
+    return AdmissionError(
+        "owner_unreachable",
+        "the entry that knows this id is not reachable; send again later, "
+        "or with a fresh id when the outcome is not_run",
+        503,
+        admitted.refused,
+    )
+
+
+_STATUS_AND_TEXT_BY_CODE = {
+    "duplicate_request": (
+        409,
+        "a request with this id is in progress; wait for its answer",
+    ),
+    "already_answered": (
+        409,
+        "a request with this id has ended; do not send it again",
+    ),
+    "owner_is_new": (
+        409,
+        "it is not known whether this id was run; check its effect",
+    ),
+    "expired": (
+        409,
+        "this id is too old to tell whether it was run; check its effect",
+    ),
+    "malformed": (400, "get an id from GET /v1/request-ids"),
+    "not_owner": (
+        503,
+        "the owner of this id is changing; send the request again",
+    ),
+    "claims_full": (503, "too many ids are in use; send again later"),
+}
+# With these the owner has not allowed this request, nor an earlier one.
+_NOT_GRANTED = frozenset({"not_owner", "claims_full", "malformed"})
+
+
+def _refusal(code: str, admitted: Admitted) -> AdmissionError:
+    status, text = _STATUS_AND_TEXT_BY_CODE.get(
+        code, (503, "the owner of this id refused it; check its effect")
+    )
+    outcome = admitted.refused if code in _NOT_GRANTED else Outcome.UNKNOWN
+    return AdmissionError(code, text, status, outcome)
--- /dev/null
+++ b/sardinedrift/dispatch.py
@@ -0,0 +1,377 @@
+"""The path of a request: claim, place, slot, allowance unit, send, answer."""
+
+import asyncio
+import collections
+import contextlib
+import itertools
+import random as random_module
+from collections.abc import AsyncIterator, Iterable
+from typing import Any
+
+import prometheus_client
+
+from sardinedrift import retries
+from sardinedrift.admission import Admitted
+from sardinedrift.attempts import Attempt, Attempts, GrantDeclinedError
+from sardinedrift.claiming import ClaimAsker
+from sardinedrift.exceptions import (
+    AdmissionError,
+    DialFailed,
+    MinionError,
+    RefusedBeforeStart,
+)
+from sardinedrift.identifiers import (
+    EntryId,
+    EntryState,
+    Identity,
+    InstanceId,
+    InstanceKind,
+    InstanceState,
+    Outcome,
+    PoolId,
+)
+from sardinedrift.ports import Answer, Clock, MinionPort
+from sardinedrift.relays import RelayNotRun, Relays
+
+# Short enough that a peer with spare units is asked before the wait is felt.
+FIRST_UNIT_WAIT_SECONDS = 0.02
+UNIT_WAIT_SECONDS = 0.5
+DECLINED_PAUSE_SECONDS = 0.02
+# Bounds the relays of one choice; more would only repeat the same refusal.
+MOST_CHOICES = 4
+
+_requests = prometheus_client.Counter(
+    "sardinedrift_requests",
+    "Ended requests by outcome and code.",
+    ["outcome", "code"],
+)
+_relays = prometheus_client.Counter(
+    "sardinedrift_relays", "Relayed requests by result.", ["result"]
+)
+_failed_attempts = prometheus_client.Counter(
+    "sardinedrift_failed_attempts",
+    "Attempts that brought no answer, by reason.",
+    ["reason"],
+)
+_abandoned = prometheus_client.Counter(
+    "sardinedrift_abandoned_requests",
+    "Requests whose caller went away, by outcome.",
+    ["outcome"],
+)
+
+
+class Flight:
+    """What a request has done so far.
+
+    Attributes:
+        claimed: this entry holds the claim of the id.
+        ran_unknown: an ended attempt or relay may have run.
+        relaying: a relay is waiting for its reply.
+        attempt: the last attempt.
+        refusal: the last refusal by another entry.
+        failures: failed attempts so far.
+    """
+
+    def __init__(self) -> None:
+        self.claimed = False
+        self.ran_unknown = False
+        self.relaying = False
+        self.attempt: Attempt | None = None
+        self.refusal: AdmissionError | None = None
+        self.failures = 0
+        self.avoid: list[InstanceId] = []
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether anything was sent that is not proved to be not run."""
+        sent = self.attempt is not None and self.attempt.sent
+        return self.ran_unknown or self.relaying or sent
+
+
+class Dispatcher:
+    """Handles admitted requests at this entry.
+
+    Args:
+        identity: this entry.
+        follower: holds the folded state.
+        peers: liveness of and calls to other entries.
+        slots: asks for and holds slots.
+        limits: allowance units of this entry.
+        claims: claims of the ids this entry owns.
+        minions: sends to minions.
+        view: the instance list as last seen.
+        clock: source of the time.
+        random: jitter of retries.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        follower: Any,
+        peers: Any,
+        slots: Any,
+        limits: Any,
+        claims: Any,
+        minions: MinionPort,
+        view: Any,
+        clock: Clock,
+        random: random_module.Random | None = None,
+    ):
+        self._identity = identity
+        self._follower = follower
+        self._limits = limits
+        self._view = view
+        self._clock = clock
+        self._random = random or random_module.Random()
+        self._slots = slots
+        self._asker = ClaimAsker(identity, follower, peers, claims, clock)
+        self._relays = Relays(identity, follower, peers)
+        self._attempts = Attempts(
+            identity, follower, slots, limits, minions, clock
+        )
+        self._budget_by_pool: dict[PoolId, retries.RetryBudget] = (
+            collections.defaultdict(retries.RetryBudget)
+        )
+
+    async def handle(self, admitted: Admitted) -> Answer:
+        """Runs a request here or at another entry and returns its answer.
+
+        Raises:
+            AdmissionError: the request ends without an answer.
+        """
+        flight = Flight()
+        try:
+            answer = await self._handle(admitted, flight)
+        except AdmissionError as error:
+            _requests.labels(error.outcome.value, error.code).inc()
+            raise
+        except asyncio.CancelledError:
+            _abandoned.labels(_outcome(flight).value).inc()
+            raise
+        _requests.labels(Outcome.ANSWERED.value, "").inc()
+        return answer
+
+    async def flush(self) -> None:
+        """Waits until no attempt, release or end of a claim is pending."""
+        await self._attempts.drained()
+        await self._slots.flush()
+        await self._asker.flush()
+
+    def usable_pools(self) -> list[PoolId]:
+        """Returns the pools with a usable endpoint in this data centre."""
+        pools = self._follower.state.tables.pool_by_id
+        return [pool_id for pool_id in pools if self._has_endpoint(pool_id)]
+
+    async def _handle(self, admitted: Admitted, flight: Flight) -> Answer:
+        with _truthful(admitted, flight):
+            if not self._is_member():
+                return await self._relay_to_member(admitted, flight)
+            async with self._claimed(admitted, flight):
+                return await self._place(admitted, flight)
+
+    @contextlib.asynccontextmanager
+    async def _claimed(
+        self, admitted: Admitted, flight: Flight
+    ) -> AsyncIterator[None]:
+        """Holds the claim of the id, and ends it once on every path."""
+        if not admitted.needs_claim:
+            yield
+            return
+        claim = await self._asker.claim(admitted)
+        flight.claimed = True
+        try:
+            yield
+        except AdmissionError as error:
+            ran = flight.may_have_run
+            claim.end(Outcome.UNKNOWN if ran else error.outcome)
+            raise
+        except BaseException:
+            claim.end(_outcome(flight))
+            raise
+        claim.end(Outcome.ANSWERED)
+
+    async def _place(self, admitted: Admitted, flight: Flight) -> Answer:
+        while self._clock.now() < admitted.deadline:
+            if not self._is_member():
+                return await self._relay_to_member(admitted, flight)
+            if not self._has_endpoint(admitted.queue.pool_id):
+                return await self._relay_to_endpoint(admitted, flight)
+            answer = await self._wait_for_unit(admitted, flight)
+            if answer is None:
+                answer = await self._attempt(admitted, flight)
+            if answer is not None:
+                return answer
+        raise AdmissionError(
+            "deadline_passed",
+            "no answer before the deadline; send later or allow more time",
+            504,
+        )
+
+    async def _relay_to_member(
+        self, admitted: Admitted, flight: Flight
+    ) -> Answer:
+        choices = self._relays.members(admitted)
+        answer = await self._relay(choices, admitted, flight)
+        if answer is not None:
+            return answer
+        raise flight.refusal or AdmissionError(
+            "no_member",
+            "this entry is not ready and reaches none that is; send later",
+            503,
+        )
+
+    async def _relay_to_endpoint(
+        self, admitted: Admitted, flight: Flight
+    ) -> Answer:
+        choices = self._relays.with_endpoints(admitted)
+        answer = await self._relay(choices, admitted, flight)
+        if answer is not None:
+            return answer
+        raise flight.refusal or AdmissionError(
+            "no_endpoint",
+            "no reachable data centre has endpoints of the pool; send later",
+            503,
+        )
+
+    async def _wait_for_unit(
+        self, admitted: Admitted, flight: Flight
+    ) -> Answer | None:
+        """Waits for a free unit here; returns an answer if it was relayed."""
+        seconds = FIRST_UNIT_WAIT_SECONDS
+        while (now := self._clock.now()) < admitted.deadline:
+            until = min(admitted.deadline, now + seconds)
+            if await self._limits.wait(admitted.team_id, until):
+                return None
+            choices = self._relays.with_spare(admitted)
+            answer = await self._relay(choices, admitted, flight)
+            if answer is not None:
+                return answer
+            seconds = UNIT_WAIT_SECONDS
+        raise AdmissionError(
+            "limit_unavailable",
+            "the team's limit is in use; wait for running requests to end",
+            503,
+        )
+
+    async def _attempt(
+        self, admitted: Admitted, flight: Flight
+    ) -> Answer | None:
+        """Returns the answer, or None when another attempt is allowed."""
+        attempt = flight.attempt = Attempt()
+        try:
+            answer = await self._attempts.run(attempt, admitted, flight.avoid)
+        except GrantDeclinedError:
+            _failed_attempts.labels("declined").inc()
+            await asyncio.sleep(DECLINED_PAUSE_SECONDS)
+            return None
+        except MinionError as error:
+            await self._retry_or_raise(admitted, flight, error)
+            return None
+        self._budget_by_pool[admitted.queue.pool_id].succeeded()
+        return answer
+
+    async def _retry_or_raise(
+        self, admitted: Admitted, flight: Flight, error: MinionError
+    ) -> None:
+        """Pauses before a retry, or raises when there must be none."""
+        _failed_attempts.labels(_reason(error)).inc()
+        flight.failures += 1
+        if not isinstance(error, DialFailed | RefusedBeforeStart):
+            flight.ran_unknown = True
+            if not admitted.queue.idempotent:
+                raise _unknown() from error
+        if not self._budget_by_pool[admitted.queue.pool_id].try_spend():
+            raise _no_retry(flight) from error
+        if flight.attempt and flight.attempt.instance_id:
+            flight.avoid.append(flight.attempt.instance_id)
+        await asyncio.sleep(retries.delay(flight.failures, self._random))
+
+    async def _relay(
+        self, choices: Iterable[EntryId], admitted: Admitted, flight: Flight
+    ) -> Answer | None:
+        """Relays to the first choice that takes the request, else None."""
+        claimed = flight.claimed or not admitted.made_by_caller
+        for entry_id in itertools.islice(choices, MOST_CHOICES):
+            flight.relaying = True
+            try:
+                answer = await self._relays.relay(entry_id, admitted, claimed)
+            except RelayNotRun as error:
+                flight.relaying = False
+                flight.refusal = error.refusal or flight.refusal
+                _relays.labels("not_run").inc()
+            except AdmissionError:
+                flight.relaying = False
+                flight.ran_unknown = True
+                _relays.labels("unknown").inc()
+                if not self._may_repeat(admitted):
+                    raise
+            else:
+                flight.relaying = False
+                _relays.labels("answered").inc()
+                return answer
+        return None
+
+    def _may_repeat(self, admitted: Admitted) -> bool:
+        budget = self._budget_by_pool[admitted.queue.pool_id]
+        return admitted.queue.idempotent and budget.try_spend()
+
+    def _is_member(self) -> bool:
+        entries = self._follower.state.tables.entry_by_id
+        entry = entries.get(self._identity.entry_id)
+        return entry is not None and entry.state is EntryState.ACTIVE
+
+    def _has_endpoint(self, pool_id: PoolId) -> bool:
+        instances = self._follower.state.instances_at(
+            self._identity.data_centre_id, pool_id
+        )
+        return any(
+            instance.kind is InstanceKind.MINION
+            and instance.up
+            and instance.state is InstanceState.ACTIVE
+            and not self._view.leaving(instance.instance_id)
+            for instance in instances
+        )
+
+
+@contextlib.contextmanager
+def _truthful(admitted: Admitted, flight: Flight):
+    """Makes every refusal say `not_run` only when that is proved."""
+    try:
+        yield
+    except AdmissionError as error:
+        if flight.may_have_run:
+            error.outcome = Outcome.UNKNOWN
+        elif not flight.claimed and error.outcome is Outcome.NOT_RUN:
+            error.outcome = admitted.refused
+        raise
+
+
+def _outcome(flight: Flight) -> Outcome:
+    return Outcome.UNKNOWN if flight.may_have_run else Outcome.NOT_RUN
+
+
+def _reason(error: MinionError) -> str:
+    if isinstance(error, DialFailed):
+        return "dial_failed"
+    if isinstance(error, RefusedBeforeStart):
+        return "draining" if error.draining else "busy"
+    return "outcome_unknown"
+
+
+def _unknown() -> AdmissionError:
+    return AdmissionError(
+        "outcome_unknown",
+        "the request was sent and no complete answer came; "
+        "check its effect before sending it again",
+        504,
+        Outcome.UNKNOWN,
+    )
+
+
+def _no_retry(flight: Flight) -> AdmissionError:
+    return AdmissionError(
+        "retries_spent",
+        "endpoints fail and no retry is left; send again later",
+        503,
+        _outcome(flight),
+    )
--- a/sardinedrift/exceptions.py
+++ b/sardinedrift/exceptions.py
@@ -50,7 +50,16 @@
 
 
 class PeerError(SardinedriftError):
-    """A peer entry could not be reached or gave no usable answer."""
+    """A peer entry could not be reached or gave no usable answer.
+
+    Attributes:
+        sent: whether the peer may have received the message; False only
+            when no byte of it was sent.
+    """
+
+    def __init__(self, message: str, sent: bool = True):
+        super().__init__(message)
+        self.sent = sent
 
 
 class NoSnapshot(SardinedriftError):  # noqa: N818
@@ -92,6 +101,7 @@
         code: stable reason shown to the caller.
         status: HTTP status.
         outcome: what the caller may conclude about execution.
+        request_id: id of the request, or "" before it has one.
     """
 
     def __init__(
@@ -105,3 +115,4 @@
         self.code = code
         self.status = status
         self.outcome = outcome
+        self.request_id = ""
--- /dev/null
+++ b/sardinedrift/slots.py
@@ -0,0 +1,259 @@
+"""Asks the schedulers of pools for slots and keeps the held ones."""
+
+import asyncio
+import collections
+import contextlib
+import uuid
+from collections.abc import AsyncIterator, Mapping, Sequence
+from typing import Any
+
+import msgspec
+
+from sardinedrift.exceptions import (
+    DialFailed,
+    OutcomeUnknown,
+    PeerError,
+    RefusedBeforeStart,
+)
+from sardinedrift.identifiers import (
+    EntryId,
+    GrantId,
+    Identity,
+    InstanceId,
+    PoolId,
+    TeamId,
+    WorkClass,
+)
+from sardinedrift.messages import (
+    Acknowledged,
+    HeldGrant,
+    SlotAsk,
+    SlotRelease,
+    SlotReply,
+)
+from sardinedrift.ports import Clock
+
+# Pause before the same scheduler is asked again after an error.
+ASK_AGAIN_SECONDS = 0.05
+# After these tries the exchange frees the slot, as it is no longer listed.
+RELEASE_TRIES = 10
+RELEASE_CALL_SECONDS = 1.0
+# Time for the reply "deadline" of the scheduler to arrive.
+REPLY_GRACE_SECONDS = 0.5
+
+
+class Slots:
+    """The slots this entry holds and asks for.
+
+    Args:
+        identity: this entry.
+        peers: finds and calls the schedulers of other entries.
+        schedulers: the local scheduler of each pool.
+        clock: source of the time.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        peers: Any,
+        schedulers: Mapping[PoolId, Any],
+        clock: Clock,
+    ):
+        self._identity = identity
+        self._peers = peers
+        self._schedulers = schedulers
+        self._clock = clock
+        self._grant_by_id: dict[GrantId, HeldGrant] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    def held(self) -> dict[PoolId, list[HeldGrant]]:
+        """Returns the held grants of each pool."""
+        grants_by_pool = collections.defaultdict(list)
+        for grant in self._grant_by_id.values():
+            grants_by_pool[grant.pool_id].append(grant)
+        return dict(grants_by_pool)
+
+    def holds(self, instance_id: InstanceId) -> bool:
+        """Tells whether any slot of an instance is held."""
+        return any(
+            grant.instance_id == instance_id
+            for grant in self._grant_by_id.values()
+        )
+
+    @contextlib.asynccontextmanager
+    async def acquire(
+        self,
+        pool_id: PoolId,
+        team_id: TeamId,
+        work_class: WorkClass,
+        deadline: float,
+        avoid: Sequence[InstanceId] = (),
+    ) -> AsyncIterator[SlotReply]:
+        """Yields the scheduler's reply and holds its slot for the block.
+
+        A minion error that leaves the block is reported to the scheduler.
+        """
+        ask = SlotAsk(
+            ask_id=_new_ask_id(),
+            entry_id=self._identity.entry_id,
+            pool_id=pool_id,
+            team_id=team_id,
+            work_class=work_class,
+            deadline=deadline,
+            avoid=list(avoid),
+        )
+        reply = await self._reply(ask)
+        if reply.grant is None:
+            yield reply
+            return
+        self._grant_by_id[reply.grant.grant_id] = reply.grant
+        failed = busy = False
+        try:
+            yield reply
+        except RefusedBeforeStart as error:
+            failed = error.draining
+            busy = not error.draining
+            raise
+        except (DialFailed, OutcomeUnknown):
+            failed = True
+            raise
+        finally:
+            del self._grant_by_id[reply.grant.grant_id]
+            self._release(reply.grant, failed, busy)
+
+    async def flush(self) -> None:
+        """Waits until every release is delivered or given up."""
+        while self._tasks:
+            await asyncio.wait(set(self._tasks))
+
+    async def _reply(self, ask: SlotAsk) -> SlotReply:
+        """Asks until a scheduler grants or refuses."""
+        asked: EntryId | None = None
+        while self._clock.now() < ask.deadline:
+            scheduler = self._peers.scheduler(ask.pool_id)
+            if scheduler is None:
+                await self._pause(ask.deadline, ASK_AGAIN_SECONDS)
+                continue
+            if asked not in (None, scheduler):
+                # The old scheduler may still grant the old ask.
+                ask = msgspec.structs.replace(ask, ask_id=_new_ask_id())
+            asked = scheduler
+            reply = await self._reply_while_scheduler(scheduler, ask)
+            if reply is not None:
+                return reply
+            await self._pause(ask.deadline, ASK_AGAIN_SECONDS)
+        return SlotReply(code="deadline")
+
+    async def _reply_while_scheduler(
+        self, scheduler: EntryId, ask: SlotAsk
+    ) -> SlotReply | None:
+        """Returns the reply, or None when the scheduler must be asked again.
+
+        The ask is a task of its own, so that its grant is not lost when the
+        request gives up or the scheduler changes.
+        """
+        task = self._spawn(self._ask(scheduler, ask))
+        try:
+            while not task.done():
+                await self._change_or(task, ask.deadline)
+                if self._clock.now() > ask.deadline + REPLY_GRACE_SECONDS:
+                    break
+                if self._peers.scheduler(ask.pool_id) != scheduler:
+                    break
+        except asyncio.CancelledError:
+            self._abandon(task)
+            raise
+        if not task.done():
+            self._abandon(task)
+            return None
+        return task.result()
+
+    async def _change_or(self, task: asyncio.Task, deadline: float) -> None:
+        changed = asyncio.ensure_future(self._peers.changed())
+        left = deadline + REPLY_GRACE_SECONDS - self._clock.now()
+        try:
+            await asyncio.wait(
+                {task, changed},
+                timeout=max(left, 0.0) + ASK_AGAIN_SECONDS,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            changed.cancel()
+
+    async def _ask(self, scheduler: EntryId, ask: SlotAsk) -> SlotReply | None:
+        if scheduler == self._identity.entry_id:
+            reply = await self._schedulers[ask.pool_id].acquire(ask)
+        else:
+            try:
+                reply = await self._peers.call(
+                    scheduler,
+                    "/peer/slots",
+                    ask,
+                    SlotReply,
+                    ask.deadline + REPLY_GRACE_SECONDS,
+                )
+            except PeerError:
+                return None
+        return None if reply.code == "not_scheduler" else reply
+
+    def _abandon(self, task: asyncio.Task) -> None:
+        """Releases the grant of an ask whose request no longer waits."""
+        task.add_done_callback(self._release_abandoned)
+
+    def _release_abandoned(self, task: asyncio.Task) -> None:
+        if task.cancelled() or task.exception() is not None:
+            return
+        reply = task.result()
+        if reply is not None and reply.grant is not None:
+            self._release(reply.grant, failed=False, busy=False)
+
+    def _release(self, grant: HeldGrant, failed: bool, busy: bool) -> None:
+        release = SlotRelease(
+            entry_id=self._identity.entry_id,
+            grant_id=grant.grant_id,
+            pool_id=grant.pool_id,
+            instance_id=grant.instance_id,
+            failed=failed,
+            busy=busy,
+        )
+        scheduler = self._peers.scheduler(grant.pool_id)
+        if scheduler == self._identity.entry_id:
+            self._schedulers[grant.pool_id].release(release)
+        else:
+            self._spawn(self._deliver(release))
+
+    async def _deliver(self, release: SlotRelease) -> None:
+        for _ in range(RELEASE_TRIES):
+            if await self._delivered(release):
+                return
+            await asyncio.sleep(ASK_AGAIN_SECONDS)
+
+    async def _delivered(self, release: SlotRelease) -> bool:
+        scheduler = self._peers.scheduler(release.pool_id)
+        if scheduler is None:
+            return False
+        if scheduler == self._identity.entry_id:
+            self._schedulers[release.pool_id].release(release)
+            return True
+        deadline = self._clock.now() + RELEASE_CALL_SECONDS
+        try:
+            await self._peers.call(
+                scheduler, "/peer/release", release, Acknowledged, deadline
+            )
+        except PeerError:
+            return False
+        return True
+
+    async def _pause(self, deadline: float, seconds: float) -> None:
+        left = max(deadline - self._clock.now(), 0.0)
+        await asyncio.sleep(min(left, seconds))
+
+    def _spawn(self, work: Any) -> asyncio.Task:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+def _new_ask_id() -> GrantId:
+    return GrantId(uuid.uuid4().hex)
