--- a/sardinedrift/attempts.py
+++ b/sardinedrift/attempts.py
@@ -25,6 +25,8 @@
 from sardinedrift.messages import HeldGrant, SlotReply
 from sardinedrift.ports import Answer, Clock, Dispatch, MinionPort
 
+# Time for an answer that the minion gives at its run deadline to arrive.
+ANSWER_GRACE_SECONDS = 2.0
 _SLEEP_STEP_SECONDS = 1.0
 
 
@@ -189,7 +191,10 @@
         )
         attempt.sent = True
         try:
-            answer = await self._minions.send(address, dispatch)
+            async with asyncio.timeout(
+                dispatch.run_deadline - now + ANSWER_GRACE_SECONDS
+            ):
+                answer = await self._minions.send(address, dispatch)
         except OutcomeUnknown as error:
             await self._keep(attempt, dispatch, error)
             raise
@@ -215,7 +220,10 @@
 
 
 async def _sleep_until(clock: Clock, time: float) -> None:
-    while (left := time - clock.now()) > 0:
+    while True:
+        left = time - clock.now()
+        if left <= 0:
+            return
         await asyncio.sleep(min(left, _SLEEP_STEP_SECONDS))
 
 
--- /dev/null
+++ b/tests/path_fakes.py
@@ -0,0 +1,274 @@
+"""Fakes of the parts around the request path."""
+
+import asyncio
+import hashlib
+import itertools
+import time
+
+from sardinedrift import changes as ch
+from sardinedrift.exceptions import PeerError
+from sardinedrift.identifiers import Identity
+from sardinedrift.messages import (
+    Acknowledged,
+    ClaimReply,
+    Exchange,
+    HeldGrant,
+    SlotReply,
+)
+from sardinedrift.ports import Answer, Clock
+from tests.test_fold import (
+    Log,
+    cid,
+    join,
+    put_data_centre,
+    put_instance,
+    put_pool,
+    put_team,
+)
+
+OWN = Identity("e1", "dc1", "127.0.0.1:1")
+ANSWER = Answer(200, b"done", "text/plain")
+
+
+def digest(secret):
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+def put_queue(queue_id, **fields):
+    return ch.PutQueue(
+        change_id=cid(),
+        expected_revision=0,
+        queue_id=queue_id,
+        pool_id="pairing",
+        **fields,
+    )
+
+
+def grant_key(key_id, team_id, secret):
+    return ch.GrantKey(
+        change_id=cid(),
+        expected_revision=0,
+        key_id=key_id,
+        team_id=team_id,
+        digest=digest(secret),
+    )
+
+
+def make_log(instances=("m1", "m2"), entries=("e1", "e2")):
+    """A log with one pool, teams, keys and queues in two data centres."""
+    log = Log()
+    log.append(put_data_centre(), put_data_centre("dc2"), put_pool())
+    log.append(
+        put_team("red"),
+        put_team("blue", max_configuration_age=30.0),
+        put_queue("once", team_ids=("red",), max_run_seconds=0.2),
+        put_queue("again", idempotent=True, max_run_seconds=0.2),
+        put_queue("open", open_team="red", max_body_bytes=10),
+        grant_key("k1", "red", "s1"),
+        grant_key("k2", "blue", "s2"),
+    )
+    log.append(*(put_instance(each) for each in instances))
+    for entry_id in entries:
+        log.append(join(entry_id))
+        for other in entries:
+            log.append(
+                ch.EntryJoinAck(
+                    change_id=cid(), entry_id=other, joiner_id=entry_id
+                )
+            )
+    return log
+
+
+class RealClock(Clock):
+    def now(self):
+        return time.time()
+
+
+class FakeFollower:
+    def __init__(self, log):
+        self.log = log
+        self.ready = True
+
+    @property
+    def state(self):
+        return self.log.state
+
+    @property
+    def current_at(self):
+        return time.time()
+
+
+class FakePeers:
+    """Answers calls by path; a handler that is an error is raised."""
+
+    def __init__(self):
+        self.scheduler_id = "e1"
+        self.handlers = {}
+        self.calls = []
+        self.posts = []
+        self.members = {}
+        self.exchanges = {}
+        self._changed = asyncio.Event()
+
+    def scheduler(self, pool_id):
+        return self.scheduler_id
+
+    def change_scheduler(self, entry_id):
+        self.scheduler_id = entry_id
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def changed(self):
+        await self._changed.wait()
+
+    def live_members(self, data_centre_id):
+        return self.members.get(data_centre_id, [])
+
+    def exchange_of(self, entry_id):
+        return self.exchanges.get(entry_id)
+
+    def add(self, entry_id, data_centre_id="dc1", spare=0, endpoints=True):
+        self.members.setdefault(data_centre_id, []).append(entry_id)
+        self.exchanges[entry_id] = Exchange(
+            entry_id=entry_id,
+            data_centre_id=data_centre_id,
+            address="",
+            member=True,
+            ready=True,
+            stopping=False,
+            offset=0,
+            current_at=0.0,
+            spare_by_team={"red": spare},
+            endpoints=["pairing"] if endpoints else [],
+        )
+
+    async def call(self, entry_id, path, message, reply_type, deadline):
+        self.calls.append((entry_id, path, message))
+        handler = self.handlers.get(path, PeerError("down", sent=False))
+        return await _result(handler, entry_id, message)
+
+    async def post(self, entry_id, path, headers, body, deadline):
+        self.posts.append((entry_id, headers, body))
+        handler = self.handlers.get(path, PeerError("down", sent=False))
+        return await _result(handler, entry_id, headers)
+
+
+async def _result(handler, entry_id, message):
+    if isinstance(handler, list):
+        handler = handler.pop(0)
+    if callable(handler):
+        handler = handler(entry_id, message)
+    if asyncio.iscoroutine(handler):
+        handler = await handler
+    if isinstance(handler, Exception):
+        raise handler
+    return handler
+
+
+def reply_for(ask, instance_id, grant_id):
+    grant = HeldGrant(
+        grant_id, ask.pool_id, instance_id, ask.team_id, ask.work_class, 0.0
+    )
+    return SlotReply(grant=grant, address=instance_id)
+
+
+class FakeScheduler:
+    """Grants at once, or when the gate is opened; counts what is out."""
+
+    def __init__(self, instances=("m1", "m2")):
+        self.instances = itertools.cycle(instances)
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.asks = []
+        self.releases = []
+        self.granted = []
+        self.code = ""
+
+    async def acquire(self, ask):
+        self.asks.append(ask)
+        await self.gate.wait()
+        if self.code:
+            return SlotReply(code=self.code)
+        grant_id = f"g{len(self.granted)}"
+        self.granted.append(grant_id)
+        return reply_for(ask, next(self.instances), grant_id)
+
+    def release(self, release):
+        self.releases.append(release)
+
+    def returned(self):
+        return sorted(each.grant_id for each in self.releases)
+
+
+class FakeLimits:
+    def __init__(self, units=4):
+        self.units = units
+        self.free = units
+
+    def try_acquire(self, team_id):
+        if self.free <= 0:
+            return False
+        self.free -= 1
+        return True
+
+    def release(self, team_id):
+        self.free += 1
+
+    async def wait(self, team_id, deadline):
+        while self.free <= 0:
+            if time.time() >= deadline:
+                return False
+            await asyncio.sleep(0.005)
+        return True
+
+
+class FakeMinions:
+    """Sends end as scripted; after the script every send is answered."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.sent = []
+        self.gate = asyncio.Event()
+        self.gate.set()
+
+    async def send(self, address, dispatch):
+        self.sent.append(dispatch)
+        await self.gate.wait()
+        result = self.script.pop(0) if self.script else ANSWER
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+
+class FakeClaims:
+    def __init__(self, code="claimed"):
+        self.code = code
+        self.claimed = []
+        self.ended = []
+
+    def claim(self, request_id, holder):
+        self.claimed.append(holder)
+        return ClaimReply(code=self.code)
+
+    def end(self, request_id, holder, outcome):
+        self.ended.append((holder, outcome))
+
+
+class FakeView:
+    def __init__(self):
+        self.gone = set()
+
+    def leaving(self, instance_id):
+        return instance_id in self.gone
+
+
+async def until(condition, cap=10.0):
+    """Waits for a condition; fails after a generous cap."""
+    end = time.monotonic() + cap
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError("condition not reached")
+        await asyncio.sleep(0.002)
+
+
+ACKNOWLEDGED = Acknowledged()
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,126 @@
+"""Slots: a grant is held once and released once, whoever gives up."""
+
+import asyncio
+import time
+import unittest
+
+from sardinedrift.exceptions import PeerError, RefusedBeforeStart
+from sardinedrift.identifiers import WorkClass
+from sardinedrift.messages import SlotReply
+from sardinedrift.slots import Slots
+from tests import path_fakes
+from tests.path_fakes import ACKNOWLEDGED, OWN, reply_for, until
+
+
+class SlotsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.peers = path_fakes.FakePeers()
+        self.scheduler = path_fakes.FakeScheduler()
+        self.slots = Slots(
+            OWN, self.peers, {"pairing": self.scheduler}, path_fakes.RealClock()
+        )
+
+    def acquire(self, seconds=10.0):
+        deadline = time.time() + seconds
+        return self.slots.acquire("pairing", "red", WorkClass.QUICK, deadline)
+
+    async def instance(self):
+        async with self.acquire() as reply:
+            return reply.grant and reply.grant.instance_id
+
+    def asks(self):
+        return [
+            (entry_id, message.ask_id)
+            for entry_id, path, message in self.peers.calls
+            if path == "/peer/slots"
+        ]
+
+    async def test_holds_for_the_block(self):
+        async with self.acquire():
+            self.assertTrue(self.slots.holds("m1"))
+            self.assertEqual(len(self.slots.held()["pairing"]), 1)
+        self.assertFalse(self.slots.holds("m1"))
+        self.assertEqual(self.scheduler.returned(), ["g0"])
+
+    async def test_reports_a_busy_minion(self):
+        with self.assertRaises(RefusedBeforeStart):
+            async with self.acquire():
+                raise RefusedBeforeStart("full")
+        self.assertTrue(self.scheduler.releases[0].busy)
+        self.assertFalse(self.scheduler.releases[0].failed)
+
+    async def test_grant_after_giving_up_is_released(self):
+        """A slot granted to nobody would stay busy."""
+        self.scheduler.gate.clear()
+        task = asyncio.create_task(self.instance())
+        await until(lambda: self.scheduler.asks)
+        task.cancel()
+        await asyncio.wait([task])
+        self.scheduler.gate.set()
+        await self.slots.flush()
+        self.assertEqual(self.scheduler.returned(), ["g0"])
+        self.assertEqual(self.slots.held(), {})
+
+    async def test_cancelled_in_the_step_of_the_grant(self):
+        self.scheduler.gate.clear()
+        task = asyncio.create_task(self.instance())
+        await until(lambda: self.scheduler.asks)
+        self.scheduler.gate.set()
+        await until(lambda: self.scheduler.granted)
+        task.cancel()
+        await asyncio.wait([task])
+        await self.slots.flush()
+        self.assertEqual(self.scheduler.returned(), ["g0"])
+
+    async def test_same_scheduler_is_asked_with_the_same_id(self):
+        """A new id would lose the place in the queue."""
+        self.peers.scheduler_id = "e2"
+        self.peers.handlers["/peer/slots"] = [
+            PeerError("reset"),
+            SlotReply(code="not_scheduler"),
+            lambda _, ask: reply_for(ask, "m2", "g9"),
+        ]
+        self.peers.handlers["/peer/release"] = ACKNOWLEDGED
+        self.assertEqual(await self.instance(), "m2")
+        self.assertEqual(len(self.asks()), 3)
+        self.assertEqual(len(set(self.asks())), 1)
+        await self.slots.flush()
+
+    async def test_scheduler_changes_while_waiting(self):
+        """A frozen scheduler must not hold up the request."""
+        frozen = asyncio.Event()
+        self.peers.scheduler_id = "e2"
+
+        async def thaw(_, ask):
+            await frozen.wait()
+            return reply_for(ask, "m1", "late")
+
+        self.peers.handlers["/peer/slots"] = thaw
+        task = asyncio.create_task(self.instance())
+        await until(self.asks)
+        self.peers.change_scheduler("e1")
+        self.assertEqual(await task, "m1")
+        frozen.set()
+        await self.slots.flush()
+        self.assertEqual(self.scheduler.returned(), ["g0", "late"])
+        self.assertNotEqual(self.scheduler.asks[0].ask_id, self.asks()[0][1])
+
+    async def test_release_is_repeated_and_not_waited_for(self):
+        self.peers.scheduler_id = "e2"
+        self.peers.handlers["/peer/slots"] = lambda _, ask: reply_for(
+            ask, "m1", "g1"
+        )
+        self.peers.handlers["/peer/release"] = [
+            PeerError("down"),
+            ACKNOWLEDGED,
+        ]
+        await self.instance()
+        self.assertFalse(self.slots.holds("m1"))
+        await self.slots.flush()
+        paths = [path for _, path, _ in self.peers.calls]
+        self.assertEqual(paths.count("/peer/release"), 2)
+
+    async def test_deadline_without_scheduler(self):
+        self.peers.scheduler_id = None
+        async with self.acquire(0.05) as reply:
+            self.assertEqual(reply.code, "deadline")
