Test dispatch; withdraw asks of callers that went away

The scheduler names a grant by its ask, so a request that gives up can give up its place at once instead of waiting for a grant that nobody uses. A pool whose every endpoint has failed a request once is asked again without exclusions.

--- a/sardinedrift/dispatch.py
+++ b/sardinedrift/dispatch.py
@@ -157,11 +157,6 @@
         await self._slots.flush()
         await self._asker.flush()
 
-    def usable_pools(self) -> list[PoolId]:
-        """Returns the pools with a usable endpoint in this data centre."""
-        pools = self._follower.state.tables.pool_by_id
-        return [pool_id for pool_id in pools if self._has_endpoint(pool_id)]
-
     async def _handle(self, admitted: Admitted, flight: Flight) -> Answer:
         with _truthful(admitted, flight):
             if not self._is_member():
@@ -267,6 +262,12 @@
         except MinionError as error:
             await self._retry_or_raise(admitted, flight, error)
             return None
+        except AdmissionError as error:
+            if error.code != "no_endpoint" or not flight.avoid:
+                raise
+            # Every endpoint has failed this request once.
+            flight.avoid.clear()
+            return None
         self._budget_by_pool[admitted.queue.pool_id].succeeded()
         return answer
 
@@ -282,7 +283,8 @@
                 raise _unknown() from error
         if not self._budget_by_pool[admitted.queue.pool_id].try_spend():
             raise _no_retry(flight) from error
-        if flight.attempt and flight.attempt.instance_id:
+        busy = isinstance(error, RefusedBeforeStart) and not error.draining
+        if flight.attempt and flight.attempt.instance_id and not busy:
             flight.avoid.append(flight.attempt.instance_id)
         await asyncio.sleep(retries.delay(flight.failures, self._random))
 
@@ -327,6 +329,7 @@
         return any(
             instance.kind is InstanceKind.MINION
             and instance.up
+            and instance.slots > 0
             and instance.state is InstanceState.ACTIVE
             and not self._view.leaving(instance.instance_id)
             for instance in instances
--- a/sardinedrift/exceptions.py
+++ b/sardinedrift/exceptions.py
@@ -53,13 +53,14 @@
     """A peer entry could not be reached or gave no usable answer.
 
     Attributes:
-        sent: whether the peer may have received the message; False only
-            when no byte of it was sent.
+        sent: False only when the peer certainly received nothing.
+        refused: the address actively refused the connection.
     """
 
-    def __init__(self, message: str, sent: bool = True):
+    def __init__(self, message: str, sent: bool = True, refused: bool = False):
         super().__init__(message)
         self.sent = sent
+        self.refused = refused
 
 
 class NoSnapshot(SardinedriftError):  # noqa: N818
--- a/sardinedrift/slots.py
+++ b/sardinedrift/slots.py
@@ -162,6 +162,8 @@
                     break
         except asyncio.CancelledError:
             self._abandon(task)
+            if not task.done():
+                self._withdraw(ask)
             raise
         if not task.done():
             self._abandon(task)
@@ -207,18 +209,33 @@
         if reply is not None and reply.grant is not None:
             self._release(reply.grant, failed=False, busy=False)
 
+    def _withdraw(self, ask: SlotAsk) -> None:
+        """Gives up the place of an ask, whose id is that of its grant."""
+        self._send(
+            SlotRelease(
+                entry_id=self._identity.entry_id,
+                grant_id=ask.ask_id,
+                pool_id=ask.pool_id,
+                instance_id=InstanceId(""),
+            )
+        )
+
     def _release(self, grant: HeldGrant, failed: bool, busy: bool) -> None:
-        release = SlotRelease(
-            entry_id=self._identity.entry_id,
-            grant_id=grant.grant_id,
-            pool_id=grant.pool_id,
-            instance_id=grant.instance_id,
-            failed=failed,
-            busy=busy,
+        self._send(
+            SlotRelease(
+                entry_id=self._identity.entry_id,
+                grant_id=grant.grant_id,
+                pool_id=grant.pool_id,
+                instance_id=grant.instance_id,
+                failed=failed,
+                busy=busy,
+            )
         )
-        scheduler = self._peers.scheduler(grant.pool_id)
+
+    def _send(self, release: SlotRelease) -> None:
+        scheduler = self._peers.scheduler(release.pool_id)
         if scheduler == self._identity.entry_id:
-            self._schedulers[grant.pool_id].release(release)
+            self._schedulers[release.pool_id].release(release)
         else:
             self._spawn(self._deliver(release))
 
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,376 @@
+"""Dispatch: nothing runs twice, refusals are true, all is given back."""
+
+import asyncio
+import time
+import unittest
+from unittest import mock
+
+import hypothesis
+import msgspec
+import uuid6
+from hypothesis import strategies
+
+from sardinedrift import attempts, claiming
+from sardinedrift import changes as ch
+from sardinedrift.admission import Admitted
+from sardinedrift.dispatch import Dispatcher
+from sardinedrift.exceptions import (
+    AdmissionError,
+    DialFailed,
+    OutcomeUnknown,
+    PeerError,
+    RefusedBeforeStart,
+)
+from sardinedrift.identifiers import Outcome
+from sardinedrift.messages import ClaimReply
+from sardinedrift.relays import ErrorBody
+from sardinedrift.slots import Slots
+from tests import path_fakes
+from tests.path_fakes import ACKNOWLEDGED, ANSWER, OWN, until
+from tests.test_fold import cid
+
+NOT_RUN = Outcome.NOT_RUN
+UNKNOWN = Outcome.UNKNOWN
+ANSWERED = Outcome.ANSWERED
+
+
+def reply(outcome, code="code"):
+    if outcome is ANSWERED:
+        return 200, {"Sardinedrift-Outcome": "answered"}, b"done"
+    body = msgspec.json.encode(ErrorBody(code, "text", outcome))
+    return 503, {"sardinedrift-outcome": outcome.value}, body
+
+
+class Path:
+    """A dispatcher with fakes around it."""
+
+    def __init__(self, *script, code="claimed", units=4, **log):
+        self.log = path_fakes.make_log(**log)
+        self.peers = path_fakes.FakePeers()
+        self.scheduler = path_fakes.FakeScheduler()
+        self.limits = path_fakes.FakeLimits(units)
+        self.minions = path_fakes.FakeMinions(*script)
+        self.claims = path_fakes.FakeClaims(code)
+        self.view = path_fakes.FakeView()
+        clock = path_fakes.RealClock()
+        self.slots = Slots(OWN, self.peers, {"pairing": self.scheduler}, clock)
+        self.dispatcher = Dispatcher(
+            OWN,
+            path_fakes.FakeFollower(self.log),
+            self.peers,
+            self.slots,
+            self.limits,
+            self.claims,
+            self.minions,
+            self.view,
+            clock,
+        )
+
+    def request(self, queue="once", seconds=5.0, first=False, own=False):
+        deadline = time.time() + seconds
+        return Admitted(
+            request_id=f"dc1.{uuid6.uuid7()}",
+            made_by_caller=not own,
+            first_attempt=first,
+            queue=self.log.state.tables.queue_by_id[queue],
+            team_id="red",
+            deadline=deadline,
+            run_deadline_bound=deadline,
+        )
+
+    async def outcome(self, **fields):
+        """Returns the code and outcome of one request."""
+        try:
+            answer = await self.dispatcher.handle(self.request(**fields))
+        except AdmissionError as error:
+            return error.code, error.outcome
+        assert answer.body == b"done"
+        return "", ANSWERED
+
+    async def settled(self):
+        """Waits until all is given back, and checks that once is enough."""
+        await self.dispatcher.flush()
+        assert self.limits.free == self.limits.units
+        assert self.slots.held() == {}
+        assert self.scheduler.returned() == sorted(self.scheduler.granted)
+        ends = [holder for holder, _ in self.claims.ended]
+        assert len(ends) == len(set(ends))
+
+    def ends(self):
+        return [outcome for _, outcome in self.claims.ended]
+
+
+class DispatchTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        # Runs end soon after their deadline, so that tests are short.
+        for module, name in (
+            (attempts, "CLOCK_ERROR_SECONDS"),
+            (claiming, "END_AGAIN_SECONDS"),
+        ):
+            patch = mock.patch.object(module, name, 0.01)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    async def check(self, path, code, outcome, ends, **fields):
+        self.assertEqual(await path.outcome(**fields), (code, outcome))
+        await path.settled()
+        self.assertEqual(path.ends(), ends)
+
+    async def test_answers(self):
+        path = Path(entries=("e1",))
+        await self.check(path, "", ANSWERED, [ANSWERED])
+        self.assertEqual(len(path.minions.sent), 1)
+
+    async def test_never_sent_twice_after_bytes_were_sent(self):
+        for failure in (OutcomeUnknown("reset"), ValueError("fault")):
+            path = Path(failure, entries=("e1",))
+            await self.check(path, "outcome_unknown", UNKNOWN, [UNKNOWN])
+            self.assertEqual(len(path.minions.sent), 1)
+
+    async def test_proved_not_run_is_retried(self):
+        path = Path(
+            DialFailed("no"),
+            RefusedBeforeStart("busy"),
+            RefusedBeforeStart("leaving", draining=True),
+            entries=("e1",),
+        )
+        await self.check(path, "", ANSWERED, [ANSWERED])
+        self.assertEqual(len({d.dispatch_id for d in path.minions.sent}), 4)
+        flags = [(each.failed, each.busy) for each in path.scheduler.releases]
+        self.assertEqual(
+            flags,
+            [(True, False), (False, True), (True, False), (False, False)],
+        )
+
+    async def test_retries_end_with_the_budget(self):
+        path = Path(*[DialFailed("no")] * 30, entries=("e1",))
+        with mock.patch("sardinedrift.retries.delay", return_value=0.0):
+            await self.check(path, "retries_spent", NOT_RUN, [NOT_RUN])
+        self.assertEqual(len(path.minions.sent), 11)
+
+    async def test_idempotent_is_sent_again_after_unknown(self):
+        path = Path(OutcomeUnknown("reset"), entries=("e1",))
+        await self.check(path, "", ANSWERED, [], queue="again")
+        self.assertEqual(len(path.minions.sent), 2)
+
+    async def test_not_run_is_not_claimed_after_an_unknown_attempt(self):
+        script = [OutcomeUnknown("reset")] + [DialFailed("no")] * 30
+        path = Path(*script, entries=("e1",))
+        with mock.patch("sardinedrift.retries.delay", return_value=0.0):
+            await self.check(
+                path, "retries_spent", UNKNOWN, [], queue="again", first=True
+            )
+
+    async def test_unit_is_kept_until_the_run_has_ended(self):
+        """The minion may still be running after a broken connection."""
+        path = Path(OutcomeUnknown("reset"), entries=("e1",))
+        await path.outcome()
+        self.assertEqual(path.limits.free, 3)
+        self.assertTrue(path.slots.holds("m1"))
+        await path.settled()
+        self.assertGreater(time.time(), path.minions.sent[0].run_deadline)
+
+    async def test_caller_gone_after_the_send(self):
+        path = Path(entries=("e1",))
+        path.minions.gate.clear()
+        task = asyncio.create_task(path.outcome())
+        await until(lambda: path.minions.sent)
+        task.cancel()
+        await asyncio.wait([task])
+        self.assertEqual(path.ends(), [UNKNOWN])
+        self.assertEqual(path.limits.free, 3)
+        path.minions.gate.set()
+        await path.settled()
+        self.assertEqual(len(path.minions.sent), 1)
+
+    async def test_caller_gone_before_the_send(self):
+        """The id stays usable, and a late grant sends nothing."""
+        path = Path(entries=("e1",))
+        path.scheduler.gate.clear()
+        task = asyncio.create_task(path.outcome())
+        await until(lambda: path.scheduler.asks)
+        task.cancel()
+        await asyncio.wait([task])
+        path.scheduler.gate.set()
+        await path.settled()
+        self.assertEqual(path.ends(), [NOT_RUN])
+        self.assertEqual(path.minions.sent, [])
+
+    async def test_refusals_of_the_owner(self):
+        for code, outcome in (
+            ("duplicate_request", UNKNOWN),
+            ("already_answered", UNKNOWN),
+            ("owner_is_new", UNKNOWN),
+            ("not_owner", NOT_RUN),
+        ):
+            path = Path(code=code, entries=("e1",))
+            await self.check(path, code, outcome, [], first=True)
+            self.assertEqual(path.minions.sent, [])
+
+    async def test_owner_unreachable(self):
+        """Without its owner's word an id may be running elsewhere."""
+        for first, outcome in ((True, NOT_RUN), (False, UNKNOWN)):
+            path = Path(entries=("e1",))
+            with mock.patch("sardinedrift.membership.owner", return_value="e2"):
+                await self.check(
+                    path, "owner_unreachable", outcome, [], first=first
+                )
+            self.assertEqual(path.minions.sent, [])
+
+    async def test_remote_owner_learns_the_end(self):
+        path = Path(entries=("e1",))
+        path.peers.handlers["/peer/claims"] = ClaimReply(code="claimed")
+        path.peers.handlers["/peer/claims/end"] = [
+            PeerError("reset"),
+            ACKNOWLEDGED,
+        ]
+        with mock.patch("sardinedrift.membership.owner", return_value="e2"):
+            await self.check(path, "", ANSWERED, [])
+        claim, *ends = [message for _, _, message in path.peers.calls]
+        self.assertEqual([each.outcome for each in ends], [ANSWERED] * 2)
+        self.assertEqual({each.holder for each in ends}, {claim.holder})
+
+    async def test_non_member_relays_or_refuses(self):
+        path = Path(entries=("e2",))
+        await self.check(path, "no_member", NOT_RUN, [], own=True)
+        path.peers.add("e3", "dc2")
+        path.peers.add("e2", "dc1")
+        path.peers.handlers["/peer/requests"] = [
+            PeerError("refused", sent=False),
+            reply(ANSWERED),
+        ]
+        await self.check(path, "", ANSWERED, [])
+        self.assertEqual([post[0] for post in path.peers.posts], ["e2", "e3"])
+        self.assertEqual(path.minions.sent, [])
+
+    async def test_relay_outcomes(self):
+        """Only a proof of not run allows another choice."""
+        for handler, posts, result in (
+            (PeerError("reset"), 1, ("relay_broken", UNKNOWN)),
+            ((200, {}, b""), 1, ("relay_broken", UNKNOWN)),
+            (reply(UNKNOWN), 1, ("code", UNKNOWN)),
+            (reply(NOT_RUN), 2, ("code", NOT_RUN)),
+        ):
+            path = Path(entries=("e1",), instances=())
+            path.peers.add("e3", "dc2")
+            path.peers.add("e4", "dc2")
+            path.peers.add("e5", "dc2", endpoints=False)
+            path.peers.handlers["/peer/requests"] = handler
+            await self.check(path, *result, [result[1]])
+            self.assertEqual(len(path.peers.posts), posts)
+
+    async def test_at_most_two_hops(self):
+        path = Path(entries=("e1",), instances=())
+        path.peers.add("e3", "dc2")
+        path.peers.handlers["/peer/requests"] = reply(ANSWERED)
+        request = msgspec.structs.replace(path.request(), hops=("e8", "e9"))
+        with self.assertRaises(AdmissionError) as caught:
+            await path.dispatcher.handle(request)
+        self.assertEqual(caught.exception.code, "no_endpoint")
+
+    async def test_relays_to_a_spare_unit(self):
+        path = Path(entries=("e1",), units=0)
+        path.peers.add("e3", "dc2", spare=1)
+        path.peers.add("e2", "dc1", spare=1)
+        path.peers.handlers["/peer/requests"] = reply(ANSWERED)
+        await self.check(path, "", ANSWERED, [ANSWERED])
+        self.assertEqual(path.peers.posts[0][0], "e2")
+
+    async def test_no_unit_before_the_deadline(self):
+        path = Path(entries=("e1",), units=0)
+        await self.check(
+            path, "limit_unavailable", NOT_RUN, [NOT_RUN], seconds=0.1
+        )
+        self.assertEqual(path.scheduler.asks, [])
+
+    async def test_grant_without_a_free_unit_is_declined(self):
+        """Two requests wait for slots with one unit: one declines."""
+        path = Path(entries=("e1",), units=1)
+        path.scheduler.gate.clear()
+        tasks = [asyncio.create_task(path.outcome()) for _ in range(2)]
+        await until(lambda: len(path.scheduler.asks) == 2)
+        path.minions.gate.clear()
+        path.scheduler.gate.set()
+        await until(lambda: len(path.scheduler.releases) == 1)
+        self.assertEqual(len(path.minions.sent), 1)
+        path.minions.gate.set()
+        self.assertEqual(await asyncio.gather(*tasks), [("", ANSWERED)] * 2)
+        await path.settled()
+
+    async def test_grant_on_a_draining_instance_is_declined(self):
+        """The drain may be acknowledged between the ask and the grant."""
+        path = Path(entries=("e1",))
+        path.scheduler.gate.clear()
+        task = asyncio.create_task(path.outcome())
+        await until(lambda: path.scheduler.asks)
+        path.log.append(path_fakes.put_pool("other"))
+        move = ch.StartMove(
+            change_id=cid(),
+            expected_revision=1,
+            move_id="v1",
+            instance_id="m1",
+            pool_id="other",
+        )
+        self.assertTrue(path.log.append(move)[0].accepted)
+        path.scheduler.gate.set()
+        self.assertEqual(await task, ("", ANSWERED))
+        await path.settled()
+        self.assertEqual(len(path.scheduler.granted), 2)
+
+    async def test_no_slot(self):
+        path = Path(entries=("e1",))
+        path.scheduler.code = "queue_full"
+        await self.check(path, "queue_full", NOT_RUN, [NOT_RUN])
+
+
+FAILURES = {
+    "dial": lambda: DialFailed("no"),
+    "busy": lambda: RefusedBeforeStart("busy"),
+    "leaving": lambda: RefusedBeforeStart("leaving", draining=True),
+    "unknown": lambda: OutcomeUnknown("reset"),
+    "answer": lambda: ANSWER,
+}
+
+
+class PropertyTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+    @hypothesis.given(
+        names=strategies.lists(strategies.sampled_from(sorted(FAILURES))),
+        queue=strategies.sampled_from(["once", "again"]),
+        units=strategies.integers(1, 2),
+        cancel_at=strategies.none() | strategies.integers(0, 12),
+    )
+    def test_random_outcomes(self, names, queue, units, cancel_at):
+        """No sequence of failures runs twice, lies, or leaks."""
+        with (
+            mock.patch.object(attempts, "_sleep_until", _no_sleep),
+            mock.patch("sardinedrift.retries.delay", return_value=0.0),
+        ):
+            asyncio.run(self._run(names, queue, units, cancel_at))
+
+    async def _run(self, names, queue, units, cancel_at):
+        script = [FAILURES[name]() for name in names]
+        path = Path(*script, entries=("e1",), units=units)
+        task = asyncio.create_task(path.outcome(queue=queue, first=True))
+        if cancel_at is not None:
+            for _ in range(cancel_at):
+                await asyncio.sleep(0)
+            task.cancel()
+        await asyncio.wait([task])
+        outcome = None if task.cancelled() else task.result()[1]
+        await path.settled()
+        sends = len(path.minions.sent)
+        may_have_run = {"unknown", "answer"}
+        results = [*names, *["answer"] * sends][:sends]
+        runs = sum(each in may_have_run for each in results)
+        if queue == "once":
+            self.assertLessEqual(runs, 1)
+            self.assertEqual(len(path.ends()), len(path.claims.claimed))
+        if outcome is NOT_RUN or path.ends() == [NOT_RUN]:
+            self.assertEqual(runs, 0)
+        if outcome is ANSWERED:
+            self.assertEqual(results[-1], "answer")
+
+
+async def _no_sleep(clock, deadline):
+    await asyncio.sleep(0)
