Test callers and drains; pass on unused turns for a unit

Limits.wait counts each waiter it admits until that waiter asks for the unit, so a request that got no slot would have kept its turn for ever.

--- a/sardinedrift/attempts.py
+++ b/sardinedrift/attempts.py
@@ -39,11 +39,13 @@
 
     Attributes:
         sent: bytes may have reached a minion and nothing proves otherwise.
+        asked_unit: the turn for a unit, given by `Limits.wait`, is used.
         instance_id: the granted minion.
     """
 
     def __init__(self) -> None:
         self.sent = False
+        self.asked_unit = False
         self.instance_id: InstanceId | None = None
         self.result: asyncio.Future[Answer] = (
             asyncio.get_running_loop().create_future()
@@ -89,8 +91,9 @@
     ) -> Answer:
         """Runs one attempt and returns the minion's answer.
 
-        When the caller of this method is cancelled, an attempt that has not
-        sent anything ends without sending.
+        `Limits.wait` has allowed the attempt to ask for one unit. When the
+        caller of this method is cancelled, an attempt that has not sent
+        anything ends without sending.
 
         Raises:
             AdmissionError: there is no slot.
@@ -100,6 +103,10 @@
         task = asyncio.create_task(self._run(attempt, admitted, avoid))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        # A callback also runs for a task cancelled before its first step.
+        task.add_done_callback(
+            lambda _: self._pass_turn(attempt, admitted.team_id)
+        )
         try:
             return await attempt.result
         except asyncio.CancelledError:
@@ -140,7 +147,7 @@
         ) as reply:
             grant = self._check_grant(reply)
             attempt.instance_id = grant.instance_id
-            with self._unit(admitted.team_id):
+            with self._unit(attempt, admitted.team_id):
                 await self._send(attempt, admitted, reply.address)
 
     def _check_grant(self, reply: SlotReply) -> HeldGrant:
@@ -163,7 +170,8 @@
         return reply.grant
 
     @contextlib.contextmanager
-    def _unit(self, team_id: TeamId) -> Iterator[None]:
+    def _unit(self, attempt: Attempt, team_id: TeamId) -> Iterator[None]:
+        attempt.asked_unit = True
         if not self._limits.try_acquire(team_id):
             raise GrantDeclinedError("no allowance unit is free")
         try:
@@ -171,6 +179,11 @@
         finally:
             self._limits.release(team_id)
 
+    def _pass_turn(self, attempt: Attempt, team_id: TeamId) -> None:
+        """Lets the next request ask for the unit that was not needed."""
+        if not attempt.asked_unit and self._limits.try_acquire(team_id):
+            self._limits.release(team_id)
+
     async def _send(
         self, attempt: Attempt, admitted: Admitted, address: str
     ) -> None:
--- a/sardinedrift/drains.py
+++ b/sardinedrift/drains.py
@@ -46,6 +46,7 @@
         self._publisher = publisher
         self._slots = slots
         self._clock = clock
+        self._failing = False
         self._version: tuple[int, int] | None = None
         self._waiting: list[objects.Instance] = []
 
@@ -99,7 +100,11 @@
         try:
             await self._publisher.publish(acks, deadline)
         except (LogServiceError, PublishUnknown) as error:
-            logger.warning("drain acknowledgements wait: {}", error)
+            if not self._failing:
+                logger.warning("drain acknowledgements wait: {}", error)
+            self._failing = True
+        else:
+            self._failing = False
 
 
 async def drain_entry(
--- a/sardinedrift/slots.py
+++ b/sardinedrift/slots.py
@@ -33,8 +33,10 @@
 )
 from sardinedrift.ports import Clock
 
-# Pause before the same scheduler is asked again after an error.
+# Pauses before the same scheduler is asked again after an error. They grow,
+# as all waiting requests ask again while a dead scheduler is still listed.
 ASK_AGAIN_SECONDS = 0.05
+LONGEST_PAUSE_SECONDS = 0.4
 # After these tries the exchange frees the slot, as it is no longer listed.
 RELEASE_TRIES = 10
 RELEASE_CALL_SECONDS = 1.0
@@ -129,19 +131,20 @@
     async def _reply(self, ask: SlotAsk) -> SlotReply:
         """Asks until a scheduler grants or refuses."""
         asked: EntryId | None = None
+        pause = ASK_AGAIN_SECONDS
         while self._clock.now() < ask.deadline:
             scheduler = self._peers.scheduler(ask.pool_id)
-            if scheduler is None:
-                await self._pause(ask.deadline, ASK_AGAIN_SECONDS)
-                continue
             if asked not in (None, scheduler):
                 # The old scheduler may still grant the old ask.
                 ask = msgspec.structs.replace(ask, ask_id=_new_ask_id())
+                pause = ASK_AGAIN_SECONDS
             asked = scheduler
-            reply = await self._reply_while_scheduler(scheduler, ask)
-            if reply is not None:
-                return reply
-            await self._pause(ask.deadline, ASK_AGAIN_SECONDS)
+            if scheduler is not None:
+                reply = await self._reply_while_scheduler(scheduler, ask)
+                if reply is not None:
+                    return reply
+            await self._pause(ask.deadline, pause)
+            pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
         return SlotReply(code="deadline")
 
     async def _reply_while_scheduler(
@@ -262,8 +265,11 @@
         return True
 
     async def _pause(self, deadline: float, seconds: float) -> None:
+        """Waits for a change among the peers, at most for some seconds."""
         left = max(deadline - self._clock.now(), 0.0)
-        await asyncio.sleep(min(left, seconds))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(min(left, seconds)):
+                await self._peers.changed()
 
     def _spawn(self, work: Any) -> asyncio.Task:
         task = asyncio.create_task(work)
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -212,8 +212,10 @@
     def __init__(self, units=4):
         self.units = units
         self.free = units
+        self.turns = 0
 
     def try_acquire(self, team_id):
+        self.turns -= 1
         if self.free <= 0:
             return False
         self.free -= 1
@@ -227,6 +229,7 @@
             if time.time() >= deadline:
                 return False
             await asyncio.sleep(0.005)
+        self.turns += 1
         return True
 
 
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,193 @@
+"""Callers: bounded bodies, true refusals, graceful stop, relays over HTTP."""
+
+import asyncio
+import time
+import unittest
+
+import uuid6
+from aiohttp.test_utils import TestClient, TestServer
+
+from sardinedrift import changes as ch
+from sardinedrift.callers import Callers
+from sardinedrift.drains import DrainAcks, drain_entry
+from sardinedrift.exceptions import LogUnavailable, OutcomeUnknown
+from sardinedrift.identifiers import Outcome
+from tests import path_fakes
+from tests.path_fakes import OWN, until
+from tests.test_dispatch import Path
+from tests.test_fold import cid
+
+KEY = {"Sardinedrift-Key": "k1.s1"}
+
+
+class CallersTest(unittest.IsolatedAsyncioTestCase):
+    async def serve(self, path):
+        self.follower = path_fakes.FakeFollower(path.log)
+        callers = Callers(
+            OWN, self.follower, path.dispatcher, path_fakes.RealClock()
+        )
+        application = callers.application()
+        application.add_routes(callers.peer_routes())
+        server = TestServer(application, host="127.0.0.1")
+        await server.start_server()
+        client = TestClient(server)
+        self.addAsyncCleanup(client.close)
+        return callers, client
+
+    async def post(self, client, queue="once", data=b"x", **headers):
+        named = {name.replace("_", "-"): each for name, each in headers.items()}
+        url = f"/v1/queues/{queue}/requests"
+        async with client.post(url, data=data, headers=KEY | named) as reply:
+            if reply.content_type != "application/json":
+                return reply.status, reply.headers, await reply.read()
+            return reply.status, reply.headers, await reply.json()
+
+    async def test_answer_and_refusal(self):
+        path = Path(entries=("e1",))
+        _, client = await self.serve(path)
+        async with client.get("/v1/request-ids") as reply:
+            request_id = (await reply.json())["request_id"]
+        status, headers, body = await self.post(client, Request_Id=request_id)
+        self.assertEqual((status, body), (200, b"done"))
+        self.assertEqual(headers["Sardinedrift-Request-Id"], request_id)
+        self.assertEqual(headers["Sardinedrift-Outcome"], "answered")
+        self.assertEqual(headers["Sardinedrift-Data-Centre"], "dc1")
+        status, headers, body = await self.post(client, "none")
+        self.assertEqual((status, body["code"]), (404, "unknown_queue"))
+        self.assertEqual(body["outcome"], "not_run")
+        self.assertEqual(headers["Sardinedrift-Outcome"], "not_run")
+
+    async def test_unknown_outcome_names_the_request(self):
+        path = Path(OutcomeUnknown("reset"), entries=("e1",))
+        _, client = await self.serve(path)
+        status, _, body = await self.post(client)
+        self.assertEqual((status, body["outcome"]), (504, "unknown"))
+        self.assertTrue(body["request_id"].startswith("dc1."))
+
+    async def test_endless_body_is_cut_off(self):
+        """A body without a length must not fill the memory."""
+        path = Path(entries=("e1",))
+        _, client = await self.serve(path)
+
+        async def chunks():
+            for _ in range(11):
+                yield b"x"
+
+        status, _, body = await self.post(client, "open", data=chunks())
+        self.assertEqual((status, body["code"]), (413, "body_too_large"))
+        self.assertEqual(path.minions.sent, [])
+
+    async def test_stop_waits_for_requests_in_progress(self):
+        path = Path(entries=("e1",))
+        callers, client = await self.serve(path)
+        path.minions.gate.clear()
+        task = asyncio.create_task(self.post(client))
+        await until(lambda: path.minions.sent)
+        clock = path_fakes.RealClock()
+        stop = asyncio.create_task(
+            drain_entry(callers, path.dispatcher, time.time() + 10, clock)
+        )
+        await asyncio.sleep(0)
+        _, _, body = await self.post(client)
+        self.assertEqual(
+            (body["code"], body["outcome"]), ("stopping", "not_run")
+        )
+        self.assertFalse(await callers.drain(time.time()))
+        path.minions.gate.set()
+        self.assertEqual((await task)[0], 200)
+        self.assertTrue(await stop)
+        self.assertEqual(callers.in_progress, 0)
+
+    async def test_not_ready(self):
+        _, client = await self.serve(Path(entries=("e1",)))
+        self.follower.ready = False
+        _, _, body = await self.post(client)
+        self.assertEqual(body["code"], "not_ready")
+
+    async def test_caller_disconnects(self):
+        path = Path(entries=("e1",))
+        callers, client = await self.serve(path)
+        path.minions.gate.clear()
+        request_id = f"dc1.{uuid6.uuid7()}"
+        task = asyncio.create_task(self.post(client, Request_Id=request_id))
+        await until(lambda: path.minions.sent)
+        task.cancel()
+        await until(lambda: not callers.in_progress)
+        self.assertEqual([each.value for each in path.ends()], ["unknown"])
+        self.assertEqual(path.limits.free, 3)
+        path.minions.gate.set()
+        await path.settled()
+
+    async def test_relay_between_two_entries(self):
+        """The second entry runs a claimed request without a second claim."""
+        there = Path(entries=("e1",))
+        _, client = await self.serve(there)
+        here = Path(entries=("e1",), instances=())
+        here.peers.add("e3", "dc2")
+
+        async def post(entry_id, path, headers, body, deadline):
+            async with client.post(path, headers=headers, data=body) as reply:
+                return reply.status, reply.headers, await reply.read()
+
+        here.peers.post = post
+        self.assertEqual(await here.outcome(), ("", Outcome.ANSWERED))
+        self.assertEqual(len(there.minions.sent), 1)
+        self.assertEqual(there.claims.claimed, [])
+        there.limits.free = 0
+        code, outcome = await here.outcome(seconds=0.2)
+        self.assertEqual(
+            (code, outcome.value), ("limit_unavailable", "not_run")
+        )
+
+
+class FakePublisher:
+    def __init__(self):
+        self.published = []
+        self.results = [LogUnavailable("down")]
+
+    async def publish(self, changes, deadline):
+        self.published.append(changes)
+        if self.results:
+            raise self.results.pop()
+        return []
+
+
+class DrainAcksTest(unittest.IsolatedAsyncioTestCase):
+    async def test_acknowledges_when_no_slot_is_held(self):
+        """An early acknowledgement would move an instance under its work."""
+        path = Path(entries=("e1",))
+        publisher = FakePublisher()
+        acks = DrainAcks(
+            OWN,
+            path_fakes.FakeFollower(path.log),
+            publisher,
+            path.slots,
+            path_fakes.RealClock(),
+        )
+        self.assertEqual(acks.due(), [])
+        path.minions.gate.clear()
+        request = asyncio.create_task(path.outcome())
+        await until(lambda: path.minions.sent)
+        path.log.append(path_fakes.put_pool("other"))
+        path.log.append(
+            ch.StartMove(
+                change_id=cid(),
+                expected_revision=1,
+                move_id="v1",
+                instance_id="m1",
+                pool_id="other",
+            )
+        )
+        self.assertEqual(acks.due(), [])
+        path.minions.gate.set()
+        await request
+        await path.settled()
+        task = asyncio.create_task(acks.run())
+        await until(lambda: len(publisher.published) == 2)
+        task.cancel()
+        first, second = publisher.published
+        self.assertEqual(first, second)
+        self.assertTrue(path.log.append(*first)[0].accepted)
+        self.assertEqual(acks.due(), [])
+        moved = path.log.state.tables.instance_by_id["m1"]
+        self.assertEqual(moved.pool_id, "other")
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -91,6 +91,7 @@
         """Waits until all is given back, and checks that once is enough."""
         await self.dispatcher.flush()
         assert self.limits.free == self.limits.units
+        assert self.limits.turns == 0
         assert self.slots.held() == {}
         assert self.scheduler.returned() == sorted(self.scheduler.granted)
         ends = [holder for holder, _ in self.claims.ended]
