Test that a refusal after an unknown attempt is not called not_run

Switching off the correction of outcomes in dispatch, or the end of a claim whose reply was lost, failed no test.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -162,6 +162,16 @@
                 path, "retries_spent", UNKNOWN, [], queue="again", first=True
             )
 
+    async def test_no_slot_after_an_unknown_attempt(self):
+        path = Path(OutcomeUnknown("reset"), entries=("e1",))
+        path.minions.gate.clear()
+        task = asyncio.create_task(path.outcome(queue="again", first=True))
+        await until(lambda: path.minions.sent)
+        path.scheduler.code = "queue_full"
+        path.minions.gate.set()
+        self.assertEqual(await task, ("queue_full", UNKNOWN))
+        await path.settled()
+
     async def test_unit_is_kept_until_the_run_has_ended(self):
         """The minion may still be running after a broken connection."""
         path = Path(OutcomeUnknown("reset"), entries=("e1",))
@@ -217,6 +227,9 @@
                     path, "owner_unreachable", outcome, [], first=first
                 )
             self.assertEqual(path.minions.sent, [])
+            # The claim may have been made although its reply was lost.
+            end = path.peers.calls[-1][2]
+            self.assertIs(end.outcome, NOT_RUN)
 
     async def test_remote_owner_learns_the_end(self):
         path = Path(entries=("e1",))
