--- a/sardinedrift/exceptions.py
+++ b/sardinedrift/exceptions.py
@@ -110,6 +110,7 @@
         code: stable reason shown to the caller.
         status: HTTP status.
         outcome: what the caller may conclude about execution.
+        request_id: id of the request, or "" before it has one.
     """
 
     def __init__(
@@ -123,6 +124,7 @@
         self.code = code
         self.status = status
         self.outcome = outcome
+        self.request_id = ""
 
 
 class AdminClientError(SardinedriftError):
