--- a/sardinedrift/follower.py
+++ b/sardinedrift/follower.py
@@ -105,23 +105,34 @@
         """Follows the log until cancelled; failures are retried."""
         attempt = 0
         while True:
-            try:
-                await self._follow()
+            if await self.step():
                 attempt = 0
-                self._set_log_up(True, "")
                 continue
-            except OffsetExpired as error:
-                failure = await self._load_after_expiry(error.first)
-            except LogUnavailable as error:
-                failure = str(error) or "the log is unavailable"
-                _log_errors.inc()
-                self._set_log_up(False, failure)
-            if failure is None:
-                continue
-            await self._use_peers(failure)
             await asyncio.sleep(self._backoff(attempt))
             attempt += 1
 
+    async def step(self) -> bool:
+        """Reads the log once; uses snapshots and peers when it cannot.
+
+        Returns:
+            Whether the next step may follow at once.
+        """
+        try:
+            await self._follow()
+        except OffsetExpired as error:
+            failure = await self._load_after_expiry(error.first)
+            if failure is None:
+                return True
+        except LogUnavailable as error:
+            failure = str(error) or "the log is unavailable"
+            _log_errors.inc()
+            self._set_log_up(False, failure)
+        else:
+            self._set_log_up(True, "it was read")
+            return True
+        await self._use_peers(failure)
+        return False
+
     async def changed(self, after: Offset) -> None:
         """Waits until the state is beyond an offset."""
         while self.state.offset <= after:
--- /dev/null
+++ b/tests/test_publisher.py
@@ -0,0 +1,158 @@
+"""Publisher: a change is applied once, and its outcome is told truthfully."""
+
+import asyncio
+import time
+import unittest
+
+from sardinedrift.exceptions import LogUnavailable, PublishUnknown
+from sardinedrift.follower import Follower
+from sardinedrift.publisher import Publisher
+from tests.fakes import FakeLog, ManualClock, SystemClock, running, until
+from tests.test_fold import put_pool, put_team
+
+
+def soon(seconds=20.0):
+    return time.time() + seconds
+
+
+class PublisherTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.log = FakeLog()
+        self.follower, self.publisher = self.pair()
+
+    def pair(self):
+        clock = SystemClock()
+        follower = Follower(
+            self.log, clock, poll_seconds=0.1, longest_backoff_seconds=0.02
+        )
+        publisher = Publisher(
+            self.log, follower, clock, longest_backoff_seconds=0.02
+        )
+        return follower, publisher
+
+    async def test_answers_with_the_folded_result(self):
+        """Guards against an answer before the change is in force here."""
+        async with running(self.follower):
+            results = await self.publisher.publish(
+                [put_pool(), put_team()], soon()
+            )
+        self.assertTrue(all(each.accepted for each in results))
+        self.assertIn("red", self.follower.state.tables.team_by_id)
+        self.assertEqual(self.log.attempts, 1)
+
+    async def test_lost_answers_are_applied_once(self):
+        """Guards against applying a repeated append a second time."""
+        self.log.lost_answers = 3
+        self.log.lost_appends = 1
+        async with running(self.follower):
+            [result] = await self.publisher.publish([put_team()], soon())
+        self.assertTrue(result.accepted)
+        team = self.follower.state.tables.team_by_id["red"]
+        self.assertEqual(team.revision, 1)
+
+    async def test_a_repeated_change_id_gives_the_first_outcome(self):
+        """Guards against a conflict when an operator repeats a change."""
+        change = put_team()
+        async with running(self.follower):
+            first = await self.publisher.publish([change], soon())
+            again = await self.publisher.publish([change], soon())
+        self.assertEqual(first, again)
+        self.assertEqual(self.log.attempts, 1)
+
+    async def test_an_outage_appends_nothing(self):
+        """Guards against `unknown` when nothing can have happened."""
+        self.log.up = False
+        with self.assertRaises(LogUnavailable):
+            await self.publisher.publish([put_team()], soon(0.1))
+
+    async def test_a_lost_append_is_unknown(self):
+        """Guards against claiming that a lost append had no effect."""
+        self.log.lost_appends = 1000
+        with self.assertRaises(PublishUnknown):
+            await self.publisher.publish([put_team()], soon(0.1))
+
+    async def test_an_unfolded_append_is_unknown(self):
+        """Guards against `accepted` before the own fold shows it."""
+        with self.assertRaises(PublishUnknown):
+            await self.publisher.publish([put_team()], soon(0.1))
+        self.assertEqual(self.log.next, 1)
+
+    async def test_obvious_errors_are_not_appended(self):
+        """Guards against filling the log with changes that cannot be valid."""
+        bad = put_team("blue", limit=-1)
+        async with running(self.follower):
+            results = await self.publisher.publish([put_team(), bad], soon())
+            atomic = await self.publisher.publish(
+                [put_team("green"), bad], soon(), atomic=True
+            )
+        self.assertEqual([each.accepted for each in results], [True, False])
+        self.assertEqual(results[1].field, "limit")
+        self.assertFalse(any(each.accepted for each in atomic))
+        self.assertEqual(self.log.attempts, 1)
+
+    async def test_a_lagging_entry_does_not_refuse(self):
+        """Guards against a false rejection where the state is old."""
+        self.log.put_changes(put_team())
+        edit = put_team(revision=1, limit=9)
+        publishing = asyncio.create_task(self.publisher.publish([edit], soon()))
+        await until(lambda: self.log.next == 2)
+        async with running(self.follower):
+            [result] = await publishing
+        self.assertTrue(result.accepted)
+
+    async def test_two_publishers_have_one_winner(self):
+        """Guards against both operators of a race being told `accepted`."""
+        follower, publisher = self.pair()
+        async with running(self.follower, follower):
+            pairs = await asyncio.gather(
+                self.publisher.publish([put_team(limit=1)], soon()),
+                publisher.publish([put_team(limit=2)], soon()),
+            )
+            await until(lambda: self.follower.state.offset == 1)
+            await until(lambda: follower.state.offset == 1)
+        accepted = [results[0].accepted for results in pairs]
+        self.assertEqual(sorted(accepted), [False, True])
+        limits = {
+            each.state.tables.team_by_id["red"].limit
+            for each in (self.follower, follower)
+        }
+        self.assertEqual(limits, {1 + accepted.index(True)})
+
+    async def test_system_changes_share_records(self):
+        """Guards against using up the appends of the log with 600 teams."""
+        async with running(self.follower):
+            results = await asyncio.gather(
+                *(
+                    self.publisher.publish_until_folded(put_team(f"t{index}"))
+                    for index in range(600)
+                )
+            )
+        self.assertTrue(all(each.accepted for each in results))
+        self.assertLessEqual(self.log.attempts, 4)
+
+    async def test_system_changes_outlast_an_outage(self):
+        """Guards against losing a system change in an outage."""
+        self.log.up = False
+        async with running(self.follower):
+            publishing = asyncio.create_task(
+                self.publisher.publish_until_folded(put_team())
+            )
+            await until(lambda: self.log.attempts > 3)
+            self.log.lost_answers = 1
+            self.log.up = True
+            result = await publishing
+        self.assertTrue(result.accepted)
+
+    async def test_no_repeat_when_results_may_be_forgotten(self):
+        """Guards against a second application after an hour."""
+        clock = ManualClock()
+        publisher = Publisher(self.log, self.follower, clock)
+        self.log.lost_answers = 1000
+        publishing = asyncio.create_task(
+            publisher.publish_until_folded(put_team())
+        )
+        await until(lambda: self.log.next == 1)
+        clock.time += 3600.0
+        with self.assertRaises(PublishUnknown):
+            await publishing
+        self.assertEqual(self.log.next, 1)
