--- a/sardinedrift/follower.py
+++ b/sardinedrift/follower.py
@@ -22,7 +22,6 @@
 # The state counts as current from the start of the read that proved it, so a
 # longer poll would make the configuration look older than it is.
 POLL_SECONDS = 1.0
-READ_TIMEOUT_SECONDS = 5.0
 FIRST_BACKOFF_SECONDS = 0.1
 LONGEST_BACKOFF_SECONDS = 2.0
 # Beyond the end of any log; a read there reports which offsets are kept.
@@ -268,7 +267,8 @@
     async def _snapshot_batches(self, start: Offset) -> AsyncIterator[ch.Batch]:
         """Yields the batches of the retained records that hold chunks."""
         while True:
-            deadline = self._clock.now() + READ_TIMEOUT_SECONDS
+            # Only what is there: no waiting for a next record.
+            deadline = self._clock.now()
             page = await self._log.read(start, READ_LIMIT, deadline)
             for record in page.records:
                 start = Offset(record.offset + 1)
--- a/sardinedrift/publisher.py
+++ b/sardinedrift/publisher.py
@@ -157,10 +157,9 @@
         data = ch.encode_batch(batch)
         first_unknown: float | None = None
         futures = [self._expect(each) for each in ids]
-        folded = asyncio.gather(*futures)
         try:
             for attempt in itertools.count():
-                if folded.done():
+                if all(each.done() for each in futures):
                     break
                 now = self._clock.now()
                 if _passed(deadline, now) or _too_old(first_unknown, now):
@@ -169,10 +168,9 @@
                 if unknown and first_unknown is None:
                     first_unknown = now
                 rest = self._rest(appended, attempt, deadline)
-                await asyncio.wait([folded], timeout=rest)
-            return list(folded.result())
+                await asyncio.wait(futures, timeout=rest)
+            return [each.result() for each in futures]
         finally:
-            folded.cancel()
             for change_id, future in zip(ids, futures, strict=True):
                 self._forget(change_id, future)
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -84,7 +84,8 @@
         if self.up and start >= self.next:
             rest = max(deadline - time.time(), 0.0)
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._event.wait(), rest)
+                async with asyncio.timeout(rest):
+                    await self._event.wait()
         if not self.up:
             raise LogUnavailable("outage")
         if start < self.first:
@@ -97,7 +98,7 @@
 async def until(condition, cap=20.0):
     """Waits for a condition; the cap only ends a run that hangs."""
     async with asyncio.timeout(cap):
-        while not condition():
+        while not condition():  # noqa: ASYNC110
             await asyncio.sleep(0.005)
 
 
