--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,206 @@
+"""Members and peers, over loopback sockets."""
+
+import asyncio
+import contextlib
+import socket
+import unittest
+
+from aiohttp import web
+
+from sardinedrift import changes as ch
+from sardinedrift import peerapi
+from sardinedrift.exceptions import PeerError
+from sardinedrift.follower import Follower
+from sardinedrift.identifiers import EntryState, Identity
+from sardinedrift.members import Members
+from sardinedrift.messages import Acknowledged, Exchange
+from sardinedrift.peerlinks import Timing
+from sardinedrift.peers import Peers
+from sardinedrift.publisher import Publisher
+from tests.fakes import FakeLog, SystemClock, running, until
+
+NEAR = Timing(0.02, 0.3)
+
+
+class Listed:
+    """A view of the instance list that shows the given entries."""
+
+    def __init__(self, *entry_ids):
+        self.entry_ids = set(entry_ids)
+
+    def listed(self, instance_id):
+        return instance_id in self.entry_ids
+
+
+class Entry:
+    """The log, peer and membership parts of one entry."""
+
+    def __init__(self, entry_id, log, view, seeds=(), address=None):
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        host, port = (address or "127.0.0.1:0").split(":")
+        self.socket.bind((host, int(port)))
+        self.address = "{}:{}".format(*self.socket.getsockname())
+        identity = Identity(entry_id, "dc1", self.address)
+        clock = SystemClock()
+        self.identity = identity
+        self.follower = Follower(log, clock, poll_seconds=0.05)
+        publisher = Publisher(log, self.follower, clock)
+        self.peers = Peers(
+            identity,
+            self.follower,
+            clock,
+            seeds,
+            self.fill,
+            near=NEAR,
+            far=NEAR,
+        )
+        self.members = Members(
+            identity,
+            self.follower,
+            publisher,
+            self.peers,
+            view,
+            clock,
+            evidence_seconds=0.2,
+            check_seconds=0.02,
+        )
+
+    def fill(self, _):
+        return Exchange(
+            entry_id=self.identity.entry_id,
+            data_centre_id="dc1",
+            address=self.address,
+            member=self.members.active,
+            ready=self.follower.ready,
+            stopping=False,
+            offset=self.follower.state.offset,
+            current_at=self.follower.current_at,
+        )
+
+    @contextlib.asynccontextmanager
+    async def serving(self):
+        app = web.Application()
+        handlers = peerapi.Handlers(self.peers, self.follower)
+        app.add_routes(peerapi.routes(handlers))
+        runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.SockSite(runner, self.socket).start()
+        try:
+            async with running(self.follower, self.peers, self.members):
+                yield self
+        finally:
+            await runner.cleanup()
+
+    def state_of(self, entry_id):
+        entry = self.follower.state.tables.entry_by_id.get(entry_id)
+        return entry.state if entry else None
+
+
+class MembersTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.log = FakeLog()
+        self.view = Listed("a", "b")
+
+    async def test_joins_acknowledges_and_leaves(self):
+        """Guards against a join without the acknowledgement of members."""
+        a = Entry("a", self.log, self.view)
+        b = Entry("b", self.log, self.view, [a.address])
+        async with a.serving():
+            await until(lambda: a.members.active)
+            async with b.serving():
+                await until(lambda: b.members.active)
+                await until(lambda: a.peers.live_members("dc1") == ["a", "b"])
+                await b.members.leave("a")
+                await until(lambda: a.state_of("b") is EntryState.GONE)
+                self.assertFalse(b.members.retired.is_set())
+
+    async def test_a_killed_entry_is_shown_gone(self):
+        """Guards against joins and moves that wait for an ended entry."""
+        a = Entry("a", self.log, self.view)
+        b = Entry("b", self.log, self.view, [a.address])
+        async with a.serving():
+            await until(lambda: a.members.active)
+            async with b.serving():
+                await until(lambda: b.members.active)
+            await until(lambda: a.peers.ended_since("b"))
+            self.assertIs(a.state_of("b"), EntryState.ACTIVE)
+            self.view.entry_ids.discard("b")
+            await until(lambda: a.state_of("b") is EntryState.GONE)
+
+    async def test_a_frozen_entry_is_never_shown_gone(self):
+        """Guards against taking silence for the end of a process."""
+        a = Entry("a", self.log, self.view)
+        b = Entry("b", self.log, self.view, [a.address])
+        async with a.serving():
+            await until(lambda: a.members.active)
+            async with b.serving():
+                await until(lambda: b.members.active)
+                frozen = socket.socket()
+                frozen.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            frozen.bind(("127.0.0.1", int(b.address.split(":")[1])))
+            with frozen:
+                frozen.listen(200)
+                self.view.entry_ids.discard("b")
+                await until(lambda: "b" not in a.peers.live("dc1"))
+                await asyncio.sleep(1.0)
+                self.assertIs(a.state_of("b"), EntryState.ACTIVE)
+
+    async def test_a_restarted_process_replaces_the_old_id_at_once(self):
+        """Guards against work sent to the id of an ended process."""
+        a = Entry("a", self.log, self.view)
+        self.view.entry_ids.add("c")
+        async with a.serving():
+            await until(lambda: a.members.active)
+            b = Entry("b", self.log, self.view, [a.address])
+            async with b.serving():
+                await until(lambda: a.peers.live("dc1") == ["a", "b"])
+            c = Entry("c", self.log, self.view, [a.address], b.address)
+            async with c.serving():
+                await until(lambda: "c" in a.peers.live("dc1"))
+                self.assertNotIn("b", a.peers.live("dc1"))
+
+    async def test_an_entry_shown_gone_retires(self):
+        """Guards against a process that works on without membership."""
+        a = Entry("a", self.log, self.view)
+        async with a.serving():
+            await until(lambda: a.members.active)
+            gone = peer_gone("a")
+            self.log.put_changes(gone)
+            await until(a.members.retired.is_set)
+
+    async def test_relays_records_and_snapshots_in_an_outage(self):
+        """Guards against needing the platform when a peer has the state."""
+        a = Entry("a", self.log, self.view)
+        down = FakeLog()
+        down.up = False
+        b = Entry("b", down, self.view, [a.address])
+        async with a.serving():
+            await until(lambda: a.members.active)
+            async with b.serving():
+                await until(lambda: b.follower.ready)
+                offset = self.log.put_changes(peer_gone("nobody"))
+                await until(lambda: b.follower.state.offset >= offset)
+                await until(lambda: b.follower.current_at > 0)
+
+    async def test_blocked_calls_fail_unsent(self):
+        """Guards against a cut that lets calls through."""
+        a = Entry("a", self.log, self.view)
+        b = Entry("b", self.log, self.view, [a.address])
+        async with a.serving(), b.serving():
+            await until(lambda: "a" in b.peers.live("dc1"))
+            b.peers.blocked.add(a.address)
+            with self.assertRaises(PeerError) as caught:
+                await b.peers.call(
+                    "a", "/peer/x", Acknowledged(), Acknowledged, 2e9
+                )
+            self.assertFalse(caught.exception.sent)
+            with self.assertRaises(PeerError):
+                b.peers.receive(a.fill(None))
+
+
+def peer_gone(entry_id):
+
+    return ch.EntryGone(
+        change_id=f"gone-{entry_id}", entry_id=entry_id, evidence="test"
+    )
