Hash rendezvous keys as bytes

Cause: the pinned xxhash 4.1.0 refuses text, so every rendezvous choice raised TypeError and no join was acknowledged. Change: encode the key.

--- a/sardinedrift/routing.py
+++ b/sardinedrift/routing.py
@@ -19,4 +19,5 @@
 
 
 def _weight(key: str, candidate: str) -> tuple[int, str]:
-    return xxhash.xxh3_64_intdigest(f"{key}\0{candidate}"), candidate
+    text = f"{key}\0{candidate}".encode()
+    return xxhash.xxh3_64_intdigest(text), candidate
