--- a/sardinedrift/follower.py
+++ b/sardinedrift/follower.py
@@ -22,7 +22,6 @@
 # The state counts as current from the start of the read that proved it, so a
 # longer poll would make the configuration look older than it is.
 POLL_SECONDS = 1.0
-READ_TIMEOUT_SECONDS = 5.0
 FIRST_BACKOFF_SECONDS = 0.1
 LONGEST_BACKOFF_SECONDS = 2.0
 # Beyond the end of any log; a read there reports which offsets are kept.
@@ -105,23 +104,34 @@
         """Follows the log until cancelled; failures are retried."""
         attempt = 0
         while True:
-            try:
-                await self._follow()
+            if await self.step():
                 attempt = 0
-                self._set_log_up(True, "")
                 continue
-            except OffsetExpired as error:
-                failure = await self._load_after_expiry(error.first)
-            except LogUnavailable as error:
-                failure = str(error) or "the log is unavailable"
-                _log_errors.inc()
-                self._set_log_up(False, failure)
-            if failure is None:
-                continue
-            await self._use_peers(failure)
             await asyncio.sleep(self._backoff(attempt))
             attempt += 1
 
+    async def step(self) -> bool:
+        """Reads the log once; uses snapshots and peers when it cannot.
+
+        Returns:
+            Whether the next step may follow at once.
+        """
+        try:
+            await self._follow()
+        except OffsetExpired as error:
+            failure = await self._load_after_expiry(error.first)
+            if failure is None:
+                return True
+        except LogUnavailable as error:
+            failure = str(error) or "the log is unavailable"
+            _log_errors.inc()
+            self._set_log_up(False, failure)
+        else:
+            self._set_log_up(True, "it was read")
+            return True
+        await self._use_peers(failure)
+        return False
+
     async def changed(self, after: Offset) -> None:
         """Waits until the state is beyond an offset."""
         while self.state.offset <= after:
@@ -257,7 +267,8 @@
     async def _snapshot_batches(self, start: Offset) -> AsyncIterator[ch.Batch]:
         """Yields the batches of the retained records that hold chunks."""
         while True:
-            deadline = self._clock.now() + READ_TIMEOUT_SECONDS
+            # Only what is there: no waiting for a next record.
+            deadline = self._clock.now()
             page = await self._log.read(start, READ_LIMIT, deadline)
             for record in page.records:
                 start = Offset(record.offset + 1)
--- a/sardinedrift/membership.py
+++ b/sardinedrift/membership.py
@@ -144,7 +144,9 @@
     )
     if was_active:
         _record_membership(state, entry.data_centre_id)
-    for other in list(state.tables.entry_by_id.values()):
+    # Sorted, because the order of a table differs on a reader that has undone
+    # writes, and joiners that become active together do so in this order.
+    for _, other in sorted(state.tables.entry_by_id.items()):
         if other.state is EntryState.JOINING:
             _remove_waiting(state, other, entry.entry_id)
     inventory.forget_entry(state, entry.entry_id)
