Take the home of a request id from its prefix only

Cause: the home of an id without a prefix followed the set of data centres, so a lagging fold and a current one could each grant the same id. Change: the fallback is gone; admission refuses such ids. Ruled out: agreed changes of homes, a second protocol for a convenience.

--- a/sardinedrift/claims.py
+++ b/sardinedrift/claims.py
@@ -19,7 +19,6 @@
 )
 from sardinedrift.messages import ClaimReply
 from sardinedrift.ports import Clock
-from sardinedrift.routing import rendezvous
 from sardinedrift.state import State
 
 # About 100 MB at most; 300 s of 1,000 claims a second at one entry.
@@ -41,14 +40,6 @@
         self.released_by: set[EntryId] = set()
 
 
-def home_of(state: State, request_id: RequestId) -> DataCentreId | None:
-    """Returns the home data centre of an id, or None without any."""
-    named = request_home(request_id)
-    if named is not None:
-        return named
-    return rendezvous(request_id, state.tables.data_centre_by_id)
-
-
 class Claims:
     """Claims of the ids that this entry owns.
 
@@ -76,8 +67,6 @@
         self._expiry: list[tuple[float, RequestId]] = []
         self._latest = 0.0
         self._stopped = False
-        self._homes = self._data_centre_ids()
-        self._homes_since = clock.now()
 
     def __len__(self) -> int:
         return len(self._claim_by_id)
@@ -103,7 +92,7 @@
         claim = self._claim_by_id.get(request_id)
         if claim and claim.phase is not _Phase.RELEASED:
             return ClaimReply(code=_repeated(claim))
-        refusal = self._refusal(request_id, made, now)
+        refusal = self._refusal(request_id)
         if refusal:
             return ClaimReply(code=refusal)
         self._remember(request_id, made, holder, claim)
@@ -130,20 +119,16 @@
         """Grants nothing more; call it before `EntryLeave` is written."""
         self._stopped = True
 
-    def _refusal(
-        self, request_id: RequestId, made: float, now: float
-    ) -> str | None:
+    def _refusal(self, request_id: RequestId) -> str | None:
         state = self._follower.state
         here = self._identity.data_centre_id
         entry_id = self._identity.entry_id
-        if self._stopped or home_of(state, request_id) != here:
+        if self._stopped or request_home(request_id) != here:
             return "not_owner"
         if not self._owns(state, here, request_id, entry_id):
             return "not_owner"
         if not self._owned_since_made(state, here, request_id, entry_id):
             return "owner_is_new"
-        if not self._home_since_made(request_id, made, now):
-            return "owner_is_new"
         if request_id not in self._claim_by_id and len(self) >= self._most:
             return "claims_full"
         return None
@@ -166,25 +151,6 @@
     ) -> bool:
         return membership.owned_since_made(state, here, request_id, entry_id)
 
-    def _home_since_made(
-        self, request_id: RequestId, made: float, now: float
-    ) -> bool:
-        """Tells whether the data centres were the same since an id was made.
-
-        The home of an id without prefix depends on them, and the earlier
-        home may have granted it.
-        """
-        current = self._data_centre_ids()
-        if current != self._homes:
-            self._homes = current
-            self._homes_since = now
-        if request_home(request_id) is not None:
-            return True
-        return made - CLOCK_ERROR_SECONDS >= self._homes_since
-
-    def _data_centre_ids(self) -> frozenset[DataCentreId]:
-        return frozenset(self._follower.state.tables.data_centre_by_id)
-
     def _remember(
         self,
         request_id: RequestId,
