--- a/standins/demo.py
+++ b/standins/demo.py
@@ -6,9 +6,12 @@
 
 import asyncio
 import collections
+import contextlib
 import hashlib
+import itertools
 import pathlib
 import random
+import signal
 import sys
 import time
 from collections.abc import Iterable, Iterator
@@ -27,6 +30,12 @@
 PEAK_CALLS = 24
 QUIET_CALLS = 4
 TURN_SECONDS = 1.0
+# The addresses of examples/entry.yaml and the default of the command line.
+FIRST_LISTENERS = {
+    "callers": "127.0.0.1:7100",
+    "peers": "127.0.0.1:7101",
+    "admin": "127.0.0.1:7102",
+}
 
 _SMALL = {
     "data_centres": ["dc1", "dc2"],
@@ -107,19 +116,32 @@
     }
 
 
-def start(fleet: Fleet, shape: dict) -> list[Entry]:
-    """Starts the platform, minions and entries, and publishes."""
+def start(
+    fleet: Fleet, shape: dict, first: dict[str, str] | None = None
+) -> list[Entry]:
+    """Starts the platform, minions and entries, and publishes.
+
+    Args:
+        fleet: gets the processes.
+        shape: what to start.
+        first: settings of the first entry, in place of the usual ones.
+    """
     fleet.start_platform()
     for data_centre in shape["data_centres"]:
         for pool in shape["pools"]:
             for number in range(shape["minions"]):
                 name = f"{data_centre}-{pool}-{number}"
                 fleet.start_minion(name, pool, data_centre, f"r{number}")
-    entries = [
-        fleet.start_entry(f"{data_centre}-e{number}", data_centre)
+    names = [
+        (f"{data_centre}-e{number}", data_centre)
         for data_centre in shape["data_centres"]
         for number in range(2)
     ]
+    settings = itertools.chain([first or {}], itertools.repeat({}))
+    entries = [
+        fleet.start_entry(name, data_centre, **own)
+        for (name, data_centre), own in zip(names, settings, strict=False)
+    ]
     fleet.wait_ready(*entries)
     fleet.publish(*main_configuration(shape), atomic=True)
     fleet.publish(*instances(fleet), atomic=True)
@@ -213,6 +235,18 @@
         print(f"  {code}: {count}")
 
 
+def _hold(shape: dict) -> None:
+    """Keeps a fleet running until interrupted."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    with running_fleet() as fleet, contextlib.suppress(KeyboardInterrupt):
+        entries = start(fleet, shape, FIRST_LISTENERS)
+        for entry in entries:
+            print(f"{entry.name}: callers {entry.callers}, admin {entry.admin}")
+        print(f"keys: TEAM.{SECRET}; press Ctrl-C to end", flush=True)
+        while True:
+            time.sleep(1.0)
+
+
 @click.command()
 @click.option(
     "--deployment",
@@ -220,7 +254,12 @@
     default="small",
     show_default=True,
 )
-def main(deployment: str) -> None:
+@click.option(
+    "--hold",
+    is_flag=True,
+    help="Only start the fleet and keep it until interrupted.",
+)
+def main(deployment: str, hold: bool) -> None:
     """Runs the demonstration."""
     shape = _SMALL
     if deployment != "small":
@@ -228,6 +267,9 @@
             pathlib.Path("examples") / deployment / "configuration.yaml"
         )
     try:
+        if hold:
+            _hold(shape)
+            return
         with running_fleet() as fleet:
             entries = start(fleet, shape)
             history = asyncio.run(_run(fleet, shape, entries))
