Index instances by address

Change: the state keeps an index of addresses. Ruled out: checking addresses only in the command line, where two operators can race.

--- a/sardinedrift/state.py
+++ b/sardinedrift/state.py
@@ -71,6 +71,7 @@
         self._instance_ids_by_place: dict[
             tuple[DataCentreId, PoolId], set[InstanceId]
         ] = collections.defaultdict(set)
+        self._instance_id_by_address: dict[str, InstanceId] = {}
         for instance in self.tables.instance_by_id.values():
             self._index(instance)
 
@@ -110,6 +111,10 @@
         """Ends the possibility of undoing what was written so far."""
         self._journal.clear()
 
+    def instance_with_address(self, address: str) -> InstanceId | None:
+        """Returns the instance that has an address."""
+        return self._instance_id_by_address.get(address)
+
     def instances_at(
         self, data_centre_id: DataCentreId, pool_id: PoolId
     ) -> list[objects.Instance]:
@@ -174,6 +179,7 @@
             if old is not None:
                 place = (old.data_centre_id, old.pool_id)
                 self._instance_ids_by_place[place].discard(key)
+                self._instance_id_by_address.pop(old.address, None)
             if value is not _MISSING:
                 self._index(value)
         if value is _MISSING:
@@ -185,6 +191,7 @@
     def _index(self, instance: objects.Instance) -> None:
         place = (instance.data_centre_id, instance.pool_id)
         self._instance_ids_by_place[place].add(instance.instance_id)
+        self._instance_id_by_address[instance.address] = instance.instance_id
 
     def _undo(self, start: int) -> None:
         while len(self._journal) > start:
