Add the fold of jobs, the worker adapter and the choice of workers

Jobs on guarded workers had no agreed state. The fold now decides their places: one place per job, declared sizes within the worker, one unit of the team's limit for each placed job, taken from the unallocated rest. Reports count only under the newest lease of the worker. Not yet tested.

--- a/sardinedrift/adminviews.py
+++ b/sardinedrift/adminviews.py
@@ -57,6 +57,7 @@
     "waves": ("wave_by_id", _object),
     "entries": ("entry_by_id", _object),
     "allowances": ("allowances_by_team", _allowances),
+    "jobs": ("job_by_id", _object),
 }
 
 COLLECTIONS = tuple(_TABLE_AND_VIEW_BY_COLLECTION)
@@ -75,6 +76,7 @@
     "waves": objects.Wave.__struct_fields__,
     "entries": objects.Entry.__struct_fields__,
     "allowances": ("team_id", "limit", "unallocated"),
+    "jobs": objects.Job.__struct_fields__,
 }
 
 
--- a/sardinedrift/configuration.py
+++ b/sardinedrift/configuration.py
@@ -6,7 +6,7 @@
 from sardinedrift import changes as ch
 from sardinedrift import objects
 from sardinedrift.exceptions import StateError
-from sardinedrift.identifiers import KeyState, is_name
+from sardinedrift.identifiers import JobState, KeyState, is_name
 from sardinedrift.state import State
 
 _DIGEST = re.compile(r"^[0-9a-f]{64}$")
@@ -238,6 +238,8 @@
     for user in _users(state, change.kind, change.object_id):
         raise StateError("in_use", f"still used by {user}", "object_id")
     state.drop(table, change.object_id)
+    if change.kind == "instance":
+        state.drop("worker_use_by_instance", change.object_id)
     if change.kind == "team":
         state.drop("allowances_by_team", change.object_id)
     return revision
@@ -266,10 +268,19 @@
         for queue in tables.queue_by_id.values():
             if object_id in (queue.open_team, *queue.team_ids):
                 yield f"queue {queue.queue_id}"
+        if tables.allowances_by_team[object_id].waiting_jobs:
+            yield "waiting jobs"
         if tables.allowances_by_team[object_id].total:
             yield "running work; set its limit to 0 first"
     if kind == "instance" and tables.instance_by_id[object_id].drain:
         yield "a drain in progress"
+    if kind == "instance":
+        for job in state.placed_jobs(object_id):
+            yield f"job {job.job_id}"
+    if kind == "pool":
+        for job in tables.job_by_id.values():
+            if job.pool_id == object_id and job.state is JobState.WAITING:
+                yield f"job {job.job_id}"
     if kind == "data_centre":
         for instance in tables.instance_by_id.values():
             if instance.data_centre_id == object_id:
--- a/sardinedrift/exceptions.py
+++ b/sardinedrift/exceptions.py
@@ -100,7 +100,23 @@
 
 
 class WorkerError(SardinedriftError):
-    """A guarded worker refused or could not be reached."""
+    """Base of the errors of guarded workers."""
+
+
+class WorkerRefused(WorkerError):  # noqa: N818
+    """A worker refused an order and did nothing.
+
+    Attributes:
+        code: stable reason, such as "lease_lapsed".
+    """
+
+    def __init__(self, code: str):
+        super().__init__(code)
+        self.code = code
+
+
+class WorkerUnknown(WorkerError):  # noqa: N818
+    """A worker gave no usable answer; the order may have taken effect."""
 
 
 class AdmissionError(SardinedriftError):
--- a/sardinedrift/fold.py
+++ b/sardinedrift/fold.py
@@ -12,6 +12,7 @@
     inventory,
     maintenance,
     membership,
+    placement,
     snapshots,
 )
 from sardinedrift import changes as ch
@@ -29,6 +30,7 @@
     **inventory.HANDLERS,
     **maintenance.HANDLERS,
     **snapshots.HANDLERS,
+    **placement.HANDLERS,
 }
 
 
@@ -56,6 +58,7 @@
     # The log service's clock may step back; log time never does.
     state.tables.time = max(state.tables.time, time)
     allowances.release_due(state)
+    placement.forget_ended(state)
     _forget_results(state)
     try:
         batch = ch.decode_batch(data)
--- a/sardinedrift/identifiers.py
+++ b/sardinedrift/identifiers.py
@@ -93,6 +93,29 @@
     FAILED = "failed"
 
 
+class JobState(enum.Enum):
+    """State of a job in the fold."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    RUNNING = "running"
+    CANCELLING = "cancelling"
+    DONE = "done"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    EXPIRED = "expired"
+
+
+class JobStep(enum.Enum):
+    """What became of the task of a placed job."""
+
+    RUNNING = "running"
+    CHECKPOINTED = "checkpointed"
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+
+
 class Outcome(enum.Enum):
     """What is known about the execution of a request."""
 
--- a/sardinedrift/inventory.py
+++ b/sardinedrift/inventory.py
@@ -14,6 +14,7 @@
 from sardinedrift.identifiers import (
     EntryId,
     InstanceId,
+    InstanceKind,
     InstanceState,
     MoveId,
     MoveState,
@@ -81,6 +82,7 @@
     revision = check_revision(change, current)
     if current:
         _check_place(change, current)
+        _check_jobs(state, change)
     _check_address(state, change)
     instance = objects.Instance(
         instance_id=change.instance_id,
@@ -116,6 +118,19 @@
         )
 
 
+def _check_jobs(state: State, change: ch.PutInstance) -> None:
+    """Refuses a size below that of the jobs placed on the worker."""
+    jobs = state.placed_jobs(change.instance_id)
+    for name in ("cores", "memory_gb", "accelerators"):
+        placed = sum(getattr(job, name) for job in jobs)
+        if jobs and placed > getattr(change, name):
+            raise StateError(
+                "in_use", f"placed jobs have {placed:g} {name}", name
+            )
+    if jobs and change.kind is not InstanceKind.WORKER:
+        raise StateError("in_use", "jobs are placed on the worker", "kind")
+
+
 def _check_address(state: State, change: ch.PutInstance) -> None:
     """Two ids for one address would be one instance in two pools."""
     for other in state.tables.instance_by_id.values():
@@ -144,8 +159,7 @@
         revision=instance.revision + 1,
     )
     state.put("instance_by_id", instance.instance_id, instance)
-    if not waiting:
-        _complete_drain(state, instance)
+    complete_drain_if_over(state, instance.instance_id)
 
 
 def _drain_ack(state: State, change: ch.DrainAck) -> int:
@@ -164,7 +178,15 @@
     waiting = tuple(each for each in drain.waiting if each != entry_id)
     instance = _replace(instance, drain=_replace(drain, waiting=waiting))
     state.put("instance_by_id", instance.instance_id, instance)
-    if not waiting and instance.state is InstanceState.DRAINING:
+    complete_drain_if_over(state, instance.instance_id)
+
+
+def complete_drain_if_over(state: State, instance_id: InstanceId) -> None:
+    """Completes a drain once no entry and no placed job holds it up."""
+    instance = state.tables.instance_by_id[instance_id]
+    if instance.state is not InstanceState.DRAINING or instance.drain.waiting:
+        return
+    if not state.placed_jobs(instance_id):
         _complete_drain(state, instance)
 
 
--- a/sardinedrift/objects.py
+++ b/sardinedrift/objects.py
@@ -9,6 +9,8 @@
     InstanceId,
     InstanceKind,
     InstanceState,
+    JobId,
+    JobState,
     KeyId,
     KeyState,
     MoveId,
@@ -195,15 +197,19 @@
         units_by_entry: units held.
         returning: (deadline, units) pairs of holders that are gone; they count
             as held until the deadline in log time.
+        jobs: units held by placed jobs.
+        waiting_jobs: jobs that wait for a place; they hold no unit.
     """
 
     units_by_entry: dict[EntryId, int]
     returning: tuple[tuple[float, int], ...] = ()
+    jobs: int = 0
+    waiting_jobs: int = 0
 
     @property
     def total(self) -> int:
         """All units that may have work running on them."""
-        held = sum(self.units_by_entry.values())
+        held = sum(self.units_by_entry.values()) + self.jobs
         return held + sum(units for _, units in self.returning)
 
 
@@ -221,3 +227,52 @@
     def complete(self) -> bool:
         """Whether every chunk is in the log."""
         return len(self.indexes) == self.count
+
+
+class Job(msgspec.Struct, frozen=True):
+    """A job of a team for the guarded workers of a pool.
+
+    Attributes:
+        memory_gb: declared size, or the size learned from its use.
+        deadline: unix seconds by which it must have started, or None.
+        submitted: offset of its submission; jobs of a team wait in order.
+        instance_id: worker it is placed on, or None.
+        place: offset of the record that placed it last; -1 before.
+        tries: tasks of it that failed.
+        failed_on: workers on which its tasks failed.
+        reason: stable reason of its state, or "".
+        time: log time of the last change of its state.
+    """
+
+    job_id: JobId
+    team_id: TeamId
+    pool_id: PoolId
+    cores: float
+    memory_gb: float
+    accelerators: int
+    deadline: float | None
+    max_run_seconds: float
+    preemptible: bool
+    submitted: Offset
+    state: JobState
+    time: float
+    instance_id: InstanceId | None = None
+    place: Offset = Offset(-1)
+    tries: int = 0
+    failed_on: tuple[InstanceId, ...] = ()
+    reason: str = ""
+    revision: int = 1
+
+
+class WorkerUse(msgspec.Struct, frozen=True):
+    """Who may start tasks on a worker, and the jobs placed there.
+
+    Attributes:
+        lease: number of the newest lease; -1 before the first.
+        holder: entry that took it.
+    """
+
+    instance_id: InstanceId
+    lease: Offset = Offset(-1)
+    holder: EntryId | None = None
+    job_ids: tuple[JobId, ...] = ()
--- /dev/null
+++ b/sardinedrift/packing.py
@@ -0,0 +1,141 @@
+"""Chooses workers for waiting jobs: dominant shares and best fit.
+
+Source: Ghodsi et al., "Dominant Resource Fairness" (2011).
+"""
+
+from collections import Counter, defaultdict, deque
+from collections.abc import Callable, Iterable, Iterator
+from typing import NamedTuple
+
+from sardinedrift import objects
+from sardinedrift.identifiers import InstanceId, JobId, PoolId, TeamId
+from sardinedrift.placement import (
+    PLACED_STATES,
+    SIZES,
+    free_size,
+    workers_of,
+)
+from sardinedrift.state import State
+
+# A job behind this many of its team that fit nowhere now is not looked at, so
+# that a long queue costs a bounded time.
+LOOK_AHEAD = 32
+
+
+class Place(NamedTuple):
+    """A job and the worker chosen for it."""
+
+    job_id: JobId
+    instance_id: InstanceId
+
+
+class Packing:
+    """Decides places for the waiting jobs of one pool.
+
+    Args:
+        state: the folded state.
+        pool_id: the pool.
+        workers: workers that may take jobs now.
+        room: how many more jobs a worker may take at once.
+    """
+
+    def __init__(
+        self,
+        state: State,
+        pool_id: PoolId,
+        workers: Iterable[objects.Instance],
+        room: Callable[[objects.Instance], int],
+    ):
+        self._state = state
+        self._pool_id = pool_id
+        self._worker_by_id = {each.instance_id: each for each in workers}
+        self._free_by_id = {
+            instance_id: free_size(state, worker)
+            for instance_id, worker in self._worker_by_id.items()
+        }
+        self._room_by_id = {
+            instance_id: room(worker)
+            for instance_id, worker in self._worker_by_id.items()
+        }
+        self._total = Counter()
+        for worker in workers_of(state, pool_id):
+            self._total.update({n: getattr(worker, n) for n in SIZES})
+        self._use_by_team: dict[TeamId, Counter] = defaultdict(Counter)
+        self._units_by_team: dict[TeamId, int] = {}
+
+    def places(
+        self, waiting: Iterable[objects.Job], placed: Iterable[objects.Job]
+    ) -> Iterator[Place]:
+        """Yields places in the order in which they should be asked for."""
+        for job in placed:
+            if job.pool_id == self._pool_id and job.state in PLACED_STATES:
+                self._add_use(job)
+        queue_by_team: dict[TeamId, deque[objects.Job]] = defaultdict(deque)
+        for job in sorted(waiting, key=lambda each: each.submitted):
+            queue_by_team[job.team_id].append(job)
+        for team_id in queue_by_team:
+            units = self._state.unallocated(team_id)
+            self._units_by_team[team_id] = units
+        while queue_by_team:
+            team_id = min(queue_by_team, key=self._weighted_share)
+            place = self._next_place(team_id, queue_by_team[team_id])
+            if place is None:
+                del queue_by_team[team_id]
+            else:
+                yield place
+
+    def _next_place(
+        self, team_id: TeamId, queue: deque[objects.Job]
+    ) -> Place | None:
+        if self._units_by_team[team_id] < 1:
+            return None
+        for _ in range(min(LOOK_AHEAD, len(queue))):
+            job = queue.popleft()
+            instance_id = self._best_fit(job)
+            if instance_id is None:
+                continue
+            self._units_by_team[team_id] -= 1
+            self._room_by_id[instance_id] -= 1
+            free = self._free_by_id[instance_id]
+            for name in SIZES:
+                free[name] -= getattr(job, name)
+            self._add_use(job)
+            return Place(job.job_id, instance_id)
+        return None
+
+    def _best_fit(self, job: objects.Job) -> InstanceId | None:
+        """Returns the worker on which the job leaves the least over."""
+        fitting = [
+            instance_id
+            for instance_id, free in self._free_by_id.items()
+            if self._room_by_id[instance_id] > 0
+            and instance_id not in job.failed_on
+            and all(getattr(job, name) <= free[name] for name in SIZES)
+        ]
+        return (
+            min(fitting, key=lambda each: (self._left_over(each, job), each))
+            if fitting
+            else None
+        )
+
+    def _left_over(self, instance_id: InstanceId, job: objects.Job) -> float:
+        free = self._free_by_id[instance_id]
+        return sum(
+            (free[name] - getattr(job, name)) / self._total[name]
+            for name in SIZES
+            if self._total[name]
+        )
+
+    def _add_use(self, job: objects.Job) -> None:
+        use = self._use_by_team[job.team_id]
+        use.update({name: getattr(job, name) for name in SIZES})
+
+    def _weighted_share(self, team_id: TeamId) -> tuple[float, TeamId]:
+        """Returns the dominant share of a team, divided by its weight."""
+        use = self._use_by_team[team_id]
+        dominant = max(
+            use[name] / self._total[name] if self._total[name] else 0.0
+            for name in SIZES
+        )
+        weight = self._state.share_of(team_id, self._pool_id)
+        return dominant / weight, team_id
--- a/sardinedrift/ports.py
+++ b/sardinedrift/ports.py
@@ -146,6 +146,93 @@
         """Tells whether a fresh connection to a minion is answered."""
 
 
+class WorkerTask(msgspec.Struct, frozen=True):
+    """One task as a worker is told to run it; sizes as declared.
+
+    Attributes:
+        task_id: a second start of the same id has no effect.
+        lease_number: lease under which the task is started.
+    """
+
+    task_id: str
+    lease_number: int
+    cores: float
+    memory_gb: float
+    accelerators: int
+
+
+class TaskUse(msgspec.Struct, frozen=True):
+    """One line of a usage report.
+
+    Attributes:
+        state: "running", "done", "stopped" or "failed".
+        memory_gb: what the task used at the time of the report.
+    """
+
+    task_id: str
+    state: str
+    cores: float
+    memory_gb: float
+    accelerators: int
+
+
+class UsageReport(msgspec.Struct, frozen=True):
+    """Tasks of a worker and their use as of an earlier time.
+
+    Attributes:
+        at: unix seconds; the report lags behind by a varying time.
+    """
+
+    at: float
+    tasks: tuple[TaskUse, ...]
+
+
+class WorkerPort(abc.ABC):
+    """Gives orders to guarded workers.
+
+    Every method takes the address as "host:port" and a deadline in unix
+    seconds. All raise WorkerRefused when the worker did nothing, and
+    WorkerUnknown when the order may or may not have taken effect.
+    """
+
+    @abc.abstractmethod
+    async def take_lease(
+        self,
+        address: str,
+        holder: str,
+        lease_number: int,
+        lapses_at: float,
+        deadline: float,
+    ) -> None:
+        """Takes or renews the lease until `lapses_at`, in unix seconds."""
+
+    @abc.abstractmethod
+    async def start(
+        self, address: str, task: WorkerTask, deadline: float
+    ) -> str:
+        """Starts a task once, and returns its state."""
+
+    @abc.abstractmethod
+    async def throttle(
+        self, address: str, task_id: str, factor: float, deadline: float
+    ) -> None:
+        """Slows a task down to a factor of its speed, above 0 and up to 1."""
+
+    @abc.abstractmethod
+    async def checkpoint(
+        self, address: str, task_id: str, deadline: float
+    ) -> None:
+        """Saves the progress of a task."""
+
+    @abc.abstractmethod
+    async def stop(self, address: str, task_id: str, deadline: float) -> str:
+        """Stops a task, and returns the state in which it ended."""
+
+    @abc.abstractmethod
+    async def usage(self, address: str, deadline: float) -> UsageReport:
+        """Returns the newest usage report."""
+
+
 class Clock(abc.ABC):
     """Source of the current time."""
 
--- a/sardinedrift/state.py
+++ b/sardinedrift/state.py
@@ -18,6 +18,7 @@
     EntryId,
     EntryState,
     InstanceId,
+    JobId,
     KeyId,
     MoveId,
     Offset,
@@ -53,6 +54,8 @@
     longest_run_by_team: dict[str, float] = {}
     snapshot_by_id: dict[str, objects.Snapshot] = {}
     result_by_change_id: dict[ChangeId, tuple[float, changes.Result]] = {}
+    job_by_id: dict[JobId, objects.Job] = {}
+    worker_use_by_instance: dict[InstanceId, objects.WorkerUse] = {}
 
 
 class State:
@@ -168,6 +171,12 @@
             allowances.total if allowances else 0
         )
 
+    def placed_jobs(self, instance_id: InstanceId) -> list[objects.Job]:
+        """Returns the jobs placed on a worker, in the order of placement."""
+        use = self.tables.worker_use_by_instance.get(instance_id)
+        job_ids = use.job_ids if use else ()
+        return [self.tables.job_by_id[each] for each in job_ids]
+
     def _write(self, table: str, rows: dict, key: Any, value: Any) -> None:
         if table == "instance_by_id":
             old = rows.get(key)
