Drive jobs on guarded workers (not yet tested)

The scheduler of a pool takes the leases of its workers, asks the fold for places, starts tasks and follows their use. Surplus units of a team return to the limit while its jobs wait, because a job takes its unit from the unallocated rest.

--- a/sardinedrift/assembly.py
+++ b/sardinedrift/assembly.py
@@ -17,6 +17,7 @@
 from sardinedrift.follower import Follower
 from sardinedrift.identifiers import DataCentreId, EntryId, Identity, PoolId
 from sardinedrift.instancelist import HttpInstanceList, InstanceView
+from sardinedrift.jobs import Jobs
 from sardinedrift.limits import Limits
 from sardinedrift.logservice import HttpLogService
 from sardinedrift.members import Members
@@ -30,6 +31,7 @@
 from sardinedrift.settings import Settings
 from sardinedrift.slots import Slots
 from sardinedrift.snapshotter import Snapshotter
+from sardinedrift.workers import HttpWorkers
 
 
 def new_entry_id(data_centre_id: DataCentreId) -> EntryId:
@@ -99,6 +101,7 @@
         try:
             yield
         finally:
+            await self.workers.aclose()
             await self.minions.aclose()
             await self.instance_list.aclose()
             await self.log.aclose()
@@ -158,6 +161,7 @@
             self.instance_list, self.identity.data_centre_id, self.clock
         )
         self.minions = HttpMinions(self.clock)
+        self.workers = HttpWorkers(self.clock)
 
     def _make_agreement(self) -> None:
         timings = self.settings.timings
@@ -220,6 +224,15 @@
             identity, follower, self.publisher, self.peers, self.view, clock
         )
 
+        self.jobs = Jobs(
+            identity,
+            follower,
+            self.publisher,
+            self.peers,
+            self.workers,
+            clock,
+        )
+
     def _make_applications(self) -> None:
         self.callers = Callers(
             self.identity, self.follower, self.dispatcher, self.clock
--- /dev/null
+++ b/sardinedrift/changebase.py
@@ -0,0 +1,22 @@
+"""Bases of the typed changes."""
+
+import msgspec
+
+from sardinedrift.identifiers import ChangeId
+
+
+class Change(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Base of all changes."""
+
+    change_id: ChangeId
+
+
+class OperatorChange(Change, frozen=True, kw_only=True):
+    """A change by an operator, valid at one revision of the object.
+
+    Attributes:
+        expected_revision: revision of the object the operator saw; 0 when
+            the object must not exist.
+    """
+
+    expected_revision: int
--- a/sardinedrift/changes.py
+++ b/sardinedrift/changes.py
@@ -7,14 +7,13 @@
 
 import msgspec
 
+from sardinedrift.changebase import Change, OperatorChange
 from sardinedrift.identifiers import (
     ChangeId,
     DataCentreId,
     EntryId,
     InstanceId,
     InstanceKind,
-    JobId,
-    JobStep,
     KeyId,
     MoveId,
     Offset,
@@ -26,23 +25,14 @@
     WaveStep,
     WorkClass,
 )
-
-
-class Change(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Base of all changes."""
-
-    change_id: ChangeId
-
-
-class OperatorChange(Change, frozen=True, kw_only=True):
-    """A change by an operator, valid at one revision of the object.
-
-    Attributes:
-        expected_revision: revision of the object the operator saw; 0 when
-            the object must not exist.
-    """
-
-    expected_revision: int
+from sardinedrift.jobchanges import (
+    CancelJob,
+    ExpireJob,
+    JobProgress,
+    PlaceJob,
+    SubmitJob,
+    TakeWorkerLease,
+)
 
 
 class PutDataCentre(OperatorChange, frozen=True, kw_only=True):
@@ -292,85 +282,6 @@
     data: str
 
 
-class SubmitJob(OperatorChange, frozen=True, kw_only=True):
-    """Submits a job; a job id is used only once, so the revision is 0.
-
-    Attributes:
-        deadline: unix seconds by which it must have started; None: any time.
-        max_run_seconds: a task that runs longer is stopped.
-        preemptible: whether a drain stops it after a checkpoint; a drain
-            waits for the end of any other job.
-    """
-
-    job_id: JobId
-    team_id: TeamId
-    pool_id: PoolId
-    cores: float
-    memory_gb: float
-    accelerators: int = 0
-    deadline: float | None = None
-    max_run_seconds: float = 3600.0
-    preemptible: bool = True
-    expected_revision: int = 0
-
-
-class CancelJob(OperatorChange, frozen=True, kw_only=True):
-    """Cancels a job; a placed one ends once its task is stopped.
-
-    Attributes:
-        expected_revision: 0 cancels the job at any revision.
-        evidence: how it is known that the worker has ended for good; when
-            given, the job ends at once. "" waits for the worker.
-    """
-
-    job_id: JobId
-    expected_revision: int = 0
-    evidence: str = ""
-
-
-class TakeWorkerLease(Change, frozen=True, kw_only=True):
-    """Takes the lease of a worker; the offset of the record is its number."""
-
-    instance_id: InstanceId
-    entry_id: EntryId
-
-
-class PlaceJob(Change, frozen=True, kw_only=True):
-    """Asks to place a waiting job; the fold checks size, lease and limit."""
-
-    job_id: JobId
-    instance_id: InstanceId
-    worker_lease: Offset
-
-
-class JobProgress(Change, frozen=True, kw_only=True):
-    """The task of a placed job has reached a step.
-
-    Attributes:
-        place: offset of the record that placed the job, so that a late
-            report about an earlier place has no effect.
-        worker_lease: lease in force at the worker when this was seen.
-        reason: stable reason of a failure, or "".
-        final: a failed job is not tried again.
-        memory_gb: learned size of a stopped job, or None.
-    """
-
-    job_id: JobId
-    instance_id: InstanceId
-    place: Offset
-    worker_lease: Offset
-    step: JobStep
-    reason: str = ""
-    final: bool = False
-    memory_gb: float | None = None
-
-
-class ExpireJob(Change, frozen=True, kw_only=True):
-    """Ends a job that has not started by its deadline."""
-
-    job_id: JobId
-
-
 AnyChange = (
     PutDataCentre
     | PutTeam
--- a/sardinedrift/cli.py
+++ b/sardinedrift/cli.py
@@ -7,7 +7,7 @@
 import click
 
 from sardinedrift import changes as ch
-from sardinedrift import commands, desired, workcommands
+from sardinedrift import commands, desired, jobcommands, workcommands
 from sardinedrift.addresses import split_address
 from sardinedrift.context import Context, example, pass_context
 from sardinedrift.output import exit_statuses, print_object, print_rows
@@ -216,5 +216,6 @@
     commands.data_centre,
     workcommands.move,
     workcommands.wave,
+    jobcommands.job,
 ):
     main.add_command(_group)
--- /dev/null
+++ b/sardinedrift/guards.py
@@ -0,0 +1,382 @@
+"""Keeps one guarded worker in step with the fold, under its lease."""
+
+import contextlib
+import uuid
+from collections.abc import AsyncIterator
+
+from loguru import logger
+from prometheus_client import Counter
+
+from sardinedrift import changes as ch
+from sardinedrift import objects
+from sardinedrift.exceptions import WorkerError, WorkerRefused, WorkerUnknown
+from sardinedrift.identifiers import (
+    ChangeId,
+    EntryId,
+    InstanceId,
+    InstanceState,
+    JobState,
+    JobStep,
+    Offset,
+)
+from sardinedrift.ports import (
+    Clock,
+    TaskUse,
+    UsageReport,
+    WorkerPort,
+    WorkerTask,
+)
+
+LEASE_SECONDS = 5.0
+# Renewed with this much left, so that a few lost renewals do no harm.
+RENEW_SECONDS = 3.0
+# Covers the clock error between an entry and a worker.
+START_MARGIN_SECONDS = 1.0
+ORDER_SECONDS = 1.0
+# Declared sizes are estimates; only use well above them is acted upon.
+OVERUSE_FACTOR = 1.5
+THROTTLE_FACTOR = 0.5
+FIRST_PROBATION_SECONDS = 1.0
+LONGEST_PROBATION_SECONDS = 60.0
+_UNLIMITED = 1 << 20
+
+_starts = Counter(
+    "sardinedrift_task_starts_total", "Starts of tasks on workers.", ["outcome"]
+)
+_throttles = Counter(
+    "sardinedrift_task_throttles_total", "Tasks slowed down for their use."
+)
+
+
+def task_id(job: objects.Job) -> str:
+    """Returns the id of a job's task; each place of a job has its own."""
+    return f"{job.job_id}.{job.place}"
+
+
+class Guard:
+    """One worker, as seen by the entry that schedules its pool.
+
+    Args:
+        entry_id: this entry, holder of the lease.
+        instance_id: the worker.
+        follower: holds the folded state.
+        workers: takes the orders.
+        clock: current time.
+        is_live: tells whether another entry is live.
+
+    Attributes:
+        pending: changes that the last visit found to be published.
+    """
+
+    def __init__(
+        self,
+        entry_id: EntryId,
+        instance_id: InstanceId,
+        follower,
+        workers: WorkerPort,
+        clock: Clock,
+        is_live,
+    ):
+        self.pending: list[ch.AnyChange] = []
+        self._entry_id = entry_id
+        self._instance_id = instance_id
+        self._follower = follower
+        self._workers = workers
+        self._clock = clock
+        self._is_live = is_live
+        self._granted = Offset(-1)
+        self._lapses_at = 0.0
+        self._take_after: float | None = None
+        self._lease_of_unclear: dict[str, Offset] = {}
+        self._throttled_at: dict[str, float] = {}
+        self._peak_by_task: dict[str, float] = {}
+        self._failed_tasks: set[str] = set()
+        self._failures = 0
+        self._probation_ends_at = 0.0
+
+    def room(self) -> int:
+        """Returns how many more jobs may be placed here now.
+
+        A worker that failed tasks gets one at a time until one succeeds.
+        """
+        now = self._clock.now()
+        usable = self._lease_in_force() and now >= self._probation_ends_at
+        if not usable or self._worker() is None:
+            return 0
+        if not self._failures:
+            return _UNLIMITED
+        return max(0, 1 - len(self._use().job_ids))
+
+    @property
+    def lease(self) -> Offset:
+        """Number of the lease last granted by the worker."""
+        return self._granted
+
+    async def visit(self) -> None:
+        """Renews the lease, starts and stops tasks, and reads the usage."""
+        worker = self._worker()
+        found: list[ch.AnyChange] = []
+        if worker is not None and (worker.available or self._use().job_ids):
+            try:
+                async for change in self._visit(worker):
+                    found.append(change)
+            except WorkerError as error:
+                logger.debug("worker {}: {}", self._instance_id, error)
+        self.pending = found
+
+    async def _visit(
+        self, worker: objects.Instance
+    ) -> AsyncIterator[ch.AnyChange]:
+        use = self._use()
+        if use.holder != self._entry_id:
+            if self._may_take(use):
+                yield self._take()
+            return
+        self._take_after = None
+        await self._renew(worker.address, use.lease)
+        report = await self._workers.usage(worker.address, self._limit())
+        await self._stop_strays(worker, report)
+        line_by_task = {each.task_id: each for each in report.tasks}
+        jobs = self._follower.state.placed_jobs(self._instance_id)
+        self._forget_tasks({task_id(job) for job in jobs})
+        for job in jobs:
+            line = line_by_task.get(task_id(job))
+            try:
+                change = await self._follow(worker, job, line, report.at)
+            except WorkerRefused as refused:
+                logger.debug("task {}: {}", task_id(job), refused)
+                continue
+            if change is not None:
+                yield change
+
+    def _may_take(self, use: objects.WorkerUse) -> bool:
+        """Leaves a live holder the time of one lease.
+
+        Two entries that both take themselves for the scheduler would
+        otherwise take the lease from each other with every record.
+        """
+        now = self._clock.now()
+        if use.holder is None or not self._is_live(use.holder):
+            return True
+        if self._take_after is None:
+            self._take_after = now + LEASE_SECONDS
+        return now >= self._take_after
+
+    def _take(self) -> ch.TakeWorkerLease:
+        return ch.TakeWorkerLease(
+            change_id=ChangeId(uuid.uuid4().hex),
+            instance_id=self._instance_id,
+            entry_id=self._entry_id,
+        )
+
+    async def _renew(self, address: str, lease: Offset) -> None:
+        now = self._clock.now()
+        if lease == self._granted and now < self._lapses_at - RENEW_SECONDS:
+            return
+        lapses_at = now + LEASE_SECONDS
+        await self._workers.take_lease(
+            address, self._entry_id, lease, lapses_at, self._limit()
+        )
+        self._granted, self._lapses_at = lease, lapses_at
+
+    def _lease_in_force(self) -> bool:
+        use = self._use()
+        mine = use.holder == self._entry_id and use.lease == self._granted
+        left = self._lapses_at - self._clock.now()
+        return mine and left > START_MARGIN_SECONDS
+
+    async def _stop_strays(
+        self, worker: objects.Instance, report: UsageReport
+    ) -> None:
+        """Stops tasks whose place has ended.
+
+        A task of a place beyond the own offset belongs to a later holder.
+        """
+        state = self._follower.state
+        jobs = state.placed_jobs(self._instance_id)
+        known = {task_id(job) for job in jobs}
+        for line in report.tasks:
+            place = line.task_id.rpartition(".")[2]
+            stray = line.task_id not in known and place.isdecimal()
+            if stray and line.state == "running" and int(place) <= state.offset:
+                with contextlib.suppress(WorkerRefused):
+                    await self._workers.stop(
+                        worker.address, line.task_id, self._limit()
+                    )
+
+    async def _follow(
+        self,
+        worker: objects.Instance,
+        job: objects.Job,
+        line: TaskUse | None,
+        reported_at: float,
+    ) -> ch.AnyChange | None:
+        """Brings one job forward; returns what to publish about it."""
+        if line is not None and line.state != "running":
+            return self._ended(job, line.state)
+        if job.state is JobState.CANCELLING:
+            return await self._stop(worker, job, "cancelled")
+        draining = worker.state is InstanceState.DRAINING
+        if draining and (job.preemptible or job.state is JobState.PLACED):
+            return await self._stop(worker, job, "drained")
+        if self._over_time(job):
+            return await self._stop(worker, job, "run_too_long")
+        if line is None:
+            return await self._start(worker, job)
+        self._failures = 0
+        if await self._overuses(worker, job, line, reported_at):
+            peak = self._peak_by_task[line.task_id]
+            return await self._stop(worker, job, "used_too_much", peak)
+        if job.state is JobState.PLACED:
+            return self._progress(job, JobStep.RUNNING)
+        return None
+
+    def _over_time(self, job: objects.Job) -> bool:
+        ends_at = job.time + job.max_run_seconds
+        return job.state is JobState.RUNNING and self._clock.now() > ends_at
+
+    async def _start(
+        self, worker: objects.Instance, job: objects.Job
+    ) -> ch.AnyChange | None:
+        """Starts the task of a job; a task that runs already goes on."""
+        if not self._lease_in_force():
+            return None
+        name = task_id(job)
+        task = WorkerTask(
+            task_id=name,
+            lease_number=self._granted,
+            cores=job.cores,
+            memory_gb=job.memory_gb,
+            accelerators=job.accelerators,
+        )
+        try:
+            state = await self._workers.start(
+                worker.address, task, self._limit()
+            )
+        except WorkerUnknown:
+            _starts.labels("unknown").inc()
+            self._lease_of_unclear[name] = task.lease_number
+            return None
+        except WorkerRefused as refused:
+            _starts.labels(refused.code).inc()
+            if refused.code == "does_not_fit":
+                return self._progress(job, JobStep.FAILED, refused.code)
+            self._lapses_at = 0.0
+            return None
+        _starts.labels(state).inc()
+        if state != "running":
+            return self._ended(job, state)
+        if job.state is JobState.RUNNING:
+            return None
+        return self._progress(job, JobStep.RUNNING)
+
+    async def _overuses(
+        self,
+        worker: objects.Instance,
+        job: objects.Job,
+        line: TaskUse,
+        reported_at: float,
+    ) -> bool:
+        """Throttles a task of excessive use; tells if that did not help."""
+        name = line.task_id
+        peak = max(self._peak_by_task.get(name, 0.0), line.memory_gb)
+        self._peak_by_task[name] = peak
+        if line.memory_gb <= OVERUSE_FACTOR * job.memory_gb:
+            return False
+        if name not in self._throttled_at:
+            await self._workers.throttle(
+                worker.address, name, THROTTLE_FACTOR, self._limit()
+            )
+            self._throttled_at[name] = self._clock.now()
+            _throttles.inc()
+            return False
+        return reported_at > self._throttled_at[name]
+
+    async def _stop(
+        self,
+        worker: objects.Instance,
+        job: objects.Job,
+        reason: str,
+        memory_gb: float | None = None,
+    ) -> ch.AnyChange | None:
+        """Stops the task of a job after a checkpoint."""
+        name = task_id(job)
+        try:
+            if reason != "cancelled":
+                await self._workers.checkpoint(
+                    worker.address, name, self._limit()
+                )
+            state = await self._workers.stop(
+                worker.address, name, self._limit()
+            )
+        except WorkerRefused as refused:
+            if refused.code != "no_such_task":
+                raise
+            if self._lease_of_unclear.get(name) == self._granted:
+                # A start without an answer may still arrive. Only a newer
+                # lease makes the worker refuse it.
+                return self._take()
+            state = "stopped"
+        if state != "stopped":
+            return self._ended(job, state)
+        if reason == "run_too_long":
+            return self._progress(job, JobStep.FAILED, reason, final=True)
+        return self._progress(job, JobStep.STOPPED, reason, memory_gb=memory_gb)
+
+    def _ended(self, job: objects.Job, state: str) -> ch.AnyChange:
+        if state == "failed":
+            self._count_failure(task_id(job))
+            return self._progress(job, JobStep.FAILED, "task_failed")
+        if state == "done":
+            self._failures = 0
+            return self._progress(job, JobStep.DONE)
+        return self._progress(job, JobStep.STOPPED, "stopped")
+
+    def _count_failure(self, name: str) -> None:
+        if name in self._failed_tasks:
+            return
+        self._failed_tasks.add(name)
+        delay = FIRST_PROBATION_SECONDS * 2 ** min(self._failures, 10)
+        delay = min(delay, LONGEST_PROBATION_SECONDS)
+        self._failures += 1
+        self._probation_ends_at = self._clock.now() + delay
+
+    def _progress(
+        self, job: objects.Job, step: JobStep, reason: str = "", **fields
+    ) -> ch.JobProgress:
+        # The same id for each try, so that the fold applies it once.
+        name = f"{task_id(job)}.{self._granted}.{step.value}"
+        return ch.JobProgress(
+            change_id=ChangeId(name),
+            job_id=job.job_id,
+            instance_id=self._instance_id,
+            place=job.place,
+            worker_lease=self._granted,
+            step=step,
+            reason=reason,
+            **fields,
+        )
+
+    def _forget_tasks(self, known: set[str]) -> None:
+        """Drops what is remembered of tasks that are placed no more."""
+        self._failed_tasks &= known
+        for rows in (
+            self._lease_of_unclear,
+            self._throttled_at,
+            self._peak_by_task,
+        ):
+            for name in rows.keys() - known:
+                del rows[name]
+
+    def _limit(self) -> float:
+        return self._clock.now() + ORDER_SECONDS
+
+    def _worker(self) -> objects.Instance | None:
+        tables = self._follower.state.tables
+        return tables.instance_by_id.get(self._instance_id)
+
+    def _use(self) -> objects.WorkerUse:
+        rows = self._follower.state.tables.worker_use_by_instance
+        return rows.get(self._instance_id) or objects.WorkerUse(
+            self._instance_id
+        )
--- /dev/null
+++ b/sardinedrift/jobs.py
@@ -0,0 +1,201 @@
+"""Driver of jobs: places waiting jobs and follows the placed ones.
+
+The scheduler of a pool in a data centre drives the workers of the pool there.
+Two drivers at once are harmless: the fold accepts one place for a job, and a
+worker takes orders to start from the newest lease only.
+"""
+
+import asyncio
+import itertools
+import uuid
+from collections.abc import Iterator
+
+from loguru import logger
+
+from sardinedrift import changes as ch
+from sardinedrift import objects
+from sardinedrift.exceptions import LogServiceError, PublishUnknown
+from sardinedrift.guards import Guard
+from sardinedrift.identifiers import (
+    ChangeId,
+    Identity,
+    InstanceId,
+    InstanceKind,
+    JobState,
+    PoolId,
+)
+from sardinedrift.packing import Packing
+from sardinedrift.placement import PLACED_STATES
+from sardinedrift.ports import Clock, WorkerPort
+
+# One record at most in this time, however many jobs come and go.
+BATCH_SECONDS = 0.5
+# Keeps one record below the size of a snapshot chunk.
+MOST_PER_BATCH = 300
+VISIT_SECONDS = 0.25
+_PUBLISH_SECONDS = 10.0
+
+
+class Jobs:
+    """Drives the jobs of the pools that this entry schedules.
+
+    Args:
+        identity: this entry.
+        follower: holds the folded state.
+        publisher: appends changes.
+        peers: tells the scheduler of a pool and the live entries.
+        workers: takes the orders.
+        clock: current time.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        follower,
+        publisher,
+        peers,
+        workers: WorkerPort,
+        clock: Clock,
+    ):
+        self._identity = identity
+        self._follower = follower
+        self._publisher = publisher
+        self._peers = peers
+        self._workers = workers
+        self._clock = clock
+        self._guard_by_id: dict[InstanceId, Guard] = {}
+        self._task_by_id: dict[InstanceId, asyncio.Task] = {}
+        self._jobs_key: tuple[int, int] | None = None
+        self._open_jobs: list[objects.Job] = []
+        self._failing = False
+
+    async def run(self) -> None:
+        """Drives jobs until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            while True:
+                self._update_guards(tasks)
+                batch = list(itertools.islice(self.due(), MOST_PER_BATCH))
+                if batch:
+                    await self._publish(batch)
+                await asyncio.sleep(BATCH_SECONDS)
+
+    def due(self) -> Iterator[ch.AnyChange]:
+        """Yields the changes to publish now."""
+        for guard in self._guard_by_id.values():
+            yield from guard.pending
+        jobs = self._jobs()
+        yield from self._expired(jobs)
+        yield from self._places(jobs)
+
+    def _update_guards(self, tasks: asyncio.TaskGroup) -> None:
+        """Has one task for each worker that this entry drives."""
+        wanted = set(self._driven())
+        for instance_id in self._guard_by_id.keys() - wanted:
+            del self._guard_by_id[instance_id]
+            self._task_by_id.pop(instance_id).cancel()
+        for instance_id in wanted - self._guard_by_id.keys():
+            guard = Guard(
+                self._identity.entry_id,
+                instance_id,
+                self._follower,
+                self._workers,
+                self._clock,
+                self._is_live,
+            )
+            self._guard_by_id[instance_id] = guard
+            self._task_by_id[instance_id] = tasks.create_task(_attend(guard))
+
+    def _driven(self) -> Iterator[InstanceId]:
+        here = self._identity.data_centre_id
+        scheduler_by_pool = {}
+        for instance in self._follower.state.instances_in(here):
+            if instance.kind is not InstanceKind.WORKER:
+                continue
+            pool_id = instance.pool_id
+            if pool_id not in scheduler_by_pool:
+                scheduler_by_pool[pool_id] = self._peers.scheduler(pool_id)
+            if scheduler_by_pool[pool_id] == self._identity.entry_id:
+                yield instance.instance_id
+
+    def _is_live(self, entry_id) -> bool:
+        return entry_id in self._peers.live(self._identity.data_centre_id)
+
+    def _jobs(self) -> list[objects.Job]:
+        """Returns the jobs that have not ended."""
+        state = self._follower.state
+        key = (id(state), state.version_by_table["job_by_id"])
+        if key != self._jobs_key:
+            self._jobs_key = key
+            self._open_jobs = [
+                job
+                for job in state.tables.job_by_id.values()
+                if job.state is JobState.WAITING or job.state in PLACED_STATES
+            ]
+        return self._open_jobs
+
+    def _expired(self, jobs: list[objects.Job]) -> Iterator[ch.ExpireJob]:
+        now = self._clock.now()
+        for job in jobs:
+            waiting = job.state is JobState.WAITING
+            if waiting and job.deadline is not None and job.deadline <= now:
+                yield ch.ExpireJob(change_id=_fresh_id(), job_id=job.job_id)
+
+    def _places(self, jobs: list[objects.Job]) -> Iterator[ch.PlaceJob]:
+        for pool_id in {
+            job.pool_id for job in jobs if job.state is JobState.WAITING
+        }:
+            yield from self._places_in(pool_id, jobs)
+
+    def _places_in(
+        self, pool_id: PoolId, jobs: list[objects.Job]
+    ) -> Iterator[ch.PlaceJob]:
+        state = self._follower.state
+        here = self._identity.data_centre_id
+        workers = [
+            each
+            for each in state.instances_at(here, pool_id)
+            if each.instance_id in self._guard_by_id and each.available
+        ]
+        if not workers:
+            return
+        packing = Packing(
+            state,
+            pool_id,
+            workers,
+            lambda each: self._guard_by_id[each.instance_id].room(),
+        )
+        waiting = [
+            job
+            for job in jobs
+            if job.pool_id == pool_id and job.state is JobState.WAITING
+        ]
+        for place in packing.places(waiting, jobs):
+            guard = self._guard_by_id[place.instance_id]
+            yield ch.PlaceJob(
+                change_id=_fresh_id(),
+                job_id=place.job_id,
+                instance_id=place.instance_id,
+                worker_lease=guard.lease,
+            )
+
+    async def _publish(self, batch: list[ch.AnyChange]) -> None:
+        """Publishes a batch; what fails is found again by the next step."""
+        deadline = self._clock.now() + _PUBLISH_SECONDS
+        try:
+            await self._publisher.publish(batch, deadline)
+        except (LogServiceError, PublishUnknown) as error:
+            if not self._failing:
+                logger.warning("changes of jobs wait: {}", error)
+            self._failing = True
+        else:
+            self._failing = False
+
+
+async def _attend(guard: Guard) -> None:
+    while True:
+        await guard.visit()
+        await asyncio.sleep(VISIT_SECONDS)
+
+
+def _fresh_id() -> ChangeId:
+    return ChangeId(uuid.uuid4().hex)
--- a/sardinedrift/limits.py
+++ b/sardinedrift/limits.py
@@ -173,6 +173,7 @@
         self._wake.clear()
         self._transfers.settle()
         self._return_debts()
+        self._return_for_jobs()
         self._give_reserved()
         published = await self._publish()
         self._remember()
@@ -283,6 +284,19 @@
         if returned:
             self._transfers.give_back(returned, self._clock.now())
 
+    def _return_for_jobs(self) -> None:
+        """Returns surplus units of teams whose jobs wait for units."""
+        returned = {}
+        rows = self._follower.state.tables.allowances_by_team
+        for team_id in self._teams():
+            missing = rows[team_id].waiting_jobs
+            missing -= self._units(team_id).unallocated
+            units = min(missing, self._surplus(team_id))
+            if units > 0:
+                returned[team_id] = units
+        if returned:
+            self._transfers.give_back(returned, self._clock.now())
+
     def _teams(self) -> Iterator[TeamId]:
         """Yields the teams of which this entry holds units."""
         rows = self._follower.state.tables.allowances_by_team
--- a/sardinedrift/packing.py
+++ b/sardinedrift/packing.py
@@ -105,19 +105,31 @@
 
     def _best_fit(self, job: objects.Job) -> InstanceId | None:
         """Returns the worker on which the job leaves the least over."""
+        avoided = self._avoided(job)
         fitting = [
             instance_id
             for instance_id, free in self._free_by_id.items()
             if self._room_by_id[instance_id] > 0
-            and instance_id not in job.failed_on
+            and instance_id not in avoided
             and all(getattr(job, name) <= free[name] for name in SIZES)
         ]
-        return (
-            min(fitting, key=lambda each: (self._left_over(each, job), each))
-            if fitting
-            else None
+        return min(
+            fitting,
+            key=lambda each: (self._left_over(each, job), each),
+            default=None,
         )
 
+    def _avoided(self, job: objects.Job) -> set[InstanceId]:
+        """Returns workers on which it failed, unless it failed on all."""
+        failed_on = set(job.failed_on)
+        others = (
+            worker
+            for worker in workers_of(self._state, self._pool_id)
+            if worker.instance_id not in failed_on
+            and all(getattr(job, n) <= getattr(worker, n) for n in SIZES)
+        )
+        return failed_on if any(others) else set()
+
     def _left_over(self, instance_id: InstanceId, job: objects.Job) -> float:
         free = self._free_by_id[instance_id]
         return sum(
