--- /dev/null
+++ b/sardinedrift/jobcommands.py
@@ -0,0 +1,74 @@
+"""Commands for jobs on guarded workers."""
+
+import time
+
+import click
+
+from sardinedrift import changes as ch
+from sardinedrift.commands import make_group
+from sardinedrift.context import Context, example, pass_context
+from sardinedrift.workcommands import name_of, timeout_option, watch
+
+job = make_group("job", "jobs", "")
+
+
+@example("sardinedrift job submit --team-id red --pool-id pairing --cores 4")
+@job.command("submit")
+@click.option("--team-id", required=True)
+@click.option("--pool-id", required=True)
+@click.option("--cores", type=float, default=1.0, show_default=True)
+@click.option("--memory-gb", type=float, default=1.0, show_default=True)
+@click.option("--accelerators", type=int, default=0, show_default=True)
+@click.option(
+    "--start-within",
+    type=click.FloatRange(min=0, min_open=True),
+    help="Seconds from now by which it must have started.",
+)
+@click.option(
+    "--max-run-seconds", type=float, default=3600.0, show_default=True
+)
+@click.option(
+    "--preemptible/--not-preemptible",
+    default=True,
+    show_default=True,
+    help="Whether a drain of its worker stops it after a checkpoint.",
+)
+@click.option("--job-id", help="Name of the job; made up when not given.")
+@pass_context
+def submit_job(context: Context, start_within, job_id, **fields) -> None:
+    """Submits a job; one that fits no worker of the pool is refused."""
+    job_id = job_id or name_of("job", context)
+    deadline = time.time() + start_within if start_within else None
+    change = ch.SubmitJob(
+        change_id=context.change_id, job_id=job_id, deadline=deadline, **fields
+    )
+    context.publish([change])
+    click.echo(f"job {job_id}", err=context.form == "json")
+
+
+@example("sardinedrift job cancel job-4f1c2d3e")
+@job.command("cancel")
+@click.argument("job_id", metavar="JOB")
+@click.option(
+    "--evidence",
+    default="",
+    help="How it is known that its worker has ended for good.",
+)
+@pass_context
+def cancel_job(context: Context, job_id: str, evidence: str) -> None:
+    """Cancels a job; a placed one ends once its task is stopped."""
+    change = ch.CancelJob(
+        change_id=context.change_id, job_id=job_id, evidence=evidence
+    )
+    context.publish([change])
+
+
+@example("sardinedrift job watch job-4f1c2d3e")
+@job.command("watch")
+@click.argument("job_id", metavar="JOB")
+@timeout_option
+@pass_context
+def watch_job(context: Context, job_id: str, timeout: float) -> None:
+    """Shows a job until it ends; status 1 unless it is done."""
+    running = ("waiting", "placed", "running", "cancelling")
+    watch(context, "jobs", job_id, timeout, running)
--- a/sardinedrift/placement.py
+++ b/sardinedrift/placement.py
@@ -314,7 +314,7 @@
     return _put_job(state, job, state=job_state, reason=reason)
 
 
-def _put_job(state: State, job: objects.Job, **fields) -> int:
+def _put_job(state: State, job: objects.Job, /, **fields) -> int:
     job = _replace(job, time=state.time, revision=job.revision + 1, **fields)
     state.put("job_by_id", job.job_id, job)
     return job.revision
--- a/sardinedrift/workcommands.py
+++ b/sardinedrift/workcommands.py
@@ -42,7 +42,7 @@
     context: Context, instance_id: str, pool_id: str, move_id, revision
 ) -> None:
     """Starts to move an instance; the revision is that of the instance."""
-    move_id = move_id or _name("move", context)
+    move_id = move_id or name_of("move", context)
     change = ch.StartMove(
         change_id=context.change_id,
         expected_revision=context.revision("instances", instance_id, revision),
@@ -76,7 +76,7 @@
 @pass_context
 def watch_move(context: Context, move_id: str, timeout: float) -> None:
     """Shows a move until it ends, and the entries it waits for."""
-    _watch(context, "moves", move_id, timeout, running="draining")
+    watch(context, "moves", move_id, timeout, running=("draining",))
 
 
 @example("sardinedrift wave start pairing --canary 1 --max-failures 2")
@@ -92,7 +92,7 @@
     context: Context, pool_id: str, instance_ids, wave_id, **fields
 ) -> None:
     """Starts maintenance of a pool, or of some of its instances."""
-    wave_id = wave_id or _name("wave", context)
+    wave_id = wave_id or name_of("wave", context)
     change = ch.StartWave(
         change_id=context.change_id,
         expected_revision=0,
@@ -127,21 +127,27 @@
 @pass_context
 def watch_wave(context: Context, wave_id: str, timeout: float) -> None:
     """Shows the progress of a wave until it ends; status 1 if stopped."""
-    _watch(context, "waves", wave_id, timeout, running="running")
+    watch(context, "waves", wave_id, timeout, running=("running",))
 
 
-def _name(prefix: str, context: Context) -> str:
+def name_of(prefix: str, context: Context) -> str:
+    """Returns a name for an object that the user did not name."""
     # Follows from the change id, so that a repeated command names the same.
     return f"{prefix}-{uuid.uuid5(uuid.NAMESPACE_OID, context.change_id).hex}"
 
 
-def _watch(
+def watch(
     context: Context,
     collection: str,
     object_id: str,
     timeout: float,
-    running: str,
+    running: tuple[str, ...],
 ) -> None:
+    """Shows an object until its state is none of those given.
+
+    Raises:
+        CommandError: it ended in a state other than "done", or not in time.
+    """
     last = None
     for row in _poll(context, collection, object_id, timeout):
         if row != last:
@@ -149,7 +155,7 @@
         last = row
         if row["state"] == "done":
             return
-        if row["state"] != running:
+        if row["state"] not in running:
             raise CommandError(f"{object_id} was {row['state']}", REFUSED)
     raise CommandError(f"{object_id} has not ended", UNREACHABLE)
 
@@ -173,6 +179,7 @@
         print_object("json", row)
         return
     parts = [row["state"]]
+    parts += filter(None, (row.get("instance_id"), row.get("reason")))
     steps = list(row.get("step_by_instance", {}).values())
     for step in dict.fromkeys(steps):
         parts.append(f"{step} {steps.count(step)}")
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,367 @@
+"""Fold of jobs: sizes, places and limits hold under any order of records."""
+
+import unittest
+from unittest import mock
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from sardinedrift import changes as ch
+from sardinedrift import placement, snapshots
+from sardinedrift.identifiers import (
+    InstanceKind,
+    InstanceState,
+    JobState,
+    JobStep,
+    MoveState,
+)
+from tests.test_fold import Log, cid, join, put_data_centre, put_pool, put_team
+
+JOBS = tuple(f"j{number}" for number in range(6))
+WORKERS = ("w0", "w1")
+LIMIT = 3
+
+
+def put_worker(instance_id, pool_id="pairing", cores=8, memory_gb=16, **fields):
+    fields = {"revision": 0, "address": f"127.0.0.1:{instance_id}", **fields}
+    return ch.PutInstance(
+        change_id=cid(),
+        expected_revision=fields.pop("revision"),
+        instance_id=instance_id,
+        kind=InstanceKind.WORKER,
+        data_centre_id="dc1",
+        pool_id=pool_id,
+        rack=instance_id,
+        cores=cores,
+        memory_gb=memory_gb,
+        **fields,
+    )
+
+
+def submit(job_id, cores=4, memory_gb=4, **fields):
+    return ch.SubmitJob(
+        change_id=cid(),
+        job_id=job_id,
+        team_id="red",
+        pool_id="pairing",
+        cores=cores,
+        memory_gb=memory_gb,
+        **fields,
+    )
+
+
+def take_lease(instance_id, entry_id="e1"):
+    return ch.TakeWorkerLease(
+        change_id=cid(), instance_id=instance_id, entry_id=entry_id
+    )
+
+
+def place(log, job_id, instance_id, lease=None):
+    if lease is None:
+        lease = log.state.tables.worker_use_by_instance[instance_id].lease
+    return ch.PlaceJob(
+        change_id=cid(),
+        job_id=job_id,
+        instance_id=instance_id,
+        worker_lease=lease,
+    )
+
+
+def progress(log, job_id, step, **fields):
+    job = log.state.tables.job_by_id[job_id]
+    use = log.state.tables.worker_use_by_instance[job.instance_id]
+    report = {
+        "instance_id": job.instance_id,
+        "place": job.place,
+        "worker_lease": use.lease,
+        **fields,
+    }
+    return ch.JobProgress(change_id=cid(), job_id=job_id, step=step, **report)
+
+
+def fleet():
+    log = Log()
+    log.append(put_team(limit=LIMIT), put_data_centre())
+    log.append(put_pool(), put_pool("spare"), join("e1"))
+    log.append(*(put_worker(each) for each in WORKERS))
+    log.append(*(take_lease(each) for each in WORKERS))
+    return log
+
+
+class Machine(RuleBasedStateMachine):
+    """Any records of drivers, teams and operators, in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.log = fleet()
+        self.reports = []
+        self.number = 0
+
+    @property
+    def tables(self):
+        return self.log.state.tables
+
+    @rule(job=st.sampled_from(JOBS), cores=st.integers(1, 9))
+    def submit(self, job, cores):
+        self.log.append(submit(job, cores=cores))
+
+    @rule(
+        job=st.sampled_from(JOBS),
+        worker=st.sampled_from(WORKERS),
+        older=st.booleans(),
+    )
+    def place(self, job, worker, older):
+        lease = self.tables.worker_use_by_instance[worker].lease - older
+        (result,) = self.log.append(place(self.log, job, worker, lease))
+        assert not (older and result.accepted)
+
+    @rule(
+        job=st.sampled_from(JOBS),
+        step=st.sampled_from(JobStep),
+        memory_gb=st.none() | st.integers(1, 20),
+    )
+    def report(self, job, step, memory_gb):
+        known = self.tables.job_by_id.get(job)
+        if known and known.instance_id:
+            change = progress(self.log, job, step, memory_gb=memory_gb)
+            self.reports.append(change)
+            self.log.append(change)
+
+    @rule(index=st.integers(0, 1000), repeated=st.booleans())
+    def report_again(self, index, repeated):
+        """A late report under another change id changes no other place."""
+        if not self.reports:
+            return
+        late = self.reports[index % len(self.reports)]
+        if not repeated:
+            late = ch.JobProgress(
+                **{
+                    name: getattr(late, name)
+                    for name in late.__struct_fields__
+                    if name != "change_id"
+                },
+                change_id=cid(),
+            )
+        before = self.tables.job_by_id[late.job_id]
+        self.log.append(late)
+        after = self.tables.job_by_id[late.job_id]
+        if repeated or before.place != late.place:
+            assert before == after
+
+    @rule(job=st.sampled_from(JOBS))
+    def cancel(self, job):
+        self.log.append(ch.CancelJob(change_id=cid(), job_id=job))
+
+    @rule(units=st.integers(1, 3), back=st.booleans())
+    def request_units(self, units, back):
+        change = ch.AllowanceReturn if back else ch.AllowanceTake
+        self.log.append(
+            change(change_id=cid(), entry_id="e1", units_by_team={"red": units})
+        )
+
+    @rule(worker=st.sampled_from(WORKERS))
+    def take_lease(self, worker):
+        self.log.append(take_lease(worker))
+
+    @rule(worker=st.sampled_from(WORKERS), cores=st.integers(2, 9))
+    def resize(self, worker, cores):
+        current = self.tables.instance_by_id[worker]
+        self.log.append(
+            put_worker(
+                worker, current.pool_id, cores, revision=current.revision
+            )
+        )
+
+    @rule(worker=st.sampled_from(WORKERS), pool=st.sampled_from(("spare",)))
+    def move(self, worker, pool):
+        current = self.tables.instance_by_id[worker]
+        self.number += 1
+        self.log.append(
+            ch.StartMove(
+                change_id=cid(),
+                expected_revision=current.revision,
+                move_id=f"v{self.number}",
+                instance_id=worker,
+                pool_id="pairing" if current.pool_id == pool else pool,
+            )
+        )
+
+    @rule(worker=st.sampled_from(WORKERS))
+    def acknowledge(self, worker):
+        drain = self.tables.instance_by_id[worker].drain
+        if drain:
+            self.log.append(
+                ch.DrainAck(
+                    change_id=cid(),
+                    entry_id="e1",
+                    instance_id=worker,
+                    drain=drain.offset,
+                )
+            )
+
+    @invariant()
+    def sizes_hold(self):
+        for worker in WORKERS:
+            size = self.tables.instance_by_id[worker]
+            jobs = self.log.state.placed_jobs(worker)
+            assert sum(job.cores for job in jobs) <= size.cores
+            assert sum(job.memory_gb for job in jobs) <= size.memory_gb
+
+    @invariant()
+    def one_place_each(self):
+        placed = [
+            (job.job_id, worker)
+            for worker in WORKERS
+            for job in self.log.state.placed_jobs(worker)
+        ]
+        expected = {
+            (job.job_id, job.instance_id)
+            for job in self.tables.job_by_id.values()
+            if job.state in placement.PLACED_STATES
+        }
+        assert len(placed) == len(expected)
+        assert set(placed) == expected
+
+    @invariant()
+    def limit_holds(self):
+        held = self.tables.allowances_by_team["red"]
+        states = [job.state for job in self.tables.job_by_id.values()]
+        placed = sum(each in placement.PLACED_STATES for each in states)
+        assert sum(held.units_by_entry.values()) + placed <= LIMIT
+        assert held.jobs == placed
+        assert held.waiting_jobs == states.count(JobState.WAITING)
+
+    @invariant()
+    def pool_holds(self):
+        for job in self.tables.job_by_id.values():
+            if job.instance_id:
+                worker = self.tables.instance_by_id[job.instance_id]
+                assert worker.pool_id == job.pool_id
+
+
+def run_machine(examples=60):
+    run_state_machine_as_test(
+        Machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=40,
+            derandomize=True,
+            deadline=None,
+            database=None,
+        ),
+    )
+
+
+class PlacementTest(unittest.TestCase):
+    def _placed(self, job_id="j0", **fields):
+        log = fleet()
+        log.append(submit(job_id, **fields))
+        (result,) = log.append(place(log, job_id, "w0"))
+        self.assertTrue(result.accepted, result)
+        return log
+
+    def test_promises_hold_in_any_order(self):
+        """Guards against overfull workers, double places and limits."""
+        run_machine()
+
+    def test_machine_finds_a_missing_check(self):
+        """Guards against invariants that would hold without the checks."""
+        checks = ("_check_fits", "_end_place")
+        broken = {
+            "_check_fits": lambda *_: None,
+            "_end_place": lambda state, job, *_, **__: placement._put_job(
+                state, job, state=JobState.WAITING, instance_id=None
+            ),
+        }
+        for name in checks:
+            with (
+                self.subTest(name),
+                mock.patch.object(placement, name, broken[name]),
+                self.assertRaises(AssertionError),
+            ):
+                run_machine()
+
+    def test_machine_finds_units_taken_beside_the_limit(self):
+        """Guards against a limit checked for requests alone."""
+        with (
+            mock.patch("sardinedrift.state.State.unallocated", lambda *_: 1),
+            self.assertRaises(AssertionError),
+        ):
+            run_machine()
+
+    def test_job_that_fits_no_worker_is_refused(self):
+        """Guards against a job that waits forever."""
+        log = fleet()
+        (result,) = log.append(submit("j0", cores=9))
+        self.assertEqual((result.code, result.field), ("never_fits", "cores"))
+        self.assertIn("w1 with 8 cores, 16 GB", result.message)
+
+    def test_drain_waits_for_placed_jobs(self):
+        """Guards against a worker that moves while a job runs on it."""
+        log = self._placed()
+        revision = log.state.tables.instance_by_id["w0"].revision
+        log.append(
+            ch.StartMove(
+                change_id=cid(),
+                expected_revision=revision,
+                move_id="v",
+                instance_id="w0",
+                pool_id="spare",
+            )
+        )
+        drain = log.state.tables.instance_by_id["w0"].drain.offset
+        ack = ch.DrainAck(
+            change_id=cid(), entry_id="e1", instance_id="w0", drain=drain
+        )
+        log.append(ack, submit("j1"))
+        self.assertEqual(
+            log.append(place(log, "j1", "w0"))[0].code, "not_active"
+        )
+        move = log.state.tables.move_by_id
+        self.assertIs(move["v"].state, MoveState.DRAINING)
+        log.append(progress(log, "j0", JobStep.STOPPED))
+        self.assertIs(move["v"].state, MoveState.DONE)
+        worker = log.state.tables.instance_by_id["w0"]
+        self.assertIs(worker.state, InstanceState.ACTIVE)
+
+    def test_report_under_an_older_lease_ends_no_place(self):
+        """Guards against an end reported by a holder that was replaced."""
+        log = self._placed()
+        late = progress(log, "j0", JobStep.STOPPED)
+        log.append(take_lease("w0"))
+        self.assertEqual(log.append(late)[0].code, "older_lease")
+        self.assertEqual(len(log.state.placed_jobs("w0")), 1)
+
+    def test_learned_size_is_used_or_ends_the_job(self):
+        """Guards against placing a job again that is known not to fit."""
+        for learned, state in ((9, JobState.WAITING), (17, JobState.FAILED)):
+            log = self._placed()
+            log.append(progress(log, "j0", JobStep.STOPPED, memory_gb=learned))
+            job = log.state.tables.job_by_id["j0"]
+            self.assertEqual((job.memory_gb, job.state), (learned, state))
+        self.assertEqual(job.reason, "too_large")
+
+    def test_tries_are_bounded(self):
+        """Guards against a job that fails on worker after worker."""
+        log = self._placed()
+        for _ in range(placement.MAX_TRIES - 1):
+            log.append(progress(log, "j0", JobStep.FAILED))
+            log.append(place(log, "j0", "w0"))
+        log.append(progress(log, "j0", JobStep.FAILED))
+        job = log.state.tables.job_by_id["j0"]
+        self.assertIs(job.state, JobState.FAILED)
+
+    def test_snapshot_keeps_jobs(self):
+        """Guards against jobs that a new entry does not know."""
+        log = self._placed()
+        batch = ch.Batch(tuple(snapshots.chunks(log.state, "s1")))
+        restored = snapshots.newest([batch])
+        self.assertEqual(
+            restored.placed_jobs("w0"), log.state.placed_jobs("w0")
+        )
