--- a/sardinedrift/guards.py
+++ b/sardinedrift/guards.py
@@ -4,12 +4,11 @@
 import uuid
 from collections.abc import AsyncIterator
 
-from loguru import logger
 from prometheus_client import Counter
 
 from sardinedrift import changes as ch
 from sardinedrift import objects
-from sardinedrift.exceptions import WorkerError, WorkerRefused, WorkerUnknown
+from sardinedrift.exceptions import WorkerRefused, WorkerUnknown
 from sardinedrift.identifiers import (
     ChangeId,
     EntryId,
@@ -43,6 +42,11 @@
 _starts = Counter(
     "sardinedrift_task_starts_total", "Starts of tasks on workers.", ["outcome"]
 )
+_failed_orders = Counter(
+    "sardinedrift_worker_orders_failed_total",
+    "Orders that a worker refused or did not answer.",
+    ["reason"],
+)
 _throttles = Counter(
     "sardinedrift_task_throttles_total", "Tasks slowed down for their use."
 )
@@ -120,8 +124,10 @@
             try:
                 async for change in self._visit(worker):
                     found.append(change)
-            except WorkerError as error:
-                logger.debug("worker {}: {}", self._instance_id, error)
+            except WorkerRefused as refused:
+                _failed_orders.labels(refused.code).inc()
+            except WorkerUnknown:
+                _failed_orders.labels("unknown").inc()
         self.pending = found
 
     async def _visit(
@@ -144,7 +150,7 @@
             try:
                 change = await self._follow(worker, job, line, report.at)
             except WorkerRefused as refused:
-                logger.debug("task {}: {}", task_id(job), refused)
+                _failed_orders.labels(refused.code).inc()
                 continue
             if change is not None:
                 yield change
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -21,8 +21,9 @@
     """Starts a task; memory is in GB.
 
     Attributes:
-        actual_memory_gb: what the task really uses, or None for the declared
-            size.
+        run_seconds: None for that of the worker.
+        actual_memory_gb: what the task really uses, or None for that of the
+            worker.
     """
 
     task_id: str
@@ -30,7 +31,7 @@
     cores: float
     memory_gb: float
     accelerators: int = 0
-    run_seconds: float = 1.0
+    run_seconds: float | None = None
     actual_memory_gb: float | None = None
 
 
@@ -93,6 +94,8 @@
     Args:
         usage_lag_seconds: age of the usage report.
         fail_everything: whether every task fails at its start.
+        run_seconds: how long tasks run that do not say so.
+        actual_memory_gb: what such tasks use; None for the declared size.
     """
 
     def __init__(
@@ -102,12 +105,16 @@
         accelerators: int = 0,
         usage_lag_seconds: float = 0.0,
         fail_everything: bool = False,
+        run_seconds: float = 1.0,
+        actual_memory_gb: float | None = None,
     ):
         self.cores = cores
         self.memory_gb = memory_gb
         self.accelerators = accelerators
         self.usage_lag_seconds = usage_lag_seconds
         self.fail_everything = fail_everything
+        self.run_seconds = run_seconds
+        self.actual_memory_gb = actual_memory_gb
         self.lease = LeaseRequest(holder="", lease_number=0, deadline=0.0)
         self.task_by_id: dict[str, Task] = {}
 
@@ -143,6 +150,10 @@
             raise Refused("lease_lapsed")
         if not self._fits(asked, now):
             raise Refused("does_not_fit")
+        if asked.run_seconds is None:
+            asked.run_seconds = self.run_seconds
+        if asked.actual_memory_gb is None:
+            asked.actual_memory_gb = self.actual_memory_gb
         task = Task(asked, now, now)
         if self.fail_everything:
             task.end("failed", now)
@@ -302,6 +313,8 @@
 @click.option("--accelerators", default=0)
 @click.option("--usage-lag-seconds", default=0.0)
 @click.option("--fail-everything", is_flag=True)
+@click.option("--run-seconds", default=1.0)
+@click.option("--actual-memory-gb", type=float, default=None)
 def main(host: str, port: int, **options) -> None:
     """Runs a guarded worker until SIGTERM."""
     serving.run(make_app(**options), host, port)
--- /dev/null
+++ b/tests/test_jobs.py
@@ -0,0 +1,277 @@
+"""Driver of jobs against worker stand-ins over loopback."""
+
+import asyncio
+import contextlib
+import time
+import unittest
+from unittest import mock
+
+from sardinedrift import changes as ch
+from sardinedrift import guards, jobs
+from sardinedrift.follower import Follower
+from sardinedrift.guards import task_id
+from sardinedrift.identifiers import Identity, JobState, MoveState
+from sardinedrift.publisher import Publisher
+from sardinedrift.workers import HttpWorkers
+from standins import worker
+from standins.serving import serve
+from tests.fakes import FakeLog, SystemClock, running, until
+from tests.test_fold import cid, join, put_data_centre, put_pool, put_team
+from tests.test_placement import put_worker, submit
+
+
+class OneScheduler:
+    """Peers of which one is live and schedules every pool."""
+
+    def __init__(self, entry_id):
+        self.entry_id = entry_id
+
+    def scheduler(self, pool_id):
+        return self.entry_id
+
+    def live(self, data_centre_id):
+        return [self.entry_id]
+
+
+class PausedStart(HttpWorkers):
+    """Workers whose starts reach the network only after a pause."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.pausing = asyncio.Event()
+        self.resume = asyncio.Event()
+        self.results = []
+
+    async def start(self, address, task, deadline):
+        self.pausing.set()
+        await self.resume.wait()
+        try:
+            state = await super().start(address, task, time.time() + 5)
+        except Exception as error:
+            self.results.append(str(error))
+            raise
+        self.results.append(state)
+        return state
+
+
+class Entry:
+    """The parts of one entry that drive jobs."""
+
+    def __init__(self, log, entry_id, peers, workers=HttpWorkers):
+        clock = SystemClock()
+        self.follower = Follower(log, clock, poll_seconds=0.05)
+        self.publisher = Publisher(log, self.follower, clock)
+        self.workers = workers(clock)
+        self.jobs = jobs.Jobs(
+            Identity(entry_id, "dc1", "127.0.0.1:0"),
+            self.follower,
+            self.publisher,
+            peers,
+            self.workers,
+            clock,
+        )
+
+    @property
+    def tables(self):
+        return self.follower.state.tables
+
+    def states(self):
+        return [job.state for job in self.tables.job_by_id.values()]
+
+    def job(self, job_id="j0"):
+        return self.tables.job_by_id.get(job_id)
+
+    async def publish(self, *changes):
+        deadline = time.time() + 20
+        results = await self.publisher.publish(changes, deadline)
+        assert all(each.accepted for each in results), results
+
+
+def running_tasks(workers):
+    """Returns the ids of the tasks that run on worker stand-ins."""
+    now = time.time()
+    found = []
+    for each in workers.values():
+        for name, task in each.task_by_id.items():
+            task.advance(now)
+            if task.state == "running":
+                found.append(name)
+    return found
+
+
+class JobsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        for module, fields in (
+            (jobs, {"BATCH_SECONDS": 0.05, "VISIT_SECONDS": 0.02}),
+            (
+                guards,
+                {
+                    "LEASE_SECONDS": 1.0,
+                    "RENEW_SECONDS": 0.6,
+                    "START_MARGIN_SECONDS": 0.2,
+                    "FIRST_PROBATION_SECONDS": 0.1,
+                },
+            ),
+        ):
+            patch = mock.patch.multiple(module, **fields)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    @contextlib.asynccontextmanager
+    async def fleet(self, limit=100, entries=("e1",), ports=(), **options):
+        """Yields the workers by id and an entry for each given id."""
+        log = FakeLog()
+        peers_by_id = {each: OneScheduler("e1") for each in entries}
+        async with contextlib.AsyncExitStack() as stack:
+            workers, changes = {}, []
+            for instance_id, fields in options.items():
+                app = worker.make_app(**fields)
+                address = await stack.enter_async_context(serve(app))
+                workers[instance_id] = app[worker.WORKER]
+                size = {"cores": 32, "memory_gb": 64}
+                changes.append(put_worker(instance_id, address=address, **size))
+            log.put_changes(
+                put_team(limit=limit), put_data_centre(), put_pool()
+            )
+            log.put_changes(put_pool("spare"), *changes)
+            made = []
+            for entry_id in entries:
+                log.put_changes(join(entry_id))
+                port = dict(ports).get(entry_id, HttpWorkers)
+                entry = Entry(log, entry_id, peers_by_id[entry_id], port)
+                stack.push_async_callback(entry.workers.aclose)
+                made.append(entry)
+            acks = [
+                ch.EntryJoinAck(change_id=cid(), entry_id="e1", joiner_id=each)
+                for each in entries[1:]
+            ]
+            if acks:
+                log.put_changes(*acks)
+            for entry in made:
+                parts = running(entry.follower, entry.jobs)
+                await stack.enter_async_context(parts)
+            yield log, peers_by_id, workers, made
+
+    async def test_learns_the_size_of_a_job(self):
+        """Guards against placing again by a size known to be wrong."""
+        fields = {"actual_memory_gb": 40, "run_seconds": 3600}
+        async with self.fleet(w0=fields) as (_, _, workers, (entry,)):
+            await entry.publish(submit("j0"))
+            await until(lambda: entry.job().memory_gb == 40)
+            first = next(iter(workers["w0"].task_by_id.values()))
+            self.assertEqual((first.factor, first.state), (0.5, "stopped"))
+            self.assertGreater(first.checkpoint, 0)
+            await until(lambda: entry.job().state is JobState.RUNNING)
+            await asyncio.sleep(0.2)
+            second = list(workers["w0"].task_by_id.values())[1]
+            self.assertEqual((second.factor, second.state), (1.0, "running"))
+
+    async def test_ends_a_job_that_proves_too_large(self):
+        """Guards against a job that fails over and over."""
+        fields = {"actual_memory_gb": 400, "run_seconds": 3600}
+        async with self.fleet(w0=fields) as (_, _, workers, (entry,)):
+            await entry.publish(submit("j0"))
+            await until(lambda: entry.job().state is JobState.FAILED)
+            self.assertEqual(entry.job().reason, "too_large")
+            self.assertEqual(running_tasks(workers), [])
+
+    async def test_wave_of_cancellations(self):
+        """Guards against lost units and a record for each cancellation."""
+        count, limit = 60, 12
+        fields = {"run_seconds": 3600}
+        async with self.fleet(limit, w0=fields, w1=fields) as fleet:
+            log, _, workers, (entry,) = fleet
+            await entry.publish(
+                *(submit(f"j{n}", cores=1, memory_gb=1) for n in range(count))
+            )
+            await until(lambda: entry.states().count(JobState.RUNNING) == limit)
+            self.assertEqual(len(running_tasks(workers)), limit)
+            await entry.publish(
+                *(
+                    ch.CancelJob(change_id=cid(), job_id=f"j{n}")
+                    for n in range(count)
+                )
+            )
+            await until(
+                lambda: entry.states().count(JobState.CANCELLED) == count
+            )
+            self.assertEqual(running_tasks(workers), [])
+            self.assertEqual(entry.follower.state.unallocated("red"), limit)
+            self.assertLess(log.attempts, count)
+
+    async def test_worker_that_fails_everything(self):
+        """Guards against a failing worker that attracts all jobs."""
+        bad, good = {"fail_everything": True}, {"run_seconds": 0.05}
+        async with self.fleet(w0=bad, w1=good) as (_, _, workers, (entry,)):
+            await entry.publish(
+                *(submit(f"j{n}", cores=8, memory_gb=8) for n in range(12))
+            )
+            await until(lambda: entry.states().count(JobState.DONE) == 12)
+            self.assertLess(len(workers["w0"].task_by_id), 12)
+
+    async def test_drain_takes_jobs_elsewhere(self):
+        """Guards against a move that waits for a job that could stop."""
+        fields = {"run_seconds": 3600}
+        async with self.fleet(w0=fields, w1=fields) as fleet:
+            _, _, workers, (entry,) = fleet
+            await entry.publish(submit("j0"))
+            await until(lambda: entry.job().state is JobState.RUNNING)
+            old = entry.job().instance_id
+            revision = entry.tables.instance_by_id[old].revision
+            move = ch.StartMove(
+                change_id=cid(),
+                expected_revision=revision,
+                move_id="v",
+                instance_id=old,
+                pool_id="spare",
+            )
+            await entry.publish(move)
+            drain = entry.tables.instance_by_id[old].drain.offset
+            await entry.publish(
+                ch.DrainAck(
+                    change_id=cid(), entry_id="e1", instance_id=old, drain=drain
+                )
+            )
+            await until(
+                lambda: (
+                    entry.tables.move_by_id["v"].state is MoveState.DONE
+                    and entry.job().state is JobState.RUNNING
+                )
+            )
+            self.assertNotEqual(entry.job().instance_id, old)
+            self.assertEqual(running_tasks(workers), [task_id(entry.job())])
+
+    async def _resume_after_lapse(self):
+        """Returns what came of a start by a holder paused past its lease."""
+        async with self.fleet(
+            entries=("e1", "e2"),
+            ports={"e1": PausedStart},
+            w0={"run_seconds": 3600},
+        ) as (_, peers_by_id, workers, (old, new)):
+            await new.publish(submit("j0"))
+            async with asyncio.timeout(20):
+                await old.workers.pausing.wait()
+            await new.publish(ch.CancelJob(change_id=cid(), job_id="j0"))
+            peers_by_id["e2"].entry_id = "e2"
+            await until(lambda: new.job().state is JobState.CANCELLED)
+            old.workers.resume.set()
+            await until(lambda: old.workers.results)
+            return old.workers.results, running_tasks(workers)
+
+    async def test_paused_holder_starts_nothing(self):
+        """Guards against work started under a lapsed or older lease."""
+        results, tasks = await self._resume_after_lapse()
+        self.assertEqual((results, tasks), (["wrong_lease_number"], []))
+
+    async def test_only_the_worker_stops_a_paused_holder(self):
+        """Shows that the test above fails on a worker without the check."""
+
+        def start(self, asked, now):
+            task = worker.Task(asked, now, now)
+            asked.run_seconds = self.run_seconds
+            self.task_by_id[asked.task_id] = task
+            return task
+
+        with mock.patch.object(worker.Worker, "start", start):
+            results, tasks = await self._resume_after_lapse()
+        self.assertEqual((results, len(tasks)), (["running"], 1))
