Test lost starts and a frozen scheduler of jobs

A start without an answer may arrive after the job was cancelled; only a newer lease makes the worker refuse it. Two entries and two workers as processes: 12 jobs each start once while the lease holder is frozen.

--- a/sardinedrift/adminviews.py
+++ b/sardinedrift/adminviews.py
@@ -58,6 +58,7 @@
     "entries": ("entry_by_id", _object),
     "allowances": ("allowances_by_team", _allowances),
     "jobs": ("job_by_id", _object),
+    "workers": ("worker_use_by_instance", _object),
 }
 
 COLLECTIONS = tuple(_TABLE_AND_VIEW_BY_COLLECTION)
@@ -77,6 +78,7 @@
     "entries": objects.Entry.__struct_fields__,
     "allowances": ("team_id", "limit", "unallocated"),
     "jobs": objects.Job.__struct_fields__,
+    "workers": objects.WorkerUse.__struct_fields__,
 }
 
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -136,6 +136,12 @@
         self.list_instance(name, "minion", data_centre, address)
         return minion
 
+    def start_worker(self, name: str, data_centre: str, *options: str) -> str:
+        """Starts a guarded worker, lists it and returns its address."""
+        address = self._start_standin("worker", *options)[0]
+        self.list_instance(name, "worker", data_centre, address)
+        return address
+
     def list_instance(
         self,
         name: str,
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -2,18 +2,21 @@
 
 import asyncio
 import contextlib
+import signal
 import time
 import unittest
 from unittest import mock
 
 from sardinedrift import changes as ch
 from sardinedrift import guards, jobs
+from sardinedrift.exceptions import WorkerRefused, WorkerUnknown
 from sardinedrift.follower import Follower
 from sardinedrift.guards import task_id
 from sardinedrift.identifiers import Identity, JobState, MoveState
 from sardinedrift.publisher import Publisher
 from sardinedrift.workers import HttpWorkers
 from standins import worker
+from standins.fleet import call, running_fleet, wait_until
 from standins.serving import serve
 from tests.fakes import FakeLog, SystemClock, running, until
 from tests.test_fold import cid, join, put_data_centre, put_pool, put_team
@@ -99,7 +102,9 @@
     return found
 
 
-class JobsTest(unittest.IsolatedAsyncioTestCase):
+class FleetCase(unittest.IsolatedAsyncioTestCase):
+    """Workers over loopback with short leases."""
+
     def setUp(self):
         for module, fields in (
             (jobs, {"BATCH_SECONDS": 0.05, "VISIT_SECONDS": 0.02}),
@@ -152,6 +157,10 @@
                 await stack.enter_async_context(parts)
             yield log, peers_by_id, workers, made
 
+
+class JobsTest(FleetCase):
+    """The driver with workers and jobs that misbehave."""
+
     async def test_learns_the_size_of_a_job(self):
         """Guards against placing again by a size known to be wrong."""
         fields = {"actual_memory_gb": 40, "run_seconds": 3600}
@@ -275,3 +284,114 @@
         with mock.patch.object(worker.Worker, "start", start):
             results, tasks = await self._resume_after_lapse()
         self.assertEqual((results, len(tasks)), (["running"], 1))
+
+
+class LostStart(HttpWorkers):
+    """Workers whose starts are delivered late and never answered."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.late = []
+
+    async def start(self, address, task, deadline):
+        self.late.append((address, task))
+        raise WorkerUnknown("no answer")
+
+
+class LostStartTest(FleetCase):
+    """A start whose answer is lost."""
+
+    async def test_late_start_of_a_cancelled_job_is_refused(self):
+        """Guards against a task that outlives the place of its job."""
+        async with self.fleet(
+            ports={"e1": LostStart}, w0={"run_seconds": 3600}
+        ) as (_, _, workers, (entry,)):
+            await entry.publish(submit("j0"))
+            await until(lambda: entry.workers.late)
+            await entry.publish(ch.CancelJob(change_id=cid(), job_id="j0"))
+            await until(lambda: entry.job().state is JobState.CANCELLED)
+            address, task = entry.workers.late[-1]
+            with self.assertRaises(WorkerRefused):
+                await HttpWorkers.start(
+                    entry.workers, address, task, time.time() + 5
+                )
+            self.assertEqual(running_tasks(workers), [])
+
+
+class ProcessTest(unittest.TestCase):
+    """Entries and workers as processes."""
+
+    def _usage(self, addresses):
+        return [
+            line
+            for address in addresses
+            for line in call(address, "/usage")["tasks"]
+        ]
+
+    def test_frozen_scheduler(self):
+        """Guards against jobs stuck or started twice by a frozen entry."""
+        with running_fleet() as fleet:
+            fleet.start_platform()
+            addresses = {
+                name: fleet.start_worker(name, "dc1", "--run-seconds", "2")
+                for name in ("w0", "w1")
+            }
+            entries = [fleet.start_entry(f"e{n}", "dc1") for n in range(2)]
+            fleet.wait_ready(*entries)
+            fleet.publish(*self._configuration(addresses))
+            fleet.publish(*self._submissions(12))
+            uses = wait_until(
+                lambda: call(entries[0].admin, "/v1/workers")["items"],
+                "a lease is taken",
+            )
+            wait_until(lambda: self._usage(addresses.values()), "a task runs")
+            by_id = {fleet.status(each)["entry_id"]: each for each in entries}
+            frozen = by_id[uses[0]["holder"]]
+            (other,) = (each for each in entries if each is not frozen)
+            frozen.process.send_signal(signal.SIGSTOP)
+            wait_until(lambda: self._all_done(other, 12), "all jobs are done")
+            frozen.process.send_signal(signal.SIGCONT)
+            wait_until(lambda: self._all_done(frozen, 12), "it has caught up")
+            lines = self._usage(addresses.values())
+            jobs = [each["task_id"].rpartition(".")[0] for each in lines]
+            self.assertEqual(len(set(jobs)), 12)
+            self.assertEqual(len(jobs), 12)
+
+    def _configuration(self, addresses):
+        yield {
+            "type": "PutDataCentre",
+            "data_centre_id": "dc1",
+            "region": "north",
+        }
+        yield {"type": "PutPool", "pool_id": "pairing"}
+        yield {"type": "PutTeam", "team_id": "red", "share": 1, "limit": 4}
+        for name, address in addresses.items():
+            yield {
+                "type": "PutInstance",
+                "instance_id": name,
+                "kind": "worker",
+                "data_centre_id": "dc1",
+                "pool_id": "pairing",
+                "rack": name,
+                "address": address,
+                "cores": 32,
+                "memory_gb": 64,
+            }
+
+    def _submissions(self, count):
+        for number in range(count):
+            yield {
+                "type": "SubmitJob",
+                "job_id": f"j{number}",
+                "team_id": "red",
+                "pool_id": "pairing",
+                "cores": 20,
+                "memory_gb": 20,
+            }
+
+    def _jobs(self, entry):
+        return call(entry.admin, "/v1/jobs")["items"]
+
+    def _all_done(self, entry, count):
+        states = [each["state"] for each in self._jobs(entry)]
+        return states.count("done") == count
