--- a/sardinedrift/guards.py
+++ b/sardinedrift/guards.py
@@ -3,6 +3,7 @@
 import contextlib
 import uuid
 from collections.abc import AsyncIterator
+from typing import NamedTuple
 
 from prometheus_client import Counter
 
@@ -25,6 +26,7 @@
     WorkerPort,
     WorkerTask,
 )
+from sardinedrift.probation import Probation
 
 LEASE_SECONDS = 5.0
 # Renewed with this much left, so that a few lost renewals do no harm.
@@ -35,8 +37,6 @@
 # Declared sizes are estimates; only use well above them is acted upon.
 OVERUSE_FACTOR = 1.5
 THROTTLE_FACTOR = 0.5
-FIRST_PROBATION_SECONDS = 1.0
-LONGEST_PROBATION_SECONDS = 60.0
 _UNLIMITED = 1 << 20
 
 _starts = Counter(
@@ -57,6 +57,18 @@
     return f"{job.job_id}.{job.place}"
 
 
+class _Report(NamedTuple):
+    """What is reported about a task; see `JobProgress`."""
+
+    step: JobStep
+    reason: str = ""
+    final: bool = False
+    memory_gb: float | None = None
+
+
+_RUNNING = _Report(JobStep.RUNNING)
+
+
 class Guard:
     """One worker, as seen by the entry that schedules its pool.
 
@@ -94,22 +106,17 @@
         self._lease_of_unclear: dict[str, Offset] = {}
         self._throttled_at: dict[str, float] = {}
         self._peak_by_task: dict[str, float] = {}
-        self._failed_tasks: set[str] = set()
-        self._failures = 0
-        self._probation_ends_at = 0.0
+        self._end_by_task: dict[str, _Report] = {}
+        self._probation = Probation(clock)
 
     def room(self) -> int:
         """Returns how many more jobs may be placed here now.
 
         A worker that failed tasks gets one at a time until one succeeds.
         """
-        now = self._clock.now()
-        usable = self._lease_in_force() and now >= self._probation_ends_at
-        if not usable or self._worker() is None:
+        if not self._lease_in_force() or self._worker() is None:
             return 0
-        if not self._failures:
-            return _UNLIMITED
-        return max(0, 1 - len(self._use().job_ids))
+        return self._probation.room(len(self._use().job_ids), _UNLIMITED)
 
     @property
     def lease(self) -> Offset:
@@ -218,6 +225,9 @@
         reported_at: float,
     ) -> ch.AnyChange | None:
         """Brings one job forward; returns what to publish about it."""
+        end = self._end_by_task.get(task_id(job))
+        if end is not None:
+            return self._progress(job, end)
         if line is not None and line.state != "running":
             return self._ended(job, line.state)
         if job.state is JobState.CANCELLING:
@@ -229,12 +239,12 @@
             return await self._stop(worker, job, "run_too_long")
         if line is None:
             return await self._start(worker, job)
-        self._failures = 0
+        self._probation.count_success()
         if await self._overuses(worker, job, line, reported_at):
             peak = self._peak_by_task[line.task_id]
             return await self._stop(worker, job, "used_too_much", peak)
         if job.state is JobState.PLACED:
-            return self._progress(job, JobStep.RUNNING)
+            return self._progress(job, _RUNNING)
         return None
 
     def _over_time(self, job: objects.Job) -> bool:
@@ -266,7 +276,7 @@
         except WorkerRefused as refused:
             _starts.labels(refused.code).inc()
             if refused.code == "does_not_fit":
-                return self._progress(job, JobStep.FAILED, refused.code)
+                return self._end(job, _Report(JobStep.FAILED, refused.code))
             self._lapses_at = 0.0
             return None
         _starts.labels(state).inc()
@@ -274,7 +284,7 @@
             return self._ended(job, state)
         if job.state is JobState.RUNNING:
             return None
-        return self._progress(job, JobStep.RUNNING)
+        return self._progress(job, _RUNNING)
 
     async def _overuses(
         self,
@@ -326,50 +336,50 @@
         if state != "stopped":
             return self._ended(job, state)
         if reason == "run_too_long":
-            return self._progress(job, JobStep.FAILED, reason, final=True)
-        return self._progress(job, JobStep.STOPPED, reason, memory_gb=memory_gb)
+            return self._end(job, _Report(JobStep.FAILED, reason, final=True))
+        end = _Report(JobStep.STOPPED, reason, memory_gb=memory_gb)
+        return self._end(job, end)
 
     def _ended(self, job: objects.Job, state: str) -> ch.AnyChange:
         if state == "failed":
-            self._count_failure(task_id(job))
-            return self._progress(job, JobStep.FAILED, "task_failed")
+            self._probation.count_failure()
+            return self._end(job, _Report(JobStep.FAILED, "task_failed"))
         if state == "done":
-            self._failures = 0
-            return self._progress(job, JobStep.DONE)
-        return self._progress(job, JobStep.STOPPED, "stopped")
+            self._probation.count_success()
+            return self._end(job, _Report(JobStep.DONE))
+        return self._end(job, _Report(JobStep.STOPPED, "stopped"))
 
-    def _count_failure(self, name: str) -> None:
-        if name in self._failed_tasks:
-            return
-        self._failed_tasks.add(name)
-        delay = FIRST_PROBATION_SECONDS * 2 ** min(self._failures, 10)
-        delay = min(delay, LONGEST_PROBATION_SECONDS)
-        self._failures += 1
-        self._probation_ends_at = self._clock.now() + delay
-
-    def _progress(
-        self, job: objects.Job, step: JobStep, reason: str = "", **fields
-    ) -> ch.JobProgress:
+    def _end(self, job: objects.Job, end: _Report) -> ch.JobProgress:
+        """Remembers why a task ended until the fold has ended its place.
+
+        The worker only tells that it stopped; the learned size and the reason
+        would be lost when a report is repeated.
+        """
+        self._end_by_task[task_id(job)] = end
+        return self._progress(job, end)
+
+    def _progress(self, job: objects.Job, end: _Report) -> ch.JobProgress:
         # The same id for each try, so that the fold applies it once.
-        name = f"{task_id(job)}.{self._granted}.{step.value}"
+        name = f"{task_id(job)}.{self._granted}.{end.step.value}"
         return ch.JobProgress(
             change_id=ChangeId(name),
             job_id=job.job_id,
             instance_id=self._instance_id,
             place=job.place,
             worker_lease=self._granted,
-            step=step,
-            reason=reason,
-            **fields,
+            step=end.step,
+            reason=end.reason,
+            final=end.final,
+            memory_gb=end.memory_gb,
         )
 
     def _forget_tasks(self, known: set[str]) -> None:
         """Drops what is remembered of tasks that are placed no more."""
-        self._failed_tasks &= known
         for rows in (
             self._lease_of_unclear,
             self._throttled_at,
             self._peak_by_task,
+            self._end_by_task,
         ):
             for name in rows.keys() - known:
                 del rows[name]
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 from sardinedrift import changes as ch
-from sardinedrift import guards, jobs
+from sardinedrift import guards, jobs, probation
 from sardinedrift.exceptions import WorkerRefused, WorkerUnknown
 from sardinedrift.follower import Follower
 from sardinedrift.guards import task_id
@@ -114,9 +114,9 @@
                     "LEASE_SECONDS": 1.0,
                     "RENEW_SECONDS": 0.6,
                     "START_MARGIN_SECONDS": 0.2,
-                    "FIRST_PROBATION_SECONDS": 0.1,
                 },
             ),
+            (probation, {"FIRST_SECONDS": 0.1}),
         ):
             patch = mock.patch.multiple(module, **fields)
             patch.start()
