--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -15,6 +15,7 @@
 from sardinedrift import cli
 from sardinedrift.exceptions import LogUnavailable, PublishUnknown
 from tests.adminserver import Parts, serving
+from tests.test_placement import put_worker
 
 EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
 
@@ -188,6 +189,20 @@
         result = self.run_program("wave", "watch", "v1", status=1)
         self.assertIn("v1 was stopped", result.stderr)
 
+    def test_job_is_submitted_and_cancelled(self):
+        self.put_team()
+        self.run_program("data-centre", "put", "dc1", "--region", "north")
+        self.run_program("pool", "put", "pairing")
+        self.parts.follower.append([put_worker("w0", cores=8)])
+        submit = ("job", "submit", "--team-id", "red", "--pool-id", "pairing")
+        result = self.run_program(*submit, "--cores", "9", status=1)
+        self.assertIn("never_fits: cores: the largest worker", result.stderr)
+        self.run_program(*submit, "--cores", "8", "--job-id", "j0")
+        self.run_program("job", "cancel", "j0")
+        self.assertEqual(self.read("job", "show", "j0")["state"], "cancelled")
+        result = self.run_program("job", "watch", "j0", status=1)
+        self.assertIn("j0 was cancelled", result.stderr)
+
     def test_status_and_timeline(self):
         self.put_team()
         reply = self.read("status")
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -29,6 +29,7 @@
     join,
     put_team,
 )
+from tests.test_placement import put_worker, submit
 
 MODES = ["ok", "ok", "lost", "late", "down"]
 RUN_SECONDS = 60.0
@@ -376,6 +377,33 @@
         self.assertLessEqual(sum(world.held().values()), 2)
         self.assertLessEqual(world.running(), 2)
 
+    def test_idle_units_return_for_waiting_jobs(self):
+        """Guards against jobs that wait while entries keep idle units."""
+        world = self._world(entries=2, limit=4)
+        for entry_id in ("e0", "e1"):
+            for _ in range(4):
+                world.start(entry_id)
+                world.step(entry_id)
+        self.assertEqual(sum(world.held().values()), 4)
+        world.log.append(
+            ch.PutDataCentre(
+                change_id=cid(),
+                expected_revision=0,
+                data_centre_id="dc1",
+                region="north",
+            ),
+            put_worker("w0"),
+            submit("j0"),
+        )
+        for _ in range(12):
+            for entry_id in ("e0", "e1"):
+                world.entry_by_id[entry_id].follower.fold()
+                world.finish(entry_id)
+                world.clock.time += 1
+                world.step(entry_id)
+        state = world.log.head
+        self.assertGreaterEqual(state.unallocated("red"), 1)
+
     def test_busy_holder_yields_to_a_waiting_peer(self):
         """Guards against an entry that never gets a unit of a full limit."""
         world = self._world(entries=2, limit=4)
