Visit workers without orders less often; describe jobs

An idle worker was asked for its usage four times a second. It is now visited each 1.5 s, and each 0.25 s while a job is to be started or stopped there. The reports move to a module of their own.

--- a/sardinedrift/guards.py
+++ b/sardinedrift/guards.py
@@ -3,7 +3,6 @@
 import contextlib
 import uuid
 from collections.abc import AsyncIterator
-from typing import NamedTuple
 
 from prometheus_client import Counter
 
@@ -27,10 +26,11 @@
     WorkerTask,
 )
 from sardinedrift.probation import Probation
+from sardinedrift.reports import RUNNING, Report, progress, task_id
 
 LEASE_SECONDS = 5.0
 # Renewed with this much left, so that a few lost renewals do no harm.
-RENEW_SECONDS = 3.0
+RENEW_SECONDS = 4.0
 # Covers the clock error between an entry and a worker.
 START_MARGIN_SECONDS = 1.0
 ORDER_SECONDS = 1.0
@@ -38,6 +38,7 @@
 OVERUSE_FACTOR = 1.5
 THROTTLE_FACTOR = 0.5
 _UNLIMITED = 1 << 20
+_UNSETTLED = (JobState.PLACED, JobState.CANCELLING)
 
 _starts = Counter(
     "sardinedrift_task_starts_total", "Starts of tasks on workers.", ["outcome"]
@@ -52,23 +53,6 @@
 )
 
 
-def task_id(job: objects.Job) -> str:
-    """Returns the id of a job's task; each place of a job has its own."""
-    return f"{job.job_id}.{job.place}"
-
-
-class _Report(NamedTuple):
-    """What is reported about a task; see `JobProgress`."""
-
-    step: JobStep
-    reason: str = ""
-    final: bool = False
-    memory_gb: float | None = None
-
-
-_RUNNING = _Report(JobStep.RUNNING)
-
-
 class Guard:
     """One worker, as seen by the entry that schedules its pool.
 
@@ -106,7 +90,7 @@
         self._lease_of_unclear: dict[str, Offset] = {}
         self._throttled_at: dict[str, float] = {}
         self._peak_by_task: dict[str, float] = {}
-        self._end_by_task: dict[str, _Report] = {}
+        self._end_by_task: dict[str, Report] = {}
         self._probation = Probation(clock)
 
     def room(self) -> int:
@@ -118,6 +102,17 @@
             return 0
         return self._probation.room(len(self._use().job_ids), _UNLIMITED)
 
+    def has_orders(self) -> bool:
+        """Tells whether something is to be started, stopped or leased."""
+        worker = self._worker()
+        if worker is None:
+            return False
+        jobs = self._follower.state.placed_jobs(self._instance_id)
+        if not self._lease_in_force():
+            return worker.available or bool(jobs)
+        draining = bool(jobs) and worker.state is InstanceState.DRAINING
+        return draining or any(job.state in _UNSETTLED for job in jobs)
+
     @property
     def lease(self) -> Offset:
         """Number of the lease last granted by the worker."""
@@ -244,7 +239,7 @@
             peak = self._peak_by_task[line.task_id]
             return await self._stop(worker, job, "used_too_much", peak)
         if job.state is JobState.PLACED:
-            return self._progress(job, _RUNNING)
+            return self._progress(job, RUNNING)
         return None
 
     def _over_time(self, job: objects.Job) -> bool:
@@ -276,7 +271,7 @@
         except WorkerRefused as refused:
             _starts.labels(refused.code).inc()
             if refused.code == "does_not_fit":
-                return self._end(job, _Report(JobStep.FAILED, refused.code))
+                return self._end(job, Report(JobStep.FAILED, refused.code))
             self._lapses_at = 0.0
             return None
         _starts.labels(state).inc()
@@ -284,7 +279,7 @@
             return self._ended(job, state)
         if job.state is JobState.RUNNING:
             return None
-        return self._progress(job, _RUNNING)
+        return self._progress(job, RUNNING)
 
     async def _overuses(
         self,
@@ -336,20 +331,20 @@
         if state != "stopped":
             return self._ended(job, state)
         if reason == "run_too_long":
-            return self._end(job, _Report(JobStep.FAILED, reason, final=True))
-        end = _Report(JobStep.STOPPED, reason, memory_gb=memory_gb)
+            return self._end(job, Report(JobStep.FAILED, reason, final=True))
+        end = Report(JobStep.STOPPED, reason, memory_gb=memory_gb)
         return self._end(job, end)
 
     def _ended(self, job: objects.Job, state: str) -> ch.AnyChange:
         if state == "failed":
             self._probation.count_failure()
-            return self._end(job, _Report(JobStep.FAILED, "task_failed"))
+            return self._end(job, Report(JobStep.FAILED, "task_failed"))
         if state == "done":
             self._probation.count_success()
-            return self._end(job, _Report(JobStep.DONE))
-        return self._end(job, _Report(JobStep.STOPPED, "stopped"))
+            return self._end(job, Report(JobStep.DONE))
+        return self._end(job, Report(JobStep.STOPPED, "stopped"))
 
-    def _end(self, job: objects.Job, end: _Report) -> ch.JobProgress:
+    def _end(self, job: objects.Job, end: Report) -> ch.JobProgress:
         """Remembers why a task ended until the fold has ended its place.
 
         The worker only tells that it stopped; the learned size and the reason
@@ -358,20 +353,8 @@
         self._end_by_task[task_id(job)] = end
         return self._progress(job, end)
 
-    def _progress(self, job: objects.Job, end: _Report) -> ch.JobProgress:
-        # The same id for each try, so that the fold applies it once.
-        name = f"{task_id(job)}.{self._granted}.{end.step.value}"
-        return ch.JobProgress(
-            change_id=ChangeId(name),
-            job_id=job.job_id,
-            instance_id=self._instance_id,
-            place=job.place,
-            worker_lease=self._granted,
-            step=end.step,
-            reason=end.reason,
-            final=end.final,
-            memory_gb=end.memory_gb,
-        )
+    def _progress(self, job: objects.Job, report: Report) -> ch.JobProgress:
+        return progress(job, self._granted, report)
 
     def _forget_tasks(self, known: set[str]) -> None:
         """Drops what is remembered of tasks that are placed no more."""
--- a/sardinedrift/jobs.py
+++ b/sardinedrift/jobs.py
@@ -33,6 +33,9 @@
 # Keeps one record below the size of a snapshot chunk.
 MOST_PER_BATCH = 300
 VISIT_SECONDS = 0.25
+# A worker without orders is visited once in this many intervals; the time
+# must stay below that in which a lease is renewed.
+REST_VISITS = 6
 _PUBLISH_SECONDS = 10.0
 
 
@@ -192,9 +195,13 @@
 
 
 async def _attend(guard: Guard) -> None:
+    """Visits a worker often while it has orders, else now and then."""
     while True:
         await guard.visit()
-        await asyncio.sleep(VISIT_SECONDS)
+        for _ in range(REST_VISITS):
+            await asyncio.sleep(VISIT_SECONDS)
+            if guard.has_orders():
+                break
 
 
 def _fresh_id() -> ChangeId:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -11,9 +11,9 @@
 from sardinedrift import guards, jobs, probation
 from sardinedrift.exceptions import WorkerRefused, WorkerUnknown
 from sardinedrift.follower import Follower
-from sardinedrift.guards import task_id
 from sardinedrift.identifiers import Identity, JobState, MoveState
 from sardinedrift.publisher import Publisher
+from sardinedrift.reports import task_id
 from sardinedrift.workers import HttpWorkers
 from standins import worker
 from standins.fleet import call, running_fleet, wait_until
@@ -112,7 +112,7 @@
                 guards,
                 {
                     "LEASE_SECONDS": 1.0,
-                    "RENEW_SECONDS": 0.6,
+                    "RENEW_SECONDS": 0.8,
                     "START_MARGIN_SECONDS": 0.2,
                 },
             ),
