Take a newer lease when a worker is driven again

An entry that stops and resumes driving a worker forgot which starts had no answer, and used its lease again. A late start could then outlive the place of its job. The new test fails without the change.

--- a/sardinedrift/guards.py
+++ b/sardinedrift/guards.py
@@ -84,6 +84,9 @@
         self._workers = workers
         self._clock = clock
         self._is_live = is_live
+        # A lease that an earlier guard of this entry took is not used: its
+        # starts may still be on their way to the worker.
+        self._older_lease = self._use().lease
         self._granted = Offset(-1)
         self._lapses_at = 0.0
         self._take_after: float | None = None
@@ -136,7 +139,7 @@
         self, worker: objects.Instance
     ) -> AsyncIterator[ch.AnyChange]:
         use = self._use()
-        if use.holder != self._entry_id:
+        if not self._is_own(use):
             if self._may_take(use):
                 yield self._take()
             return
@@ -148,6 +151,9 @@
         jobs = self._follower.state.placed_jobs(self._instance_id)
         self._forget_tasks({task_id(job) for job in jobs})
         for job in jobs:
+            if self._follower.state.tables.job_by_id.get(job.job_id) != job:
+                # It has changed while earlier ones were followed.
+                continue
             line = line_by_task.get(task_id(job))
             try:
                 change = await self._follow(worker, job, line, report.at)
@@ -157,6 +163,9 @@
             if change is not None:
                 yield change
 
+    def _is_own(self, use: objects.WorkerUse) -> bool:
+        return use.holder == self._entry_id and use.lease > self._older_lease
+
     def _may_take(self, use: objects.WorkerUse) -> bool:
         """Leaves a live holder the time of one lease.
 
@@ -164,7 +173,9 @@
         otherwise take the lease from each other with every record.
         """
         now = self._clock.now()
-        if use.holder is None or not self._is_live(use.holder):
+        if use.holder in (None, self._entry_id):
+            return True
+        if not self._is_live(use.holder):
             return True
         if self._take_after is None:
             self._take_after = now + LEASE_SECONDS
@@ -189,7 +200,7 @@
 
     def _lease_in_force(self) -> bool:
         use = self._use()
-        mine = use.holder == self._entry_id and use.lease == self._granted
+        mine = self._is_own(use) and use.lease == self._granted
         left = self._lapses_at - self._clock.now()
         return mine and left > START_MARGIN_SECONDS
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -317,6 +317,25 @@
                 )
             self.assertEqual(running_tasks(workers), [])
 
+    async def test_returning_scheduler_takes_a_newer_lease(self):
+        """Guards against a late start under a lease that is used again."""
+        async with self.fleet(
+            ports={"e1": LostStart}, w0={"run_seconds": 3600}
+        ) as (_, peers_by_id, workers, (entry,)):
+            await entry.publish(submit("j0"))
+            await until(lambda: entry.workers.late)
+            peers_by_id["e1"].entry_id = "e2"
+            await until(lambda: not entry.jobs._guard_by_id)
+            address, task = entry.workers.late[-1]
+            peers_by_id["e1"].entry_id = "e1"
+            await entry.publish(ch.CancelJob(change_id=cid(), job_id="j0"))
+            await until(lambda: entry.job().state is JobState.CANCELLED)
+            with self.assertRaises(WorkerRefused):
+                await HttpWorkers.start(
+                    entry.workers, address, task, time.time() + 5
+                )
+            self.assertEqual(running_tasks(workers), [])
+
 
 class ProcessTest(unittest.TestCase):
     """Entries and workers as processes."""
