--- a/sardinedrift/packing.py
+++ b/sardinedrift/packing.py
@@ -122,6 +122,8 @@
     def _avoided(self, job: objects.Job) -> set[InstanceId]:
         """Returns workers on which it failed, unless it failed on all."""
         failed_on = set(job.failed_on)
+        if not failed_on:
+            return failed_on
         others = (
             worker
             for worker in workers_of(self._state, self._pool_id)
