--- a/sardinedrift/changes.py
+++ b/sardinedrift/changes.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from sardinedrift.changebase import Change, OperatorChange
 from sardinedrift.identifiers import (
     ChangeId,
     DataCentreId,
@@ -24,23 +25,14 @@
     WaveStep,
     WorkClass,
 )
-
-
-class Change(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Base of all changes."""
-
-    change_id: ChangeId
-
-
-class OperatorChange(Change, frozen=True, kw_only=True):
-    """A change by an operator, valid at one revision of the object.
-
-    Attributes:
-        expected_revision: revision of the object the operator saw; 0 when
-            the object must not exist.
-    """
-
-    expected_revision: int
+from sardinedrift.jobchanges import (
+    CancelJob,
+    ExpireJob,
+    JobProgress,
+    PlaceJob,
+    SubmitJob,
+    TakeWorkerLease,
+)
 
 
 class PutDataCentre(OperatorChange, frozen=True, kw_only=True):
@@ -316,6 +308,12 @@
     | WaveTake
     | WaveProgress
     | SnapshotChunk
+    | SubmitJob
+    | CancelJob
+    | TakeWorkerLease
+    | PlaceJob
+    | JobProgress
+    | ExpireJob
 )
 
 OPERATOR_CHANGES = (OperatorChange, EntryGone)
