--- /dev/null
+++ b/standins/benchpropagation.py
@@ -0,0 +1,118 @@
+"""Time until a change is in force at every entry."""
+
+import asyncio
+import hashlib
+import time
+from collections.abc import Callable
+
+from standins import benchfleet
+from standins.benchfleet import Figure
+from standins.caller import Caller
+from standins.demo import SECRET
+from standins.fleet import Entry, Fleet, FleetError
+
+REPEATS = 8
+TARGET_SECONDS = 2.0
+LONGEST_WAIT_SECONDS = 10.0
+_POLL_SECONDS = 0.01
+
+
+def start(fleet: Fleet) -> list[Entry]:
+    """Starts two data centres with three entries each, and extra keys."""
+    extra = [_key(f"red{number}") for number in range(REPEATS)]
+    return benchfleet.start(
+        fleet, ["dc1", "dc2"], 3, 1, {"red": (1.0, 60)}, extra=extra
+    )
+
+
+async def measure(fleet: Fleet, entries: list[Entry]) -> list[Figure]:
+    """Measures withdrawals of keys and new queues, one after the other."""
+    withdrawn, created = [], []
+    for number in range(REPEATS):
+        publisher = entries[number % len(entries)]
+        key = f"red{number}"
+        withdraw = {
+            "type": "WithdrawKey",
+            "key_id": key,
+            "expected_revision": 1,
+        }
+        withdrawn.append(
+            await _until_everywhere(
+                fleet,
+                publisher,
+                entries,
+                withdraw,
+                f"{key}.{SECRET}",
+                "pairing-lookup",
+                lambda code: code == "key_refused",
+            )
+        )
+        queue = f"new-{number}"
+        create = {
+            "type": "PutQueue",
+            "queue_id": queue,
+            "pool_id": "pairing",
+            "idempotent": True,
+            "max_run_seconds": 5.0,
+        }
+        created.append(
+            await _until_everywhere(
+                fleet,
+                publisher,
+                entries,
+                create,
+                f"red.{SECRET}",
+                queue,
+                lambda code: code != "unknown_queue",
+            )
+        )
+    return [
+        *benchfleet.summary(
+            "key refused at all entries", withdrawn, TARGET_SECONDS
+        ),
+        *benchfleet.summary(
+            "queue in force at all entries", created, TARGET_SECONDS
+        ),
+    ]
+
+
+async def _until_everywhere(
+    fleet: Fleet,
+    publisher: Entry,
+    entries: list[Entry],
+    change: dict,
+    key: str,
+    queue: str,
+    reached: Callable[[str], bool],
+) -> float:
+    """Returns seconds from the publication until each entry applies it."""
+    started = time.monotonic()
+    publish = asyncio.create_task(
+        asyncio.to_thread(fleet.publish, change, entry=publisher)
+    )
+    async with Caller("red", key, [], 0, []) as caller:
+        ends = await asyncio.gather(
+            *(_reached_at(caller, each, queue, reached) for each in entries)
+        )
+    await publish
+    return max(ends) - started
+
+
+async def _reached_at(caller: Caller, entry: Entry, queue, reached) -> float:
+    limit = time.monotonic() + LONGEST_WAIT_SECONDS
+    while time.monotonic() < limit:
+        sent = await caller.send(queue, "dc1", address=entry.callers)
+        if reached(sent.code):
+            return time.monotonic()
+        await asyncio.sleep(_POLL_SECONDS)
+    raise FleetError(f"{entry.name} does not apply the change")
+
+
+def _key(key_id: str) -> dict:
+    digest = hashlib.sha256(SECRET.encode()).hexdigest()
+    return {
+        "type": "GrantKey",
+        "key_id": key_id,
+        "team_id": "red",
+        "digest": digest,
+    }
