Keep live entries, schedulers and instances between requests

Peers.scheduler built a whole exchange, with spare units and usable pools, on each of about six calls per request. LiveEntries keeps the answers until a link, the membership, the own standing or the time changes them; State keeps instances_at and active_entries until a write.

--- a/sardinedrift/assembly.py
+++ b/sardinedrift/assembly.py
@@ -18,6 +18,7 @@
 from sardinedrift.identifiers import DataCentreId, EntryId, Identity, PoolId
 from sardinedrift.instancelist import HttpInstanceList, InstanceView
 from sardinedrift.limits import Limits
+from sardinedrift.liveness import Standing
 from sardinedrift.logservice import HttpLogService
 from sardinedrift.members import Members
 from sardinedrift.metrics import Metrics
@@ -169,6 +170,7 @@
             self.clock,
             [str(seed) for seed in self.settings.seeds],
             self.exchange,
+            standing=self._standing,
             discover=self._listed_entries,
             near=Timing(timings.heartbeat_seconds, timings.peer_dead_seconds),
             far=Timing(
@@ -282,6 +284,9 @@
     ) -> timeline.TimelineReply:
         return self.events.answer(wanted)
 
+    def _standing(self) -> Standing:
+        return Standing(self.members.active, self.stopping)
+
     def _listed_entries(self) -> list[str]:
         return [each.address for each in self.view.entries()]
 
--- a/sardinedrift/peerlinks.py
+++ b/sardinedrift/peerlinks.py
@@ -94,12 +94,21 @@
 
 
 class LinkTable:
-    """All peer addresses, and which of them to exchange with."""
+    """All peer addresses, and which of them to exchange with.
+
+    Attributes:
+        by_address: the links.
+        version: counts the changes of which entries are live, and of what
+            they say about themselves. Only time is not counted.
+    """
 
     def __init__(
         self, identity: Identity, clock: Clock, near: Timing, far: Timing
     ):
         self.by_address: dict[str, Link] = {}
+        self.version = 0
+        self._link_by_entry: dict[EntryId | None, Link] = {}
+        self._indexed_version = -1
         self.near = near
         self.far = far
         self._identity = identity
@@ -117,13 +126,19 @@
         for address, link in list(self.by_address.items()):
             if address not in known and link.last_heard < limit:
                 del self.by_address[address]
+                self.version += 1
 
     def of_entry(self, entry_id: EntryId) -> Link | None:
         """Returns the link where an entry was last heard from."""
-        for link in self.by_address.values():
-            if link.entry_id == entry_id:
-                return link
-        return None
+        if self._indexed_version != self.version:
+            self._indexed_version = self.version
+            # The first link of an entry counts.
+            self._link_by_entry = {
+                link.entry_id: link
+                for link in reversed(self.by_address.values())
+                if link.exchange is not None
+            }
+        return self._link_by_entry.get(entry_id)
 
     def live(self) -> Iterator[Link]:
         """Yields the live links."""
@@ -169,7 +184,7 @@
         link.note_answered(exchange.entry_id, self._clock.now())
         if exchange.entry_id == self._identity.entry_id:
             # The own process under another address.
-            link.exchange = None
+            self._set_exchange(link, None)
             return
         self._refresh(link, exchange)
 
@@ -183,7 +198,7 @@
         if link.entry_id != exchange.entry_id:
             link.failing = False
         if link.failing:
-            link.exchange = exchange
+            self._set_exchange(link, exchange)
             return
         self._refresh(link, exchange)
 
@@ -195,6 +210,7 @@
         if refused:
             link.note_refused(now)
             link.live_until = 0.0
+            self.version += 1
         else:
             link.note_silent()
 
@@ -203,8 +219,27 @@
         for other in self.by_address.values():
             # An entry that changed its address is found at the new one only.
             if other is not link and other.entry_id == exchange.entry_id:
-                other.exchange = None
-        link.exchange = exchange
+                self._set_exchange(other, None)
+        if not self.is_live(link):
+            self.version += 1
+        self._set_exchange(link, exchange)
         link.data_centre_id = exchange.data_centre_id
         link.last_heard = now
         link.live_until = now + self.timing(link).dead_after
+
+    def _set_exchange(self, link: Link, exchange: Exchange | None) -> None:
+        if _said(link.exchange) != _said(exchange):
+            self.version += 1
+        link.exchange = exchange
+
+
+def _said(exchange: Exchange | None) -> tuple | None:
+    """Returns the part of an exchange that decides who is live."""
+    if exchange is None:
+        return None
+    return (
+        exchange.entry_id,
+        exchange.data_centre_id,
+        exchange.member,
+        exchange.stopping,
+    )
--- a/sardinedrift/peers.py
+++ b/sardinedrift/peers.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import zlib
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, TypeVar
 
 import msgspec
@@ -21,11 +21,11 @@
     Offset,
     PoolId,
 )
+from sardinedrift.liveness import LiveEntries, Standing
 from sardinedrift.messages import Exchange, RecordsReply
 from sardinedrift.peerclient import PeerClient
 from sardinedrift.peerlinks import Link, LinkTable, Timing
 from sardinedrift.ports import Clock
-from sardinedrift.routing import rendezvous
 from sardinedrift.state import State
 
 Reply = TypeVar("Reply")
@@ -55,6 +55,7 @@
         seeds: Iterable[str],
         fill: Callable[[EntryId | None], Exchange],
         *,
+        standing: Callable[[], Standing] | None = None,
         discover: Callable[[], Iterable[str]] = tuple,
         near: Timing = Timing(0.25, 0.75),  # noqa: B008, immutable
         far: Timing = Timing(1.0, 3.0),  # noqa: B008, immutable
@@ -68,6 +69,7 @@
             seeds: "host:port" of entries to try first.
             fill: makes the exchange to send to an entry; None: to an unknown
                 one.
+            standing: returns the own standing more cheaply than `fill`.
             discover: returns addresses of entries from the instance list.
             near: timing within the data centre.
             far: timing across data centres.
@@ -81,6 +83,9 @@
         self._fill = fill
         self._discover = discover
         self._links = LinkTable(identity, clock, near, far)
+        self._live = LiveEntries(
+            identity, follower, self._links, clock, standing or self._standing
+        )
         self._client = PeerClient(clock)
         self._task_by_address: dict[str, asyncio.Task] = {}
         self._relaying = asyncio.Lock()
@@ -100,24 +105,15 @@
 
     def live(self, data_centre_id: DataCentreId) -> list[EntryId]:
         """Returns the live entries that take new work, in id order."""
-        return sorted(
-            each.entry_id
-            for each in self._live_exchanges(data_centre_id)
-            if not each.stopping
-        )
+        return self._live.live(data_centre_id)
 
     def live_members(self, data_centre_id: DataCentreId) -> list[EntryId]:
         """Returns those of the live entries that are members."""
-        return sorted(
-            each.entry_id
-            for each in self._live_exchanges(data_centre_id)
-            if each.member and not each.stopping
-        )
+        return self._live.live_members(data_centre_id)
 
     def scheduler(self, pool_id: PoolId) -> EntryId | None:
         """Returns the scheduler of a pool in the own data centre, if any."""
-        members = self.live_members(self._identity.data_centre_id)
-        return rendezvous(f"scheduler/{pool_id}", members)
+        return self._live.scheduler(pool_id)
 
     def address_of(self, entry_id: EntryId) -> str | None:
         """Returns the address of an entry, if it is known."""
@@ -229,18 +225,9 @@
             "POST", address, path, headers, body, deadline
         )
 
-    def _live_exchanges(
-        self, data_centre_id: DataCentreId
-    ) -> Iterator[Exchange]:
-        """Yields the exchanges of live entries, the own one included."""
-        if data_centre_id == self._identity.data_centre_id:
-            yield self._fill(None)
-        entry_by_id = self._follower.state.tables.entry_by_id
-        for link in self._links.live():
-            entry = entry_by_id.get(link.entry_id)
-            gone = entry is not None and entry.state is EntryState.GONE
-            if link.exchange.data_centre_id == data_centre_id and not gone:
-                yield link.exchange
+    def _standing(self) -> Standing:
+        own = self._fill(None)
+        return Standing(own.member, own.stopping)
 
     def _find_peers(self) -> None:
         """Starts a task for each new address and ends those of old ones."""
--- a/sardinedrift/scheduler.py
+++ b/sardinedrift/scheduler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random as random_module
+from collections.abc import Sequence
 
 from sardinedrift import health
 from sardinedrift.grants import Grants
@@ -96,7 +97,7 @@
         self._seen_use_by_data_centre: dict[
             DataCentreId, dict[TeamId, float]
         ] = {}
-        self._instances: list[Instance] = []
+        self._instances: Sequence[Instance] = ()
         self._weight_by_team: dict[TeamId, float] = {}
         self._versions: tuple = ()
         self._timer: asyncio.TimerHandle | None = None
--- a/sardinedrift/state.py
+++ b/sardinedrift/state.py
@@ -71,6 +71,11 @@
         self._instance_ids_by_place: dict[
             tuple[DataCentreId, PoolId], set[InstanceId]
         ] = collections.defaultdict(set)
+        # Answers that every request needs, kept until a write changes them.
+        self._instances_by_place: dict[
+            tuple[DataCentreId, PoolId], tuple[objects.Instance, ...]
+        ] = {}
+        self._active_by_data_centre: dict[DataCentreId, list[EntryId]] = {}
         for instance in self.tables.instance_by_id.values():
             self._index(instance)
 
@@ -112,10 +117,16 @@
 
     def instances_at(
         self, data_centre_id: DataCentreId, pool_id: PoolId
-    ) -> list[objects.Instance]:
+    ) -> tuple[objects.Instance, ...]:
         """Returns the instances of a pool in a data centre, in id order."""
-        ids = self._instance_ids_by_place.get((data_centre_id, pool_id), ())
-        return [self.tables.instance_by_id[each] for each in sorted(ids)]
+        place = (data_centre_id, pool_id)
+        instances = self._instances_by_place.get(place)
+        if instances is None:
+            ids = sorted(self._instance_ids_by_place.get(place, ()))
+            rows = self.tables.instance_by_id
+            instances = tuple(rows[each] for each in ids)
+            self._instances_by_place[place] = instances
+        return instances
 
     def instances_in(
         self, data_centre_id: DataCentreId
@@ -145,12 +156,16 @@
 
     def active_entries(self, data_centre_id: DataCentreId) -> list[EntryId]:
         """Returns the members of a data centre, in id order."""
-        return sorted(
-            entry.entry_id
-            for entry in self.tables.entry_by_id.values()
-            if entry.state is EntryState.ACTIVE
-            and entry.data_centre_id == data_centre_id
-        )
+        active = self._active_by_data_centre.get(data_centre_id)
+        if active is None:
+            active = sorted(
+                entry.entry_id
+                for entry in self.tables.entry_by_id.values()
+                if entry.state is EntryState.ACTIVE
+                and entry.data_centre_id == data_centre_id
+            )
+            self._active_by_data_centre[data_centre_id] = active
+        return list(active)
 
     def share_of(self, team_id: TeamId, pool_id: PoolId) -> float:
         """Returns the weight of a team in a pool; 1.0 for unknown teams."""
@@ -174,8 +189,11 @@
             if old is not None:
                 place = (old.data_centre_id, old.pool_id)
                 self._instance_ids_by_place[place].discard(key)
+                self._instances_by_place.pop(place, None)
             if value is not _MISSING:
                 self._index(value)
+        elif table == "entry_by_id":
+            self._active_by_data_centre.clear()
         if value is _MISSING:
             rows.pop(key, None)
         else:
@@ -185,6 +203,7 @@
     def _index(self, instance: objects.Instance) -> None:
         place = (instance.data_centre_id, instance.pool_id)
         self._instance_ids_by_place[place].add(instance.instance_id)
+        self._instances_by_place.pop(place, None)
 
     def _undo(self, start: int) -> None:
         while len(self._journal) > start:
