Answer slot asks of the local scheduler without a task

Every ask cost two tasks and a wait, even where the scheduler is in the same process and a slot is free. Scheduler.try_acquire gives the reply at once; an ask of another entry waits 20 ms for its reply before it watches for a change of the scheduler. Granting stops when no ask waits. The choice of usable minions moves to endpoints.

--- a/sardinedrift/assembly.py
+++ b/sardinedrift/assembly.py
@@ -14,6 +14,7 @@
 from sardinedrift.claims import Claims
 from sardinedrift.dispatch import Dispatcher
 from sardinedrift.drains import DrainAcks
+from sardinedrift.endpoints import usable_pools
 from sardinedrift.follower import Follower
 from sardinedrift.identifiers import DataCentreId, EntryId, Identity, PoolId
 from sardinedrift.instancelist import HttpInstanceList, InstanceView
@@ -27,7 +28,7 @@
 from sardinedrift.peers import Peers, Timing
 from sardinedrift.publisher import Publisher
 from sardinedrift.runtime import SystemClock
-from sardinedrift.scheduler import Scheduler, usable_pools
+from sardinedrift.scheduler import Scheduler
 from sardinedrift.settings import Settings
 from sardinedrift.slots import Slots
 from sardinedrift.snapshotter import Snapshotter
--- a/sardinedrift/scheduler.py
+++ b/sardinedrift/scheduler.py
@@ -5,13 +5,12 @@
 from collections.abc import Sequence
 
 from sardinedrift import health
+from sardinedrift.endpoints import usable
 from sardinedrift.grants import Grants
 from sardinedrift.identifiers import (
     DataCentreId,
     EntryId,
     InstanceId,
-    InstanceKind,
-    InstanceState,
     PoolId,
     TeamId,
     WorkClass,
@@ -20,8 +19,7 @@
 from sardinedrift.objects import Instance
 from sardinedrift.ports import Clock
 from sardinedrift.shares import ShareLedger
-from sardinedrift.state import State
-from sardinedrift.waiting import AskQueues
+from sardinedrift.waiting import AskQueues, WaitingAsk
 
 # About twelve seconds of work of a pool of 64 slots at 0.1 s per request.
 MOST_WAITING_PER_TEAM = 8192
@@ -29,38 +27,6 @@
 _TICK_SECONDS = 0.25
 
 
-def usable_instances(
-    state: State, data_centre_id: DataCentreId, pool_id: PoolId, view
-) -> list[Instance]:
-    """Returns the minions of a pool that may receive work now."""
-    return [
-        instance
-        for instance in state.instances_at(data_centre_id, pool_id)
-        if _usable(instance, view)
-    ]
-
-
-def usable_pools(
-    state: State, data_centre_id: DataCentreId, view
-) -> list[PoolId]:
-    """Returns the pools with a usable minion in a data centre."""
-    return [
-        pool_id
-        for pool_id in state.tables.pool_by_id
-        if usable_instances(state, data_centre_id, pool_id, view)
-    ]
-
-
-def _usable(instance: Instance, view) -> bool:
-    return (
-        instance.kind is InstanceKind.MINION
-        and instance.state is InstanceState.ACTIVE
-        and instance.up
-        and instance.slots > 0
-        and not view.leaving(instance.instance_id)
-    )
-
-
 class Scheduler:
     """Slots of one pool in one data centre, shared fairly by the teams.
 
@@ -106,32 +72,27 @@
     async def acquire(self, ask: SlotAsk) -> SlotReply:
         """Waits for a slot until the deadline of the ask.
 
-        An ask repeated with the same id keeps its place, and after its grant
-        it is answered with the same grant.
+        A repeated ask keeps its place, and after its grant it is answered
+        with the same grant.
         """
-        if self._stopped:
-            return SlotReply(code="not_scheduler")
-        granted = self._grants.get(ask.ask_id)
-        if granted:
-            return SlotReply(
-                grant=granted, address=self._grants.address_of(ask.ask_id)
-            )
-        if self._grants.ended(ask.ask_id) or ask.deadline <= self._clock.now():
-            return SlotReply(code="deadline")
-        waiting = self._queues.get(ask.ask_id) or self._queues.add(ask)
-        if waiting is None:
-            return SlotReply(code="queue_full")
-        self._ledger.wait(ask.team_id, self._clock.now())
-        waiting.listeners += 1
+        waiting = self._enter(ask)
+        if isinstance(waiting, SlotReply):
+            return waiting
         try:
-            self._fill()
-            if ask.avoid and not waiting.reply.done():
-                self._refuse_avoiding(ask, self._usable_ids())
-            self._start_timer()
             return await asyncio.shield(waiting.reply)
         finally:
-            waiting.listeners -= 1
-            waiting.abandoned_at = self._clock.now()
+            self._quit(waiting)
+
+    def try_acquire(self, ask: SlotAsk) -> SlotReply | None:
+        """Returns the reply when it is known at once.
+
+        Otherwise returns None, and the ask has its place for `acquire`.
+        """
+        waiting = self._enter(ask)
+        if isinstance(waiting, SlotReply):
+            return waiting
+        self._quit(waiting)
+        return waiting.reply.result() if waiting.reply.done() else None
 
     def release(self, release: SlotRelease) -> None:
         """Frees a slot or withdraws an ask, and notes how the minion did."""
@@ -213,6 +174,32 @@
         for ask in self._queues.asks():
             self._end_ask(ask.ask_id, "not_scheduler")
 
+    def _enter(self, ask: SlotAsk) -> SlotReply | WaitingAsk:
+        """Gives an ask its place, or tells the reply it already has."""
+        if self._stopped:
+            return SlotReply(code="not_scheduler")
+        granted = self._grants.get(ask.ask_id)
+        if granted:
+            return SlotReply(
+                grant=granted, address=self._grants.address_of(ask.ask_id)
+            )
+        if self._grants.ended(ask.ask_id) or ask.deadline <= self._clock.now():
+            return SlotReply(code="deadline")
+        waiting = self._queues.get(ask.ask_id) or self._queues.add(ask)
+        if waiting is None:
+            return SlotReply(code="queue_full")
+        self._ledger.wait(ask.team_id, self._clock.now())
+        waiting.listeners += 1
+        self._fill()
+        if ask.avoid and not waiting.reply.done():
+            self._refuse_avoiding(ask, self._usable_ids())
+        self._start_timer()
+        return waiting
+
+    def _quit(self, waiting: WaitingAsk) -> None:
+        waiting.listeners -= 1
+        waiting.abandoned_at = self._clock.now()
+
     def _fill(self) -> None:
         """Grants free slots until none is left that a waiting ask may use."""
         if not len(self._queues):
@@ -222,7 +209,7 @@
         if not instances:
             self._sweep()
             return
-        while self._grant_one(instances, now):
+        while len(self._queues) and self._grant_one(instances, now):
             pass
 
     def _sweep(self) -> None:
@@ -246,7 +233,7 @@
 
     def _usable_instances(self) -> list[Instance]:
         self._read_state()
-        return [e for e in self._instances if _usable(e, self._view)]
+        return [e for e in self._instances if usable(e, self._view)]
 
     def _grant_one(self, instances: list[Instance], now: float) -> bool:
         free = [each for each in instances if self._free_slots(each, now) > 0]
--- a/sardinedrift/slots.py
+++ b/sardinedrift/slots.py
@@ -40,6 +40,8 @@
 # After these tries the exchange frees the slot, as it is no longer listed.
 RELEASE_TRIES = 10
 RELEASE_CALL_SECONDS = 1.0
+# A change of the scheduler is noticed at most this much later.
+FIRST_WAIT_SECONDS = 0.02
 # Time for the reply "deadline" of the scheduler to arrive.
 REPLY_GRACE_SECONDS = 0.5
 
@@ -155,14 +157,21 @@
         The ask is a task of its own, so that its grant is not lost when the
         request gives up or the scheduler changes.
         """
+        if scheduler == self._identity.entry_id:
+            reply = self._schedulers[ask.pool_id].try_acquire(ask)
+            if reply is not None:
+                return None if reply.code == "not_scheduler" else reply
         task = self._spawn(self._ask(scheduler, ask))
         try:
+            # Most replies come at once, before a change is worth a task.
+            await asyncio.wait({task}, timeout=FIRST_WAIT_SECONDS)
             while not task.done():
+                # Also a change during the first wait must be noticed.
+                if self._peers.scheduler(ask.pool_id) != scheduler:
+                    break
                 await self._change_or(task, ask.deadline)
                 if self._clock.now() > ask.deadline + REPLY_GRACE_SECONDS:
                     break
-                if self._peers.scheduler(ask.pool_id) != scheduler:
-                    break
         except asyncio.CancelledError:
             self._abandon(task)
             if not task.done():
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -184,6 +184,10 @@
         self.granted = []
         self.code = ""
 
+    def try_acquire(self, ask):
+        """Leaves every reply to `acquire`, as a full pool does."""
+        del ask
+
     async def acquire(self, ask):
         self.asks.append(ask)
         await self.gate.wait()
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -7,9 +7,10 @@
 
 from sardinedrift import changes as ch
 from sardinedrift import health
+from sardinedrift.endpoints import usable_pools
 from sardinedrift.identifiers import InstanceKind, WorkClass
 from sardinedrift.messages import HeldGrant, SlotAsk, SlotRelease
-from sardinedrift.scheduler import Scheduler, usable_pools
+from sardinedrift.scheduler import Scheduler
 from tests.decision_fakes import FakeClock, FakeLog, cid, put_team
 
 QUICK, LONG = WorkClass.QUICK, WorkClass.LONG
