--- /dev/null
+++ b/standins/capacityruns.py
@@ -0,0 +1,368 @@
+"""The measurements of one size each, run in a process of their own."""
+
+import gc
+import os
+import random
+import time
+import zlib
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+
+from sardinedrift import changes as ch
+from sardinedrift import endpoints, fold, messages, snapshots
+from sardinedrift.identifiers import Identity, InstanceKind, WorkClass
+from sardinedrift.peerlinks import LinkTable, Timing
+from sardinedrift.runtime import SystemClock
+from sardinedrift.shares import ShareLedger
+from sardinedrift.state import State
+from standins.capacityidle import resident_mb
+
+POOLS = 28
+DATA_CENTRES = 23
+ENTRIES = 69
+GRANTS = 300
+_DIGEST = "0" * 64
+
+
+class Run(NamedTuple):
+    """A measurement and the sizes it is made at."""
+
+    measure: Callable[[int], dict[str, float]]
+    sizes: tuple[int, ...]
+
+
+class _NoneLeaving:
+    def leaving(self, instance_id) -> bool:
+        del instance_id
+        return False
+
+
+class Folding:
+    """Folds changes into a state as records of the log."""
+
+    def __init__(self) -> None:
+        self.state = State()
+        self.time = 1e9
+
+    def put(self, *changes: ch.AnyChange, step: float = 0.001) -> None:
+        """Folds changes as one record."""
+        self.time += step
+        data = ch.encode_batch(ch.Batch(changes))
+        fold.apply_record(self.state, self.state.offset + 1, self.time, data)
+
+    def forget_results(self) -> None:
+        """Lets the results of the build expire, as after an hour."""
+        self.time += 2 * fold.RESULT_LIFETIME_SECONDS
+        self.put()
+
+
+def change(kind: type, number: int = 0, /, **fields) -> ch.AnyChange:
+    """Returns a change with an id like that of an operator's."""
+    if issubclass(kind, ch.OperatorChange):
+        fields.setdefault("expected_revision", 0)
+    return kind(change_id=f"{number:032x}", **fields)
+
+
+def put_base(folding: Folding) -> None:
+    """Folds the data centres and pools."""
+    for number in range(DATA_CENTRES):
+        folding.put(
+            change(
+                ch.PutDataCentre,
+                1_000_000 + number,
+                data_centre_id=f"dc{number}",
+                region="north",
+            )
+        )
+    for number in range(POOLS):
+        folding.put(
+            change(ch.PutPool, 1_100_000 + number, pool_id=f"pool{number}")
+        )
+
+
+def instance_change(number: int) -> ch.AnyChange:
+    """Returns a change that creates an instance."""
+    return change(
+        ch.PutInstance,
+        number,
+        instance_id=f"worker-{number:06d}",
+        kind=InstanceKind.MINION,
+        data_centre_id=f"dc{number % DATA_CENTRES}",
+        pool_id=f"pool{number // DATA_CENTRES % POOLS}",
+        rack=f"rack-{number // 40}",
+        address=f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:9000",
+    )
+
+
+def _join(number: int) -> ch.AnyChange:
+    return change(
+        ch.EntryJoin,
+        2_000_000 + number,
+        entry_id=f"dc{number % DATA_CENTRES}-{number:012x}",
+        data_centre_id=f"dc{number % DATA_CENTRES}",
+        address=f"10.200.0.{number}:7000",
+    )
+
+
+def team_changes(number: int) -> list[ch.AnyChange]:
+    """Returns the changes that create a team with a key."""
+    team = f"team-{number:04d}"
+    return [
+        change(
+            ch.PutTeam,
+            3_000_000 + number,
+            team_id=team,
+            share=1.0,
+            limit=100_000,
+        ),
+        change(
+            ch.GrantKey,
+            3_100_000 + number,
+            key_id=f"key-{number:04d}",
+            team_id=team,
+            digest=_DIGEST,
+        ),
+    ]
+
+
+def _memory(build: Callable[[Folding], None], prepare=None) -> dict:
+    folding = Folding()
+    put_base(folding)
+    if prepare:
+        prepare(folding)
+    folding.forget_results()
+    gc.collect()
+    before = resident_mb(os.getpid())
+    bytes_before = len(msgspec.json.encode(folding.state.tables))
+    build(folding)
+    folding.forget_results()
+    gc.collect()
+    data = msgspec.json.encode(folding.state.tables)
+    grown = resident_mb(os.getpid()) - before
+    return {
+        "resident_bytes": grown * 2**20,
+        "snapshot_json_bytes": len(data) - bytes_before,
+        "snapshot_bytes": len(snapshots.encode(folding.state)),
+    }
+
+
+def measure_instances(size: int) -> dict[str, float]:
+    """Measures the state, and encoding it, by instances."""
+    kept: list[Folding] = []
+
+    def build(folding: Folding) -> None:
+        kept.append(folding)
+        for number in range(size):
+            folding.put(instance_change(number))
+
+    result = _memory(build)
+    started = time.perf_counter()
+    data = msgspec.json.encode(kept[0].state.tables)
+    encoded = time.perf_counter()
+    zlib.compress(data, 6)
+    result["encode_seconds"] = encoded - started
+    result["compress_seconds"] = time.perf_counter() - encoded
+    return result
+
+
+def put_entries(folding: Folding, count: int = ENTRIES) -> None:
+    """Folds joins of entries, all acknowledged."""
+    for number in range(count):
+        folding.put(_join(number))
+    for entry in list(folding.state.tables.entry_by_id.values()):
+        for member in entry.waiting:
+            folding.put(
+                change(
+                    ch.EntryJoinAck,
+                    hash((member, entry.entry_id)) & 2**60 - 1,
+                    entry_id=member,
+                    joiner_id=entry.entry_id,
+                )
+            )
+
+
+def _take(folding: Folding, number: int, entry_id, teams: int) -> None:
+    units = {f"team-{each:04d}": 4 for each in range(teams)}
+    folding.put(
+        change(
+            ch.AllowanceTake,
+            4_000_000 + number,
+            entry_id=entry_id,
+            units_by_team=units,
+        )
+    )
+
+
+def measure_teams(size: int) -> dict[str, float]:
+    """Measures the state by teams that each entry has an allowance of."""
+
+    def build(folding: Folding) -> None:
+        for number in range(size):
+            folding.put(*team_changes(number))
+        entries = list(folding.state.tables.entry_by_id)
+        for number, entry_id in enumerate(entries):
+            _take(folding, number, entry_id, size)
+
+    return _memory(build, put_entries)
+
+
+def measure_entries(size: int) -> dict[str, float]:
+    """Measures the state by entries, each with allowances of 600 teams."""
+
+    def teams(folding: Folding) -> None:
+        for number in range(600):
+            folding.put(*team_changes(number))
+
+    def build(folding: Folding) -> None:
+        put_entries(folding, size)
+        for number, entry_id in enumerate(
+            list(folding.state.tables.entry_by_id)
+        ):
+            _take(folding, number, entry_id, 600)
+
+    return _memory(build, teams)
+
+
+def measure_results(size: int) -> dict[str, float]:
+    """Measures the outcomes of changes kept for an hour."""
+    folding = Folding()
+    put_base(folding)
+    put_entries(folding, 1)
+    folding.put(*team_changes(0))
+    gc.collect()
+    before = resident_mb(os.getpid())
+    entry_id = next(iter(folding.state.tables.entry_by_id))
+    started = time.process_time()
+    for number in range(size):
+        folding.put(
+            change(
+                ch.AllowanceTake,
+                5_000_000 + number,
+                entry_id=entry_id,
+                units_by_team={"team-0000": 0},
+            )
+        )
+    spent = time.process_time() - started
+    gc.collect()
+    grown = resident_mb(os.getpid()) - before
+    return {
+        "resident_bytes": grown * 2**20,
+        "snapshot_json_bytes": len(msgspec.json.encode(folding.state.tables)),
+        "fold_seconds": spent,
+    }
+
+
+def measure_exchange(size: int) -> dict[str, float]:
+    """Measures an exchange by teams with a use, in one pool."""
+    use = {f"team-{each:04d}": 1234.5678 + each for each in range(size)}
+    spare = dict.fromkeys(use, 12)
+    exchange = _exchange(contended_use={"pool0": use}, spare_by_team=spare)
+    return _codec(exchange)
+
+
+def measure_held(size: int) -> dict[str, float]:
+    """Measures an exchange by held grants."""
+    grants = [
+        messages.HeldGrant(
+            f"{number:032x}",
+            "pool0",
+            f"worker-{number:06d}",
+            "team-0001",
+            WorkClass.QUICK,
+            time.time(),
+        )
+        for number in range(size)
+    ]
+    return _codec(_exchange(held={"pool0": grants}))
+
+
+def _exchange(**fields) -> messages.Exchange:
+    given = {
+        "entry_id": f"dc1-{0:012x}",
+        "data_centre_id": "dc1",
+        "address": "10.0.0.1:7000",
+        "member": True,
+        "ready": True,
+        "stopping": False,
+        "offset": 1_000_000,
+        "current_at": time.time(),
+        "held": {},
+        "spare_by_team": {},
+        "wanted_by_team": {},
+        "contended_use": {},
+        "endpoints": [f"pool{number}" for number in range(POOLS)],
+        **fields,
+    }
+    return messages.Exchange(**given)
+
+
+def _codec(exchange: messages.Exchange) -> dict[str, float]:
+    rounds = 200
+    started = time.process_time()
+    for _ in range(rounds):
+        data = msgspec.json.encode(exchange)
+        msgspec.json.decode(data, type=messages.Exchange)
+    spent = (time.process_time() - started) / rounds
+    return {"codec_seconds": spent, "bytes": len(data)}
+
+
+def measure_links(size: int) -> dict[str, float]:
+    """Measures the choice of remote links, made for each once a second."""
+    clock = SystemClock()
+    identity = Identity("dc0-me", "dc0", "10.0.0.1:1")
+    links = LinkTable(identity, clock, Timing(0.25, 0.75), Timing(1.0, 3.0))
+    for number in range(size):
+        link = links.add(f"10.0.1.{number}:7000")
+        link.data_centre_id = f"dc{number % DATA_CENTRES}"
+    rounds = 20
+    started = time.process_time()
+    for _ in range(rounds):
+        for link in list(links.by_address.values()):
+            links.wanted(link)
+    return {"round_seconds": (time.process_time() - started) / rounds}
+
+
+def measure_usable(size: int) -> dict[str, float]:
+    """Measures the usable pools of one data centre, told in exchanges."""
+    folding = Folding()
+    put_base(folding)
+    for number in range(size):
+        folding.put(instance_change(number * DATA_CENTRES))
+    view = _NoneLeaving()
+    rounds = 50
+    started = time.process_time()
+    for _ in range(rounds):
+        endpoints.usable_pools(folding.state, "dc0", view)
+    return {"call_seconds": (time.process_time() - started) / rounds}
+
+
+def measure_ledger(size: int) -> dict[str, float]:
+    """Measures a grant and its end by waiting teams."""
+    ledger = ShareLedger(lambda team: 1.0)
+    teams = [f"team-{number:04d}" for number in range(size)]
+    choices = random.Random(1)
+    now = 1e9
+    for team in teams:
+        ledger.wait(team, now)
+    started = time.process_time()
+    for _ in range(GRANTS):
+        now += choices.random() * 0.01
+        team = ledger.next_team(teams, now)
+        ledger.start(team, now)
+        ledger.finish(team, now + 0.005)
+    return {"grant_seconds": (time.process_time() - started) / GRANTS}
+
+
+RUN_BY_NAME = {
+    "instances": Run(measure_instances, (1_000, 5_000, 10_000, 20_000)),
+    "teams": Run(measure_teams, (150, 300, 600)),
+    "entries": Run(measure_entries, (23, 46, 69)),
+    "results": Run(measure_results, (5_000, 10_000, 20_000)),
+    "exchange": Run(measure_exchange, (50, 200, 600)),
+    "held": Run(measure_held, (8, 64, 256)),
+    "links": Run(measure_links, (23, 46, 69)),
+    "usable": Run(measure_usable, (200, 400, 870)),
+    "ledger": Run(measure_ledger, (50, 200, 600)),
+}
