--- a/sardinedrift/peerapi.py
+++ b/sardinedrift/peerapi.py
@@ -33,7 +33,7 @@
         return _records(handlers.follower, request)
 
     async def snapshot(request: web.Request) -> web.Response:
-        return _snapshot(handlers.follower)
+        return await _snapshot(handlers.follower)
 
     return [
         typed_route("/peer/exchange", Exchange, exchange),
@@ -87,11 +87,11 @@
     )
 
 
-def _snapshot(follower: Follower) -> web.Response:
+async def _snapshot(follower: Follower) -> web.Response:
     if not follower.ready:
         return _failure(503, "not_ready", follower.not_ready_reason)
     return web.Response(
-        body=snapshots.encode(follower.state),
+        body=await snapshots.encode_aside(follower.state),
         content_type="application/octet-stream",
     )
 
--- a/sardinedrift/snapshots.py
+++ b/sardinedrift/snapshots.py
@@ -1,5 +1,6 @@
 """Snapshots of the state, as one value and as chunks in the log."""
 
+import asyncio
 import base64
 import zlib
 from collections.abc import Iterable, Iterator
@@ -19,7 +20,20 @@
 
 def encode(state: State) -> bytes:
     """Returns the compressed JSON form of the state."""
-    return zlib.compress(msgspec.json.encode(state.tables), 6)
+    return _compress(msgspec.json.encode(state.tables))
+
+
+async def encode_aside(state: State) -> bytes:
+    """Returns the same as `encode`, compressed in another thread.
+
+    Compression takes most of the time and would stop the event loop; the
+    JSON form is a copy that the fold cannot change.
+    """
+    return await asyncio.to_thread(_compress, msgspec.json.encode(state.tables))
+
+
+def _compress(data: bytes) -> bytes:
+    return zlib.compress(data, 6)
 
 
 def decode(data: bytes) -> State:
@@ -33,15 +47,21 @@
 
 
 def chunks(state: State, snapshot_id: str) -> Iterator[ch.SnapshotChunk]:
-    """Yields the chunks of a snapshot of the state as of its offset."""
-    data = encode(state)
+    """Returns the chunks of a snapshot of the state as of its offset."""
+    return split(encode(state), state.offset, snapshot_id)
+
+
+def split(
+    data: bytes, as_of: Offset, snapshot_id: str
+) -> Iterator[ch.SnapshotChunk]:
+    """Yields the chunks of an encoded snapshot as of an offset."""
     count = max(1, -(-len(data) // CHUNK_BYTES))
     for index in range(count):
         part = data[index * CHUNK_BYTES : (index + 1) * CHUNK_BYTES]
         yield ch.SnapshotChunk(
             change_id=ChangeId(f"{snapshot_id}-{index}"),
             snapshot_id=snapshot_id,
-            as_of=state.offset,
+            as_of=as_of,
             index=index,
             count=count,
             data=base64.b85encode(part).decode(),
--- a/sardinedrift/snapshotter.py
+++ b/sardinedrift/snapshotter.py
@@ -94,7 +94,10 @@
     async def _append(self) -> None:
         """Appends the chunks, each in a record of its own."""
         snapshot_id = f"snapshot-{uuid.uuid4().hex}"
-        chunks = list(snapshots.chunks(self._follower.state, snapshot_id))
+        state = self._follower.state
+        as_of = state.offset
+        data = await snapshots.encode_aside(state)
+        chunks = list(snapshots.split(data, as_of, snapshot_id))
         deadline = self._clock.now() + APPEND_SECONDS
         try:
             for chunk in chunks:
