--- a/sardinedrift/inventory.py
+++ b/sardinedrift/inventory.py
@@ -118,14 +118,11 @@
 
 def _check_address(state: State, change: ch.PutInstance) -> None:
     """Two ids for one address would be one instance in two pools."""
-    for other in state.tables.instance_by_id.values():
-        same = other.address == change.address
-        if same and other.instance_id != change.instance_id:
-            raise StateError(
-                "exists",
-                f"instance {other.instance_id!r} has this address",
-                "address",
-            )
+    other_id = state.instance_at_address(change.address)
+    if other_id not in (None, change.instance_id):
+        raise StateError(
+            "exists", f"instance {other_id!r} has this address", "address"
+        )
 
 
 def begin_drain(
--- a/sardinedrift/state.py
+++ b/sardinedrift/state.py
@@ -71,6 +71,7 @@
         self._instance_ids_by_place: dict[
             tuple[DataCentreId, PoolId], set[InstanceId]
         ] = collections.defaultdict(set)
+        self._instance_id_by_address: dict[str, InstanceId] = {}
         # Answers that every request needs, kept until a write changes them.
         self._instances_by_place: dict[
             tuple[DataCentreId, PoolId], tuple[objects.Instance, ...]
@@ -128,6 +129,10 @@
             self._instances_by_place[place] = instances
         return instances
 
+    def instance_at_address(self, address: str) -> InstanceId | None:
+        """Returns the instance with an address; the fold keeps it unique."""
+        return self._instance_id_by_address.get(address)
+
     def instances_in(
         self, data_centre_id: DataCentreId
     ) -> Iterator[objects.Instance]:
@@ -190,6 +195,7 @@
                 place = (old.data_centre_id, old.pool_id)
                 self._instance_ids_by_place[place].discard(key)
                 self._instances_by_place.pop(place, None)
+                self._instance_id_by_address.pop(old.address, None)
             if value is not _MISSING:
                 self._index(value)
         elif table == "entry_by_id":
@@ -204,6 +210,7 @@
         place = (instance.data_centre_id, instance.pool_id)
         self._instance_ids_by_place[place].add(instance.instance_id)
         self._instances_by_place.pop(place, None)
+        self._instance_id_by_address[instance.address] = instance.instance_id
 
     def _undo(self, start: int) -> None:
         while len(self._journal) > start:
