--- a/sardinedrift/assembly.py
+++ b/sardinedrift/assembly.py
@@ -14,7 +14,7 @@
 from sardinedrift.claims import Claims
 from sardinedrift.dispatch import Dispatcher
 from sardinedrift.drains import DrainAcks
-from sardinedrift.endpoints import usable_pools
+from sardinedrift.endpoints import UsablePools
 from sardinedrift.follower import Follower
 from sardinedrift.identifiers import DataCentreId, EntryId, Identity, PoolId
 from sardinedrift.instancelist import HttpInstanceList, InstanceView
@@ -131,9 +131,7 @@
             spare_by_team=self.limits.spare(),
             wanted_by_team=self.limits.wanted(),
             contended_use=self._contended_use(),
-            endpoints=usable_pools(
-                self.follower.state, self.identity.data_centre_id, self.view
-            ),
+            endpoints=self.usable_pools.ids(),
         )
 
     def take_in(self, exchange: msg.Exchange) -> None:
@@ -164,6 +162,9 @@
     def _make_agreement(self) -> None:
         timings = self.settings.timings
         self.follower = Follower(self.log, self.clock)
+        self.usable_pools = UsablePools(
+            self.identity.data_centre_id, self.follower, self.view
+        )
         self.publisher = Publisher(self.log, self.follower, self.clock)
         self.peers = Peers(
             self.identity,
--- a/sardinedrift/endpoints.py
+++ b/sardinedrift/endpoints.py
@@ -41,3 +41,37 @@
         and instance.slots > 0
         and not view.leaving(instance.instance_id)
     )
+
+
+class UsablePools:
+    """The usable pools of one data centre, kept until something changes.
+
+    Args:
+        data_centre_id: the data centre.
+        follower: holds the folded state.
+        view: the instance list, with a `version`.
+    """
+
+    def __init__(self, data_centre_id: DataCentreId, follower, view):
+        self._data_centre_id = data_centre_id
+        self._follower = follower
+        self._view = view
+        self._basis: tuple = ()
+        self._pool_ids: list[PoolId] = []
+
+    def ids(self) -> list[PoolId]:
+        """Returns the pools with a usable minion now."""
+        state = self._follower.state
+        versions = state.version_by_table
+        basis = (
+            state,
+            versions["instance_by_id"],
+            versions["pool_by_id"],
+            self._view.version,
+        )
+        if basis != self._basis:
+            self._basis = basis
+            self._pool_ids = usable_pools(
+                state, self._data_centre_id, self._view
+            )
+        return self._pool_ids
