--- a/sardinedrift/assembly.py
+++ b/sardinedrift/assembly.py
@@ -14,11 +14,13 @@
 from sardinedrift.claims import Claims
 from sardinedrift.dispatch import Dispatcher
 from sardinedrift.drains import DrainAcks
+from sardinedrift.endpoints import UsablePools
 from sardinedrift.follower import Follower
 from sardinedrift.identifiers import DataCentreId, EntryId, Identity, PoolId
 from sardinedrift.instancelist import HttpInstanceList, InstanceView
 from sardinedrift.jobs import Jobs
 from sardinedrift.limits import Limits
+from sardinedrift.liveness import Standing
 from sardinedrift.logservice import HttpLogService
 from sardinedrift.members import Members
 from sardinedrift.metrics import Metrics
@@ -27,7 +29,7 @@
 from sardinedrift.peers import Peers, Timing
 from sardinedrift.publisher import Publisher
 from sardinedrift.runtime import SystemClock
-from sardinedrift.scheduler import Scheduler, usable_pools
+from sardinedrift.scheduler import Scheduler
 from sardinedrift.settings import Settings
 from sardinedrift.slots import Slots
 from sardinedrift.snapshotter import Snapshotter
@@ -132,9 +134,7 @@
             spare_by_team=self.limits.spare(),
             wanted_by_team=self.limits.wanted(),
             contended_use=self._contended_use(),
-            endpoints=usable_pools(
-                self.follower.state, self.identity.data_centre_id, self.view
-            ),
+            endpoints=self.usable_pools.ids(),
         )
 
     def take_in(self, exchange: msg.Exchange) -> None:
@@ -166,6 +166,9 @@
     def _make_agreement(self) -> None:
         timings = self.settings.timings
         self.follower = Follower(self.log, self.clock)
+        self.usable_pools = UsablePools(
+            self.identity.data_centre_id, self.follower, self.view
+        )
         self.publisher = Publisher(self.log, self.follower, self.clock)
         self.peers = Peers(
             self.identity,
@@ -173,6 +176,7 @@
             self.clock,
             [str(seed) for seed in self.settings.seeds],
             self.exchange,
+            standing=self._standing,
             discover=self._listed_entries,
             near=Timing(timings.heartbeat_seconds, timings.peer_dead_seconds),
             far=Timing(
@@ -295,6 +299,9 @@
     ) -> timeline.TimelineReply:
         return self.events.answer(wanted)
 
+    def _standing(self) -> Standing:
+        return Standing(self.members.active, self.stopping)
+
     def _listed_entries(self) -> list[str]:
         return [each.address for each in self.view.entries()]
 
--- /dev/null
+++ b/sardinedrift/endpoints.py
@@ -0,0 +1,77 @@
+"""Which minions may receive work now."""
+
+from sardinedrift.identifiers import (
+    DataCentreId,
+    InstanceKind,
+    InstanceState,
+    PoolId,
+)
+from sardinedrift.objects import Instance
+from sardinedrift.state import State
+
+
+def usable_instances(
+    state: State, data_centre_id: DataCentreId, pool_id: PoolId, view
+) -> list[Instance]:
+    """Returns the minions of a pool that may receive work now."""
+    return [
+        instance
+        for instance in state.instances_at(data_centre_id, pool_id)
+        if usable(instance, view)
+    ]
+
+
+def usable_pools(
+    state: State, data_centre_id: DataCentreId, view
+) -> list[PoolId]:
+    """Returns the pools with a usable minion in a data centre."""
+    return [
+        pool_id
+        for pool_id in state.tables.pool_by_id
+        if usable_instances(state, data_centre_id, pool_id, view)
+    ]
+
+
+def usable(instance: Instance, view) -> bool:
+    """Tells whether an instance is a minion that may receive work now."""
+    return (
+        instance.kind is InstanceKind.MINION
+        and instance.state is InstanceState.ACTIVE
+        and instance.up
+        and instance.slots > 0
+        and not view.leaving(instance.instance_id)
+    )
+
+
+class UsablePools:
+    """The usable pools of one data centre, kept until something changes.
+
+    Args:
+        data_centre_id: the data centre.
+        follower: holds the folded state.
+        view: the instance list, with a `version`.
+    """
+
+    def __init__(self, data_centre_id: DataCentreId, follower, view):
+        self._data_centre_id = data_centre_id
+        self._follower = follower
+        self._view = view
+        self._basis: tuple = ()
+        self._pool_ids: list[PoolId] = []
+
+    def ids(self) -> list[PoolId]:
+        """Returns the pools with a usable minion now."""
+        state = self._follower.state
+        versions = state.version_by_table
+        basis = (
+            state,
+            versions["instance_by_id"],
+            versions["pool_by_id"],
+            self._view.version,
+        )
+        if basis != self._basis:
+            self._basis = basis
+            self._pool_ids = usable_pools(
+                state, self._data_centre_id, self._view
+            )
+        return self._pool_ids
--- a/sardinedrift/inventory.py
+++ b/sardinedrift/inventory.py
@@ -133,10 +133,10 @@
 
 def _check_address(state: State, change: ch.PutInstance) -> None:
     """Two ids for one address would be one instance in two pools."""
-    other = state.instance_with_address(change.address)
-    if other not in (None, change.instance_id):
+    other_id = state.instance_at_address(change.address)
+    if other_id not in (None, change.instance_id):
         raise StateError(
-            "exists", f"instance {other!r} has this address", "address"
+            "exists", f"instance {other_id!r} has this address", "address"
         )
 
 
