Fold loans to waves and drive waves end to end

Cause: waves were folded but nothing drove them, and nothing could be borrowed. A spare pool lends only while what it has lent and what is unavailable stay within its own budgets, and not during a wave of its own, so that two waves cannot wait for each other. Instances that were moved or removed are skipped, so that a wave cannot wait for them for ever. Ruled out: a leader lease for the driver, since the fold makes two drivers harmless.

--- a/sardinedrift/adminviews.py
+++ b/sardinedrift/adminviews.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from sardinedrift import objects
+from sardinedrift import budgets, objects
 from sardinedrift.identifiers import EntryState
 from sardinedrift.state import State
 
@@ -29,6 +29,11 @@
     return {**_plain(move), "waiting": list(drain.waiting) if own else []}
 
 
+def _wave(state: State, wave: objects.Wave) -> Row:
+    lent = budgets.lent_to(state, wave.wave_id)
+    return {**_plain(wave), "lent": [each.instance_id for each in lent]}
+
+
 def _allowances(state: State, team_id: str) -> Row:
     team = state.tables.team_by_id.get(team_id)
     return {
@@ -54,7 +59,7 @@
     "rules": ("rule_by_id", _object),
     "instances": ("instance_by_id", _object),
     "moves": ("move_by_id", _move),
-    "waves": ("wave_by_id", _object),
+    "waves": ("wave_by_id", _wave),
     "entries": ("entry_by_id", _object),
     "allowances": ("allowances_by_team", _allowances),
 }
--- a/sardinedrift/assembly.py
+++ b/sardinedrift/assembly.py
@@ -30,6 +30,7 @@
 from sardinedrift.settings import Settings
 from sardinedrift.slots import Slots
 from sardinedrift.snapshotter import Snapshotter
+from sardinedrift.waves import Waves
 
 
 def new_entry_id(data_centre_id: DataCentreId) -> EntryId:
@@ -219,6 +220,16 @@
         self.observer = Observer(
             identity, follower, self.publisher, self.peers, self.view, clock
         )
+        self.waves = Waves(
+            identity,
+            follower,
+            self.publisher,
+            self.peers,
+            self.view,
+            self.instance_list,
+            self.minions,
+            clock,
+        )
 
     def _make_applications(self) -> None:
         self.callers = Callers(
--- a/sardinedrift/changes.py
+++ b/sardinedrift/changes.py
@@ -158,11 +158,16 @@
 
 
 class StartMove(OperatorChange, frozen=True, kw_only=True):
-    """Moves an instance to another pool; the revision is the instance's."""
+    """Moves an instance to another pool; the revision is the instance's.
+
+    Attributes:
+        wave_id: the wave that borrows the instance, or sends it home.
+    """
 
     move_id: MoveId
     instance_id: InstanceId
     pool_id: PoolId
+    wave_id: WaveId | None = None
 
 
 class CancelMove(OperatorChange, frozen=True, kw_only=True):
@@ -178,6 +183,7 @@
         canary: how many instances are maintained alone at first.
         max_failures: the wave stops at this number of failed instances.
         return_seconds: how long a rebooted instance may take to return.
+        borrow: most instances of spare pools lent to the wave at once.
     """
 
     wave_id: WaveId
@@ -186,6 +192,7 @@
     canary: int = 1
     max_failures: int = 2
     return_seconds: float = 600.0
+    borrow: int = 0
 
 
 class StopWave(OperatorChange, frozen=True, kw_only=True):
--- a/sardinedrift/configuration.py
+++ b/sardinedrift/configuration.py
@@ -255,6 +255,9 @@
                 yield f"move {move.move_id}"
         for instance in state.instances_of(object_id):
             yield f"instance {instance.instance_id}"
+        for instance in state.lent_instances():
+            if instance.lent_from == object_id:
+                yield f"lent instance {instance.instance_id}"
     if kind in ("pool", "team"):
         for rule in tables.rule_by_id.values():
             if object_id in (rule.pool_id, rule.team_id):
@@ -270,6 +273,8 @@
             yield "running work; set its limit to 0 first"
     if kind == "instance" and tables.instance_by_id[object_id].drain:
         yield "a drain in progress"
+    if kind == "instance" and tables.instance_by_id[object_id].lent_from:
+        yield "the wave that borrows it"
     if kind == "data_centre":
         for instance in tables.instance_by_id.values():
             if instance.data_centre_id == object_id:
--- a/sardinedrift/entry.py
+++ b/sardinedrift/entry.py
@@ -133,6 +133,7 @@
         yield parts.snapshotter.run()
         yield parts.drain_acks.run()
         yield parts.observer.run()
+        yield parts.waves.run()
         yield self._refresh_on_records()
         yield self._refresh_on_list()
         yield self._forget_dead_peers()
--- a/sardinedrift/identifiers.py
+++ b/sardinedrift/identifiers.py
@@ -90,6 +90,7 @@
     DRAINING = "draining"
     REBOOTING = "rebooting"
     BACK = "back"
+    SKIPPED = "skipped"
     FAILED = "failed"
 
 
--- a/sardinedrift/instancelist.py
+++ b/sardinedrift/instancelist.py
@@ -37,6 +37,12 @@
     instances: list[_Line] | None = None
 
 
+class _Reboot(msgspec.Struct):
+    """Answer to the order of a reboot."""
+
+    done: bool
+
+
 class HttpInstanceList(InstanceList):
     """Client of the instance list; made inside a running event loop.
 
@@ -75,13 +81,19 @@
             _listed(line, data_centre_id) for line in listing.instances
         )
 
-    async def reboot(self, instance_id: InstanceId, deadline: float) -> None:
+    async def reboot(
+        self, instance_id: InstanceId, token: str, deadline: float
+    ) -> bool:
         """Asks for a reboot; see `InstanceList`."""
         left = deadline - self._clock.now()
         if left <= 0:
             raise InstanceListError("the deadline has passed")
-        order = {"instance_id": instance_id}
-        await self._call("POST", "/reboot", left, json=order)
+        order = {"instance_id": instance_id, "token": token}
+        body = await self._call("POST", "/reboot", left, json=order)
+        try:
+            return msgspec.json.decode(body, type=_Reboot).done
+        except msgspec.MsgspecError as error:
+            raise InstanceListError("unreadable answer to a reboot") from error
 
     async def aclose(self) -> None:
         """Closes the connections."""
--- a/sardinedrift/inventory.py
+++ b/sardinedrift/inventory.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from sardinedrift import changes as ch
-from sardinedrift import objects
+from sardinedrift import lending, objects
 from sardinedrift.configuration import (
     check_exists,
     check_name,
@@ -19,7 +19,6 @@
     MoveState,
     PoolId,
     WaveId,
-    WaveState,
 )
 from sardinedrift.state import State
 
@@ -33,39 +32,6 @@
             _acknowledge(state, instance, entry_id)
 
 
-def unavailable(
-    state: State, pool_id: PoolId, without: InstanceId | None = None
-) -> list[objects.Instance]:
-    """Returns the unavailable instances of a pool, one excepted."""
-    return [
-        instance
-        for instance in state.instances_of(pool_id)
-        if not instance.available and instance.instance_id != without
-    ]
-
-
-def check_budget(state: State, instance: objects.Instance) -> None:
-    """Raises StateError when draining an instance would break a budget."""
-    pool = state.tables.pool_by_id[instance.pool_id]
-    others = unavailable(state, pool.pool_id, without=instance.instance_id)
-    if len(others) + 1 > pool.max_unavailable:
-        raise StateError(
-            "budget_exhausted",
-            f"{len(others)} instances of pool {pool.pool_id} are unavailable; "
-            f"its budget is {pool.max_unavailable}",
-            "instance_id",
-        )
-    rack = (instance.data_centre_id, instance.rack)
-    in_rack = [e for e in others if (e.data_centre_id, e.rack) == rack]
-    if len(in_rack) + 1 > pool.max_unavailable_per_rack:
-        raise StateError(
-            "budget_exhausted",
-            f"{len(in_rack)} instances of rack {instance.rack} are "
-            f"unavailable; its budget is {pool.max_unavailable_per_rack}",
-            "instance_id",
-        )
-
-
 def _put_instance(state: State, change: ch.PutInstance) -> int:
     check_name("instance_id", change.instance_id)
     check_exists(
@@ -98,6 +64,8 @@
         up=current.up if current else True,
         drain=current.drain if current else None,
         revision=revision,
+        lent_from=current.lent_from if current else None,
+        lent_wave_id=current.lent_wave_id if current else None,
     )
     state.put("instance_by_id", change.instance_id, instance)
     return revision
@@ -187,19 +155,14 @@
 def _complete_move(
     state: State, instance: objects.Instance, move: objects.Move
 ) -> None:
-    state.put(
-        "instance_by_id",
-        instance.instance_id,
-        _replace(
-            instance,
-            pool_id=move.to_pool_id,
-            state=InstanceState.ACTIVE,
-            drain=None,
-            revision=instance.revision + 1,
-        ),
-    )
+    moved = _replace(instance, pool_id=move.to_pool_id)
+    if instance.lent_from == move.to_pool_id:
+        moved = lending.not_lent(moved)
+    reactivate(state, moved)
     done = _replace(move, state=MoveState.DONE, revision=move.revision + 1)
     state.put("move_by_id", move.move_id, done)
+    if instance.lent_wave_id is not None:
+        lending.end_wave_if_over(state, instance.lent_wave_id)
 
 
 def _start_move(state: State, change: ch.StartMove) -> int:
@@ -218,8 +181,10 @@
         )
     if instance.pool_id == change.pool_id:
         raise StateError("same_pool", "the instance is in this pool", "pool_id")
-    if has_running_wave(state, instance.pool_id):
-        check_budget(state, instance)
+    if change.wave_id is None:
+        lending.check_operator_move(state, change, instance)
+    else:
+        instance = lending.begin_wave_move(state, change, instance)
     move = objects.Move(
         change.move_id,
         change.instance_id,
@@ -227,20 +192,13 @@
         change.pool_id,
         MoveState.DRAINING,
         1,
+        change.wave_id,
     )
     state.put("move_by_id", change.move_id, move)
     begin_drain(state, instance, move_id=change.move_id)
     return 1
 
 
-def has_running_wave(state: State, pool_id: PoolId) -> bool:
-    """Tells whether a wave runs in a pool."""
-    return any(
-        wave.pool_id == pool_id and wave.state is WaveState.RUNNING
-        for wave in state.tables.wave_by_id.values()
-    )
-
-
 def _cancel_move(state: State, change: ch.CancelMove) -> int:
     check_exists(state, "move_by_id", "move_id", change.move_id)
     move = state.tables.move_by_id[change.move_id]
@@ -252,7 +210,12 @@
     cancelled = _replace(move, state=MoveState.CANCELLED, revision=revision)
     state.put("move_by_id", move.move_id, cancelled)
     instance = state.tables.instance_by_id[move.instance_id]
+    wave_id = instance.lent_wave_id
+    if instance.lent_from == move.from_pool_id:
+        instance = lending.not_lent(instance)
     reactivate(state, instance)
+    if wave_id is not None:
+        lending.end_wave_if_over(state, wave_id)
     return revision
 
 
--- /dev/null
+++ b/sardinedrift/lending.py
@@ -0,0 +1,122 @@
+"""Fold rules for instances that waves borrow from spare pools."""
+
+import msgspec
+
+from sardinedrift import budgets, objects
+from sardinedrift import changes as ch
+from sardinedrift.configuration import check_exists
+from sardinedrift.exceptions import StateError
+from sardinedrift.identifiers import WaveId, WaveState, WaveStep
+from sardinedrift.state import State
+
+_replace = msgspec.structs.replace
+
+ENDED_STEPS = (WaveStep.BACK, WaveStep.FAILED, WaveStep.SKIPPED)
+
+
+def check_operator_move(
+    state: State, change: ch.StartMove, instance: objects.Instance
+) -> None:
+    """Checks a move that no wave asks for.
+
+    Raises:
+        StateError: the instance is lent and the move is not the way home, or
+            the move would break a budget during a wave.
+    """
+    if instance.lent_from not in (None, change.pool_id):
+        raise StateError(
+            "lent",
+            f"it is lent by pool {instance.lent_from}; only a move back is "
+            "possible",
+            "pool_id",
+        )
+    if budgets.has_running_wave(state, instance.pool_id):
+        budgets.check_take(state, instance)
+
+
+def begin_wave_move(
+    state: State, change: ch.StartMove, instance: objects.Instance
+) -> objects.Instance:
+    """Checks a move that a wave asks for; returns the instance as lent.
+
+    Raises:
+        StateError: the move neither lends nor returns an instance, or breaks
+            a rule of lending or a budget.
+    """
+    check_exists(state, "wave_by_id", "wave_id", change.wave_id)
+    wave = state.tables.wave_by_id[change.wave_id]
+    if change.pool_id != wave.pool_id:
+        _check_return(state, change, wave, instance)
+        return instance
+    _check_lend(state, wave, instance)
+    return _replace(
+        instance, lent_from=instance.pool_id, lent_wave_id=wave.wave_id
+    )
+
+
+def _check_return(
+    state: State,
+    change: ch.StartMove,
+    wave: objects.Wave,
+    instance: objects.Instance,
+) -> None:
+    own = instance.lent_wave_id == wave.wave_id
+    if not own or instance.lent_from != change.pool_id:
+        raise StateError(
+            "not_lent", "this wave did not borrow it there", "wave_id"
+        )
+    if wave.state is WaveState.RUNNING and not all_ended(wave):
+        raise StateError("still_needed", "the wave goes on", "wave_id")
+    budgets.check_take(state, instance)
+
+
+def _check_lend(
+    state: State, wave: objects.Wave, instance: objects.Instance
+) -> None:
+    if wave.state is not WaveState.RUNNING:
+        raise StateError("ended", f"the wave is {wave.state.value}", "wave_id")
+    if not wave.count(WaveStep.PENDING):
+        raise StateError("not_needed", "the wave needs no more", "wave_id")
+    if len(budgets.lent_to(state, wave.wave_id)) >= wave.borrow:
+        raise StateError(
+            "borrow_exhausted",
+            f"the wave borrows at most {wave.borrow}",
+            "wave_id",
+        )
+    lender = state.tables.pool_by_id[instance.pool_id]
+    if not lender.spare:
+        raise StateError(
+            "not_spare", f"{lender.pool_id} is no spare pool", "instance_id"
+        )
+    if instance.lent_from is not None:
+        raise StateError("lent", "it is lent already", "instance_id")
+    if not instance.available:
+        raise StateError("not_available", "it is not up", "instance_id")
+    # Two pools in maintenance that borrow from each other could each wait
+    # for the end of the other's wave.
+    if budgets.has_running_wave(state, lender.pool_id):
+        raise StateError(
+            "wave_running", "the spare pool has a running wave", "instance_id"
+        )
+    # What a spare pool has lent counts as unavailable in its own budgets.
+    budgets.check_take(state, instance)
+
+
+def not_lent(instance: objects.Instance) -> objects.Instance:
+    """Returns an instance that is at home again."""
+    return _replace(instance, lent_from=None, lent_wave_id=None)
+
+
+def all_ended(wave: objects.Wave) -> bool:
+    """Tells whether a wave has no instance left to maintain."""
+    return all(each in ENDED_STEPS for each in wave.step_by_instance.values())
+
+
+def end_wave_if_over(state: State, wave_id: WaveId) -> None:
+    """Ends a wave once all is maintained and all lent instances are home."""
+    wave = state.tables.wave_by_id[wave_id]
+    if wave.state is not WaveState.RUNNING or not all_ended(wave):
+        return
+    if not budgets.lent_to(state, wave_id):
+        done = _replace(wave, state=WaveState.DONE, revision=wave.revision + 1)
+        state.put("wave_by_id", wave_id, done)
--- a/sardinedrift/maintenance.py
+++ b/sardinedrift/maintenance.py
@@ -6,6 +6,7 @@
 
 from sardinedrift import changes as ch
 from sardinedrift import objects
+from sardinedrift.budgets import check_take, has_running_wave
 from sardinedrift.configuration import (
     check_exists,
     check_name,
@@ -20,17 +21,12 @@
     WaveState,
     WaveStep,
 )
-from sardinedrift.inventory import (
-    begin_drain,
-    check_budget,
-    has_running_wave,
-    reactivate,
-)
+from sardinedrift.inventory import begin_drain, reactivate
+from sardinedrift.lending import end_wave_if_over
 from sardinedrift.state import State
 
 _replace = msgspec.structs.replace
 
-_ENDED_STEPS = (WaveStep.BACK, WaveStep.FAILED)
 _UNDER_WAY_STEPS = (WaveStep.DRAINING, WaveStep.REBOOTING)
 
 
@@ -40,6 +36,7 @@
     check_range("canary", change.canary, 0)
     check_range("max_failures", change.max_failures, 1)
     check_range("return_seconds", change.return_seconds, 1, 86_400)
+    check_range("borrow", change.borrow, 0)
     if change.wave_id in state.tables.wave_by_id:
         raise StateError("exists", "a wave id is used only once", "wave_id")
     check_revision(change, None)
@@ -65,13 +62,18 @@
         dict.fromkeys(_wave_instances(state, change), WaveStep.PENDING),
         {},
         1,
+        change.borrow,
     )
     state.put("wave_by_id", change.wave_id, wave)
     return 1
 
 
 def _wave_instances(state: State, change: ch.StartWave) -> Iterator[InstanceId]:
-    in_pool = {each.instance_id for each in state.instances_of(change.pool_id)}
+    in_pool = {
+        each.instance_id
+        for each in state.instances_of(change.pool_id)
+        if each.lent_from is None
+    }
     chosen = change.instance_ids or tuple(sorted(in_pool))
     if not chosen:
         raise StateError("empty", "the pool has no instances", "pool_id")
@@ -79,7 +81,7 @@
         if instance_id not in in_pool:
             raise StateError(
                 "not_in_pool",
-                f"{instance_id!r} is not in pool {change.pool_id}",
+                f"{instance_id!r} is no own instance of {change.pool_id}",
                 "instance_ids",
             )
         yield instance_id
@@ -104,16 +106,18 @@
 
 def _wave_take(state: State, change: ch.WaveTake) -> int:
     wave = _wave(state, change.wave_id)
-    check_exists(state, "instance_by_id", "instance_id", change.instance_id)
-    instance = state.tables.instance_by_id[change.instance_id]
     if wave.state is not WaveState.RUNNING:
         raise StateError("ended", f"the wave is {wave.state.value}", "wave_id")
     if wave.step_by_instance.get(change.instance_id) is not WaveStep.PENDING:
         raise StateError(
             "not_pending", "the wave does not wait for it", "instance_id"
         )
-    if instance.pool_id != wave.pool_id:
-        raise StateError("not_in_pool", "it left the pool", "instance_id")
+    instance = state.tables.instance_by_id.get(change.instance_id)
+    if instance is None or _has_left(wave, instance):
+        # The wave ends without instances that were moved or removed.
+        _set_step(state, wave, change.instance_id, WaveStep.SKIPPED)
+        end_wave_if_over(state, wave.wave_id)
+        return 0
     if instance.state is not InstanceState.ACTIVE:
         raise StateError(
             "not_active", f"it is {instance.state.value}", "instance_id"
@@ -123,12 +127,16 @@
         raise StateError(
             "canary", "the first instances are maintained one by one"
         )
-    check_budget(state, instance)
+    check_take(state, instance)
     _set_step(state, wave, change.instance_id, WaveStep.DRAINING)
     begin_drain(state, instance, wave_id=wave.wave_id)
     return 0
 
 
+def _has_left(wave: objects.Wave, instance: objects.Instance) -> bool:
+    return instance.pool_id != wave.pool_id or instance.lent_from is not None
+
+
 def _wave_progress(state: State, change: ch.WaveProgress) -> int:
     wave = _wave(state, change.wave_id)
     check_exists(state, "instance_by_id", "instance_id", change.instance_id)
@@ -145,7 +153,7 @@
         raise StateError(
             "wrong_step", f"step {change.step.value} does not follow", "step"
         )
-    _end_wave_if_over(state, change.wave_id)
+    end_wave_if_over(state, change.wave_id)
     return 0
 
 
@@ -204,16 +212,6 @@
     return wave
 
 
-def _end_wave_if_over(state: State, wave_id: WaveId) -> None:
-    wave = state.tables.wave_by_id[wave_id]
-    steps = wave.step_by_instance.values()
-    if wave.state is WaveState.RUNNING and all(
-        step in _ENDED_STEPS for step in steps
-    ):
-        done = _replace(wave, state=WaveState.DONE, revision=wave.revision + 1)
-        state.put("wave_by_id", wave_id, done)
-
-
 HANDLERS = {
     ch.StartWave: _start_wave,
     ch.StopWave: _stop_wave,
--- a/sardinedrift/objects.py
+++ b/sardinedrift/objects.py
@@ -108,6 +108,9 @@
 
     Attributes:
         up: last observation of its data centre.
+        lent_from: pool it returns to at the end of a wave, set from the
+            start of the move that lends it to the end of the move home.
+        lent_wave_id: the wave that borrows it.
     """
 
     instance_id: InstanceId
@@ -125,12 +128,19 @@
     up: bool
     drain: Drain | None
     revision: int
+    lent_from: PoolId | None = None
+    lent_wave_id: WaveId | None = None
 
     @property
     def available(self) -> bool:
         """Whether the instance counts as available for budgets."""
         return self.up and self.state is InstanceState.ACTIVE
 
+    @property
+    def home_pool_id(self) -> PoolId:
+        """The pool that it belongs to when it is not lent."""
+        return self.lent_from or self.pool_id
+
 
 class Move(msgspec.Struct, frozen=True):
     """A move of an instance between pools."""
@@ -141,6 +151,7 @@
     to_pool_id: PoolId
     state: MoveState
     revision: int
+    wave_id: WaveId | None = None
 
 
 class Wave(msgspec.Struct, frozen=True):
@@ -149,6 +160,7 @@
     Attributes:
         return_deadline_by_instance: unix seconds by which a rebooting
             instance must be back.
+        borrow: most instances lent to it at once.
     """
 
     wave_id: WaveId
@@ -160,6 +172,7 @@
     step_by_instance: dict[InstanceId, WaveStep]
     return_deadline_by_instance: dict[InstanceId, float]
     revision: int
+    borrow: int = 0
 
     def count(self, step: WaveStep) -> int:
         """Returns how many instances are at a step."""
--- a/sardinedrift/ports.py
+++ b/sardinedrift/ports.py
@@ -94,8 +94,19 @@
         """
 
     @abc.abstractmethod
-    async def reboot(self, instance_id: InstanceId, deadline: float) -> None:
-        """Asks the platform to reboot a drained instance; idempotent.
+    async def reboot(
+        self, instance_id: InstanceId, token: str, deadline: float
+    ) -> bool:
+        """Asks the platform to reboot a drained instance.
+
+        Args:
+            instance_id: the instance.
+            token: a repeated call with the same token starts no second
+                reboot.
+            deadline: unix seconds.
+
+        Returns:
+            Whether the reboot of this token is done.
 
         Raises:
             InstanceListError: the platform did not confirm it.
--- a/sardinedrift/state.py
+++ b/sardinedrift/state.py
@@ -71,6 +71,7 @@
         self._instance_ids_by_place: dict[
             tuple[DataCentreId, PoolId], set[InstanceId]
         ] = collections.defaultdict(set)
+        self._lent_ids: set[InstanceId] = set()
         for instance in self.tables.instance_by_id.values():
             self._index(instance)
 
@@ -133,6 +134,11 @@
                 for instance_id in ids:
                     yield self.tables.instance_by_id[instance_id]
 
+    def lent_instances(self) -> list[objects.Instance]:
+        """Returns the instances that waves borrow, in id order."""
+        ids = sorted(self._lent_ids)
+        return [self.tables.instance_by_id[each] for each in ids]
+
     def data_centres_of(self, pool_id: PoolId) -> set[DataCentreId]:
         """Returns the data centres that have instances of a pool."""
         return {
@@ -174,6 +180,7 @@
             if old is not None:
                 place = (old.data_centre_id, old.pool_id)
                 self._instance_ids_by_place[place].discard(key)
+                self._lent_ids.discard(key)
             if value is not _MISSING:
                 self._index(value)
         if value is _MISSING:
@@ -185,6 +192,8 @@
     def _index(self, instance: objects.Instance) -> None:
         place = (instance.data_centre_id, instance.pool_id)
         self._instance_ids_by_place[place].add(instance.instance_id)
+        if instance.lent_from is not None:
+            self._lent_ids.add(instance.instance_id)
 
     def _undo(self, start: int) -> None:
         while len(self._journal) > start:
--- a/sardinedrift/workcommands.py
+++ b/sardinedrift/workcommands.py
@@ -87,6 +87,13 @@
 @click.option("--canary", type=int, default=1, show_default=True)
 @click.option("--max-failures", type=int, default=2, show_default=True)
 @click.option("--return-seconds", type=float, default=600.0, show_default=True)
+@click.option(
+    "--borrow",
+    type=click.IntRange(min=0),
+    default=0,
+    show_default=True,
+    help="Most instances of spare pools lent to the wave at once.",
+)
 @pass_context
 def start_wave(
     context: Context, pool_id: str, instance_ids, wave_id, **fields
@@ -176,6 +183,8 @@
     steps = list(row.get("step_by_instance", {}).values())
     for step in dict.fromkeys(steps):
         parts.append(f"{step} {steps.count(step)}")
+    if row.get("lent"):
+        parts.append("lent " + ", ".join(row["lent"]))
     if row.get("waiting"):
         parts.append("waiting for " + ", ".join(row["waiting"]))
     click.echo("; ".join(parts))
--- a/standins/instancelist.py
+++ b/standins/instancelist.py
@@ -55,10 +55,11 @@
     blocked_sources: frozenset[str] | None = None
 
 
-class Reboot(msgspec.Struct):
-    """Order to reboot an instance."""
+class Reboot(msgspec.Struct, frozen=True):
+    """Order to reboot an instance; a repeated token starts no second one."""
 
     instance_id: str
+    token: str
 
 
 class Instances:
@@ -77,6 +78,8 @@
         self.blocked_sources: frozenset[str] = frozenset()
         self.instance_by_id: dict[str, Instance] = {}
         self.rebooting: set[str] = set()
+        self._ordered: set[Reboot] = set()
+        self._done: set[Reboot] = set()
         self._listed_by_id: dict[str, Instance] = {}
         self._version_by_data_centre: dict[str, int] = {}
         # Versions of an earlier process must not be taken for those of this.
@@ -94,8 +97,15 @@
         self.rebooting.discard(instance_id)
         self._list_later(instance_id, None)
 
-    def start_reboot(self, instance_id: str) -> bool:
-        """Marks an instance as rebooting; False when it already is."""
+    def start_reboot(self, order: Reboot) -> bool:
+        """Marks an instance as rebooting; False when this starts no reboot.
+
+        An order that comes during another reboot is done with that one.
+        """
+        instance_id = order.instance_id
+        if order in self._ordered:
+            return False
+        self._ordered.add(order)
         if instance_id in self.rebooting:
             return False
         self.rebooting.add(instance_id)
@@ -104,6 +114,10 @@
         loop.call_later(self.reboot_seconds, self._end_reboot, instance_id)
         return True
 
+    def done(self, order: Reboot) -> bool:
+        """Tells whether the reboot of an order is done."""
+        return order in self._done
+
     def version(self, data_centre_id: str) -> int:
         """Returns the version of the list of a data centre."""
         return self._version_by_data_centre.get(
@@ -134,6 +148,9 @@
         if instance_id in self.never_return:
             return
         self.rebooting.discard(instance_id)
+        self._done |= {
+            each for each in self._ordered if each.instance_id == instance_id
+        }
         self._list_later(instance_id, self.instance_by_id[instance_id])
 
     def _list_later(self, instance_id: str, instance: Instance | None) -> None:
@@ -208,9 +225,10 @@
     instance = instances.instance_by_id.get(order.instance_id)
     if instance is None:
         return serving.error(404, "no_such_instance")
-    if instances.start_reboot(instance.id) and instance.control:
+    if instances.start_reboot(order) and instance.control:
         await _reboot_stand_in(instance.control, instances.reboot_seconds)
-    return serving.json_response({"rebooting": instance.id})
+    answer = {"rebooting": instance.id, "done": instances.done(order)}
+    return serving.json_response(answer)
 
 
 async def _reboot_stand_in(address: str, seconds: float) -> None:
--- a/tests/test_instancelist.py
+++ b/tests/test_instancelist.py
@@ -69,10 +69,15 @@
             await servers.control(self.address, put=lost, never_return=["m2"])
             await self.until(lambda: self.view.listed("m2"))
             for instance_id in ("m2", "m2", "m1"):
-                await self.list.reboot(instance_id, time.time() + 20)
+                await self.list.reboot(instance_id, "w", time.time() + 20)
             # Its reboot ends after that of m2 would.
             await servers.until(self.only_m2_reboots)
             await self.until(lambda: not self.view.listed("m2"))
             await self.until(lambda: self.view.listed("m1"))
+            until = time.time() + 20
+            self.assertFalse(await self.list.reboot("m2", "w", until))
+            # A repeated token must not start a second reboot.
+            self.assertTrue(await self.list.reboot("m1", "w", until))
+            self.assertTrue(await self.only_m2_reboots())
         with self.assertRaises(InstanceListError):
-            await self.list.reboot("unknown", time.time() + 20)
+            await self.list.reboot("unknown", "w", time.time() + 20)
