--- a/sardinedrift/inventory.py
+++ b/sardinedrift/inventory.py
@@ -13,11 +13,9 @@
 from sardinedrift.exceptions import StateError
 from sardinedrift.identifiers import (
     EntryId,
-    InstanceId,
     InstanceState,
     MoveId,
     MoveState,
-    PoolId,
     WaveId,
 )
 from sardinedrift.state import State
--- a/sardinedrift/waves.py
+++ b/sardinedrift/waves.py
@@ -107,8 +107,10 @@
 
     async def _advance(self, wave: objects.Wave) -> None:
         """Takes every step of a wave that is possible now."""
-        changes: list[ch.AnyChange] = [*self._drained(wave)]
-        changes += await self._returned(wave)
+        changes: list[ch.AnyChange] = [*await self._returned(wave)]
+        # Records may have been folded during the calls.
+        wave = self._follower.state.tables.wave_by_id[wave.wave_id]
+        changes += self._drained(wave)
         changes += self._moves_or_takes(wave)
         if changes:
             await self._publish(changes)
@@ -192,9 +194,10 @@
         table = self._follower.state.tables.instance_by_id
         for instance_id, step in wave.step_by_instance.items():
             instance = table.get(instance_id)
-            if step is WaveStep.PENDING:
-                if instance is None or self._is_here(instance):
-                    yield instance_id, instance
+            if step is not WaveStep.PENDING:
+                continue
+            if instance is None or self._is_here(instance):
+                yield instance_id, instance
 
     def _at_step(
         self, wave: objects.Wave, step: WaveStep
