--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -179,7 +179,11 @@
     def test_wave_is_watched_until_it_is_stopped(self):
         path = str(EXAMPLES / "cascadia" / "configuration.yaml")
         self.run_program("apply", path)
-        self.run_program("wave", "start", "claims", "--wave-id", "v1")
+        self.run_program(
+            *("wave", "start", "claims", "--wave-id", "v1", "--borrow", "2")
+        )
+        shown = self.read("wave", "show", "v1")
+        self.assertEqual((shown["borrow"], shown["lent"]), (2, []))
         result = self.run_program(
             "wave", "watch", "v1", "--timeout", "0", status=3
         )
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -178,9 +178,8 @@
         )
         if result.accepted:
             assert before.step_by_instance[name] is WaveStep.PENDING
-            assert self.instances[name].lent_from is None or (
-                self.wave.step_by_instance[name] is WaveStep.SKIPPED
-            )
+            skipped = self.wave.step_by_instance[name] is WaveStep.SKIPPED
+            assert skipped or self.instances[name].lent_from is None
 
     @precondition(lambda self: self.wave_ids)
     @rule(
@@ -371,6 +370,36 @@
         waves.take("m2")
         self.assertIs(waves.instances["m2"].state, InstanceState.DRAINING)
 
+    def test_wave_stops_at_its_failures_and_keeps_the_rest(self):
+        """Guards against a wave that goes on while nothing comes back."""
+        waves = Waves()
+        waves.start(most=2, per_rack=1, up=False)
+        waves.start_wave(canary=0, borrow=0)
+        for name in ("m0", "m2"):
+            waves.take(name)
+            waves.acknowledge("e1")
+            waves.progress(name, WaveStep.REBOOTING)
+            # Before the return deadline a failure is rejected.
+            waves.progress(name, WaveStep.FAILED)
+            self.assertIs(waves.instances[name].state, InstanceState.REBOOTING)
+            waves.time += 1.0
+            waves.progress(name, WaveStep.FAILED)
+            self.assertIs(waves.instances[name].state, InstanceState.FAILED)
+        self.assertIs(waves.wave.state, WaveState.STOPPED)
+        waves.take("m4")
+        self.assertIs(waves.instances["m4"].state, InstanceState.ACTIVE)
+
+    def test_removed_instance_is_skipped(self):
+        """Guards against a wave that waits for what no longer exists."""
+        waves = Waves()
+        waves.start(most=1, per_rack=1, up=False)
+        waves.start_wave(canary=0, borrow=0)
+        gone = {"expected_revision": 1, "kind": "instance", "object_id": "m0"}
+        self.assertTrue(waves.apply(ch.Delete, **gone).accepted)
+        waves.take("m0")
+        step = waves.wave.step_by_instance["m0"]
+        self.assertIs(step, WaveStep.SKIPPED)
+
     def test_records_without_loans_decode(self):
         """Guards against a log of an older version that cannot be read."""
         data = (
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -14,6 +14,16 @@
 TEAMS = {"red": (2.0, 24), "blue": (1.0, 24)}
 SHAPE = {"data_centres": ["dc1"], "pools": [wavebench.POOL], "teams": TEAMS}
 LOST = "m5"
+# A guarded worker: nothing of ours reaches it, so only the list tells.
+WORKER = {
+    "type": "PutInstance",
+    "instance_id": "w0",
+    "kind": "worker",
+    "data_centre_id": "dc1",
+    "pool_id": wavebench.POOL,
+    "rack": "r2",
+    "address": "127.0.0.1:1",
+}
 
 
 def _publish(fleet):
@@ -28,6 +38,7 @@
             if change["type"] == "PutQueue"
         ),
         *demo.instances(fleet),
+        dict(WORKER),
         atomic=True,
     )
 
@@ -61,6 +72,7 @@
         self.fleet = self.enterContext(running_fleet())
         self.fleet.start_platform()
         wavebench.start_pools(self.fleet)
+        self.fleet.list_instance("w0", "worker", "dc1", WORKER["address"])
         self.entries = [
             self.fleet.start_entry(f"e{number}", "dc1") for number in range(3)
         ]
@@ -99,6 +111,7 @@
         self.assertEqual(wave["state"], "done", wave)
         self.assertEqual(steps.pop(LOST), "failed")
         self.assertEqual(set(steps.values()), {"back"})
+        self.assertIn(WORKER["instance_id"], steps)
         self._check_budgets()
         executions = list(read_executions(fleet.directory))
         self.assertEqual(_cut_off(history, executions, killed), [])
