Send long requests during the wave test

Cause: on a scratch copy whose entries acknowledge a drain while they hold work, the test still passed, because the requests ended before the reboot. Change: twelve requests of 1 s are always in progress.

--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -8,12 +8,14 @@
 
 from sardinedrift import budgets
 from standins import demo, wavebench
+from standins.caller import Caller
 from standins.fleet import FleetError, running_fleet
 from standins.history import read_executions, violations
 
 TEAMS = {"red": (2.0, 24), "blue": (1.0, 24)}
 SHAPE = {"data_centres": ["dc1"], "pools": [wavebench.POOL], "teams": TEAMS}
 LOST = "m5"
+LONG_SECONDS = 1.0
 # A guarded worker: nothing of ours reaches it, so only the list tells.
 WORKER = {
     "type": "PutInstance",
@@ -85,8 +87,9 @@
     async def _run_wave(self):
         """Runs a wave under load; returns history, kill time and the wave."""
         fleet, history, stop = self.fleet, [], asyncio.Event()
-        load = asyncio.create_task(
-            demo.send_load(SHAPE, self.entries, history, stop)
+        load = asyncio.gather(
+            demo.send_load(SHAPE, self.entries, history, stop),
+            *(self._send_long(number, history, stop) for number in range(12)),
         )
         try:
             await asyncio.sleep(1.0)
@@ -102,6 +105,18 @@
             await load
         return history, killed, wave
 
+    async def _send_long(self, number, history, stop):
+        """Sends requests so long that a reboot without a drain ends some."""
+        team = "red" if number % 2 else "blue"
+        addresses = [each.callers for each in self.entries]
+        key = f"{team}.{demo.SECRET}"
+        async with Caller(team, key, addresses, number, history) as caller:
+            while not stop.is_set():
+                queue = f"{wavebench.POOL}-quick"
+                await caller.send(queue, "dc1", run_seconds=LONG_SECONDS)
+                # A refusal must not be repeated in a busy loop.
+                await asyncio.sleep(0.05)
+
     def test_wave_under_load_with_a_killed_entry_and_a_lost_minion(self):
         """Guards P1, P2 and P9: budgets, one pool, no request cut off."""
         fleet = self.fleet
