--- a/sardinedrift/assembly.py
+++ b/sardinedrift/assembly.py
@@ -33,6 +33,7 @@
 from sardinedrift.settings import Settings
 from sardinedrift.slots import Slots
 from sardinedrift.snapshotter import Snapshotter
+from sardinedrift.waves import Waves
 from sardinedrift.workers import HttpWorkers
 
 
@@ -227,6 +228,16 @@
         self.observer = Observer(
             identity, follower, self.publisher, self.peers, self.view, clock
         )
+        self.waves = Waves(
+            identity,
+            follower,
+            self.publisher,
+            self.peers,
+            self.view,
+            self.instance_list,
+            self.minions,
+            clock,
+        )
 
         self.jobs = Jobs(
             identity,
--- a/sardinedrift/state.py
+++ b/sardinedrift/state.py
@@ -80,6 +80,7 @@
             tuple[DataCentreId, PoolId], tuple[objects.Instance, ...]
         ] = {}
         self._active_by_data_centre: dict[DataCentreId, list[EntryId]] = {}
+        self._lent_ids: set[InstanceId] = set()
         for instance in self.tables.instance_by_id.values():
             self._index(instance)
 
@@ -152,6 +153,11 @@
                 for instance_id in ids:
                     yield self.tables.instance_by_id[instance_id]
 
+    def lent_instances(self) -> list[objects.Instance]:
+        """Returns the instances that waves borrow, in id order."""
+        ids = sorted(self._lent_ids)
+        return [self.tables.instance_by_id[each] for each in ids]
+
     def data_centres_of(self, pool_id: PoolId) -> set[DataCentreId]:
         """Returns the data centres that have instances of a pool."""
         return {
@@ -205,6 +211,7 @@
                 self._instance_ids_by_place[place].discard(key)
                 self._instances_by_place.pop(place, None)
                 self._instance_id_by_address.pop(old.address, None)
+                self._lent_ids.discard(key)
             if value is not _MISSING:
                 self._index(value)
         elif table == "entry_by_id":
@@ -220,6 +227,8 @@
         self._instance_ids_by_place[place].add(instance.instance_id)
         self._instances_by_place.pop(place, None)
         self._instance_id_by_address[instance.address] = instance.instance_id
+        if instance.lent_from is not None:
+            self._lent_ids.add(instance.instance_id)
 
     def _undo(self, start: int) -> None:
         while len(self._journal) > start:
