--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -119,15 +119,23 @@
         )[0]
 
     def start_minion(
-        self, name: str, pool: str, data_centre: str, rack: str, slots: int = 8
+        self,
+        name: str,
+        pool: str,
+        data_centre: str,
+        rack: str,
+        slots: int = 8,
+        port: int = 0,
     ) -> Minion:
-        """Starts a minion and lists it."""
+        """Starts a minion and lists it; port 0 binds any free one."""
         address, process = self._start_standin(
             "minion",
             "--name",
             name,
             "--slots",
             str(slots),
+            "--port",
+            str(port),
             "--journal",
             str(self.directory / f"{name}.journal"),
         )
@@ -136,6 +144,20 @@
         self.list_instance(name, "minion", data_centre, address)
         return minion
 
+    def kill_minion(self, name: str) -> None:
+        """Kills a minion, which stays listed as after a crash."""
+        process = self.minion_by_name[name].process
+        process.kill()
+        process.wait()
+
+    def restart_minion(self, name: str) -> Minion:
+        """Starts a killed minion again at its address."""
+        old = self.minion_by_name[name]
+        port = int(old.address.rpartition(":")[2])
+        return self.start_minion(
+            name, old.pool, old.data_centre, old.rack, port=port
+        )
+
     def list_instance(
         self,
         name: str,
--- a/standins/minion.py
+++ b/standins/minion.py
@@ -92,6 +92,7 @@
         self.faults = Control(0, 0, 0.0, False, False, False, False, 1.0)
         self.executions: list[Execution] = []
         self.running: list[Execution] = []
+        self.refused = 0
         self.silent: set[asyncio.Transport] = set()
         self.stopped = asyncio.Event()
         self._killed = asyncio.Event()
@@ -194,6 +195,7 @@
 
 
 def _refuse(request: web.Request, status: int, close: bool) -> web.Response:
+    request.app[MINION].refused += 1
     response = web.Response(status=status, headers={"Not-Started": "1"})
     response.headers["Dispatch-Id"] = request.headers.get("Dispatch-Id", "")
     if close:
@@ -291,7 +293,11 @@
     minion = request.app[MINION]
     running = Counter(each.team_id for each in minion.running)
     return serving.json_response(
-        {"executions": minion.executions, "running_by_team": running}
+        {
+            "executions": minion.executions,
+            "running_by_team": running,
+            "refused": minion.refused,
+        }
     )
 
 
