Refuse superseded attempts; probation for server errors; close on stop

Causes and changes: - An attempt held up in a frozen entry could claim its id after a later attempt was refused as not run, which made that refusal false. The owner now remembers the attempt number of a released claim and refuses lower ones (superseded, unknown). - owner_is_new was unknown even for a declared first attempt, which no earlier owner can have allowed. It is not_run then. - A minion that answers every request with a server error counted as sound and, being the least loaded, drew most of the work. Ten such answers in a row now put it on probation, at most half of the usable minions, so that one team's failing requests cannot disable a pool. - A stopping entry kept connections open until its end and closed them then, perhaps as their callers sent. Its answers now close them, its listener closes after the grace period, and slow readers have 5 s.

Ruled out: serving requests on open connections during the drain; the existing test requires them to be refused as not_run.

--- a/sardinedrift/admission.py
+++ b/sardinedrift/admission.py
@@ -50,6 +50,7 @@
     Attributes:
         made_by_caller: the caller made the id, so it can be repeated.
         first_attempt: the caller states that no other attempt exists.
+        attempt: number that the caller gave the attempt; 0: none.
         deadline: unix seconds until which the caller waits.
         run_deadline_bound: unix seconds at which any run has ended.
         hops: entries that have relayed the request, the receiver first.
@@ -65,6 +66,7 @@
     body: bytes = b""
     content_type: str = "application/octet-stream"
     hops: tuple[EntryId, ...] = ()
+    attempt: int = 0
 
     @property
     def needs_claim(self) -> bool:
@@ -132,10 +134,12 @@
         team_id = _team(state, queue, asked)
         _check_team(state, queue, team_id, now - current_at)
         deadline = _deadline(asked.deadline, queue, now)
+        attempt = _attempt(asked.attempt)
         return Admitted(
             request_id=self._request_id(state, asked.request_id, now),
             made_by_caller=asked.request_id is not None,
-            first_attempt=_attempt(asked.attempt) == 1,
+            first_attempt=attempt == 1,
+            attempt=attempt or 0,
             queue=queue,
             team_id=team_id,
             deadline=deadline,
--- a/sardinedrift/assembly.py
+++ b/sardinedrift/assembly.py
@@ -267,7 +267,7 @@
         return msg.Acknowledged()
 
     async def _answer_claim(self, ask: msg.ClaimAsk) -> msg.ClaimReply:
-        return self.claims.claim(ask.request_id, ask.holder)
+        return self.claims.claim(ask.request_id, ask.holder, ask.attempt)
 
     async def _answer_claim_end(self, end: msg.ClaimEnd) -> msg.Acknowledged:
         self.claims.end(end.request_id, end.holder, end.outcome)
--- a/sardinedrift/attempts.py
+++ b/sardinedrift/attempts.py
@@ -9,6 +9,7 @@
 from sardinedrift.admission import Admitted
 from sardinedrift.exceptions import (
     AdmissionError,
+    FailedAnswer,
     MinionError,
     OutcomeUnknown,
     SardinedriftError,
@@ -28,6 +29,8 @@
 # Time for an answer that the minion gives at its run deadline to arrive.
 ANSWER_GRACE_SECONDS = 2.0
 _SLEEP_STEP_SECONDS = 1.0
+# The request ran too long; this says nothing about the minion.
+_DEADLINE_STATUS = 504
 
 
 class GrantDeclinedError(SardinedriftError):
@@ -220,6 +223,8 @@
             raise unknown from error
         if not attempt.result.done():
             attempt.result.set_result(answer)
+        if answer.status >= 500 and answer.status != _DEADLINE_STATUS:
+            raise FailedAnswer(f"answered with status {answer.status}")
 
     async def _keep(
         self, attempt: Attempt, dispatch: Dispatch, error: OutcomeUnknown
--- a/sardinedrift/callers.py
+++ b/sardinedrift/callers.py
@@ -51,6 +51,7 @@
         self._dispatcher = dispatcher
         self._clock = clock
         self._admission = Admission(identity.data_centre_id)
+        self._leaving = False
         self._stopping = False
         self._in_progress = 0
 
@@ -74,6 +75,14 @@
         """Returns the routes for relays by other entries."""
         return [web.post(RELAY_PATH, self.receive_relay)]
 
+    def leave(self) -> None:
+        """Closes each connection with its next answer.
+
+        A connection that stays open would be closed at the end of the stop,
+        perhaps at the moment its caller sends on it.
+        """
+        self._leaving = True
+
     def stop(self) -> None:
         """Refuses further requests; those in progress go on."""
         self._stopping = True
@@ -132,7 +141,8 @@
         self, request: web.Request, relayed: RelayedRequest
     ) -> tuple[RequestId, Answer]:
         made_by_caller = not relayed.claimed
-        first_attempt = request.headers.get(ATTEMPT_HEADER) == "1"
+        attempt = _attempt(request.headers.get(ATTEMPT_HEADER, ""))
+        first_attempt = attempt == 1
         self._check_serving(made_by_caller, first_attempt)
         queue = self._follower.state.tables.queue_by_id.get(relayed.queue_id)
         if queue is None:
@@ -152,6 +162,7 @@
             run_deadline_bound=relayed.deadline,
             content_type=relayed.content_type,
             hops=tuple(relayed.hops),
+            attempt=attempt,
         )
         return await self._dispatch(request, admitted)
 
@@ -204,25 +215,23 @@
         except AdmissionError as error:
             known = error.request_id or request_id
             return self._refusal(error, known)
-        return web.Response(
-            status=answer.status,
-            body=answer.body,
-            headers={
-                "Content-Type": answer.content_type,
-                **self._headers(request_id, "answered"),
-            },
-        )
+        headers = self._headers(request_id, "answered")
+        headers["Content-Type"] = answer.content_type
+        return self._response(answer.status, answer.body, headers)
 
     def _refusal(self, error: AdmissionError, request_id: str) -> web.Response:
         body = ErrorBody(error.code, str(error), error.outcome, request_id)
-        return web.Response(
-            status=error.status,
-            body=msgspec.json.encode(body),
-            headers={
-                "Content-Type": "application/json",
-                **self._headers(request_id, error.outcome.value),
-            },
-        )
+        headers = self._headers(request_id, error.outcome.value)
+        headers["Content-Type"] = "application/json"
+        return self._response(error.status, msgspec.json.encode(body), headers)
+
+    def _response(
+        self, status: int, body: bytes, headers: dict[str, str]
+    ) -> web.Response:
+        response = web.Response(status=status, body=body, headers=headers)
+        if self._leaving:
+            response.force_close()
+        return response
 
     def _headers(self, request_id: str, outcome: str) -> dict[str, str]:
         return {
@@ -240,6 +249,11 @@
             self._in_progress -= 1
 
 
+def _attempt(text: str) -> int:
+    """Returns the number of a relayed attempt; 0: the caller gave none."""
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
 def _asked(request: web.Request) -> CallerRequest:
     get: Callable[[str], str | None] = request.headers.get
     return CallerRequest(
--- a/sardinedrift/claiming.py
+++ b/sardinedrift/claiming.py
@@ -31,12 +31,11 @@
 class Claim:
     """One claim of a request id; `end` may be called again without effect."""
 
-    def __init__(
-        self, asker: "ClaimAsker", request_id: RequestId, owner: EntryId
-    ):
+    def __init__(self, asker: "ClaimAsker", admitted: Admitted, owner: EntryId):
         self._asker = asker
         self._ended = False
-        self.request_id = request_id
+        self.request_id = admitted.request_id
+        self.attempt = admitted.attempt
         self.owner = owner
         # Unique per request: a late end of one request must not remove the
         # claim of a repeat that came to the same entry.
@@ -84,7 +83,7 @@
         owner = self._owner(admitted.request_id)
         if owner is None:
             raise _unreachable(admitted)
-        claim = Claim(self, admitted.request_id, owner)
+        claim = Claim(self, admitted, owner)
         try:
             reply = await self._ask(claim, admitted.deadline)
         except PeerError as error:
@@ -119,8 +118,14 @@
 
     async def _ask(self, claim: Claim, deadline: float) -> ClaimReply:
         if claim.owner == self.entry_id:
-            return self._claims.claim(claim.request_id, claim.holder)
-        message = ClaimAsk(request_id=claim.request_id, holder=claim.holder)
+            return self._claims.claim(
+                claim.request_id, claim.holder, claim.attempt
+            )
+        message = ClaimAsk(
+            request_id=claim.request_id,
+            holder=claim.holder,
+            attempt=claim.attempt,
+        )
         deadline = min(deadline, self._clock.now() + CLAIM_CALL_SECONDS)
         return await self._peers.call(
             claim.owner, "/peer/claims", message, ClaimReply, deadline
@@ -178,10 +183,18 @@
         503,
         "the owner of this id is changing; send the request again",
     ),
+    "superseded": (
+        409,
+        "a later attempt with this id was refused as not run; this one "
+        "must not run any more",
+    ),
     "claims_full": (503, "too many ids are in use; send again later"),
 }
-# With these the owner has not allowed this request, nor an earlier one.
-_NOT_GRANTED = frozenset({"not_owner", "claims_full", "malformed"})
+# With these the owner has not allowed this attempt. Earlier attempts, if the
+# caller does not rule them out, may have been allowed by another owner.
+_NOT_GRANTED = frozenset(
+    {"not_owner", "owner_is_new", "claims_full", "malformed"}
+)
 
 
 def _refusal(code: str, admitted: Admitted) -> AdmissionError:
--- a/sardinedrift/claims.py
+++ b/sardinedrift/claims.py
@@ -32,10 +32,11 @@
 
 
 class _Claim:
-    __slots__ = ("holder", "phase", "released_by")
+    __slots__ = ("attempt", "holder", "phase", "released_by")
 
-    def __init__(self, holder: EntryId):
+    def __init__(self, holder: EntryId, attempt: int):
         self.holder = holder
+        self.attempt = attempt
         self.phase = _Phase.CLAIMED
         self.released_by: set[EntryId] = set()
 
@@ -71,11 +72,16 @@
     def __len__(self) -> int:
         return len(self._claim_by_id)
 
-    def claim(self, request_id: RequestId, holder: EntryId) -> ClaimReply:
+    def claim(
+        self, request_id: RequestId, holder: EntryId, attempt: int = 0
+    ) -> ClaimReply:
         """Grants an id to a holder, or tells why not.
 
+        A caller was told that attempt n did not run. An attempt below n that
+        was held up, in a frozen entry for example, must not run afterwards.
+
         The code is "claimed", "duplicate_request", "already_answered",
-        "not_owner", "owner_is_new", "expired", "malformed" or
+        "superseded", "not_owner", "owner_is_new", "expired", "malformed" or
         "claims_full". Only "claims_full" shows that the id was never
         granted; the others say nothing about an earlier owner.
         """
@@ -92,10 +98,12 @@
         claim = self._claim_by_id.get(request_id)
         if claim and claim.phase is not _Phase.RELEASED:
             return ClaimReply(code=_repeated(claim))
+        if claim and claim.attempt > max(attempt, 1):
+            return ClaimReply(code="superseded")
         refusal = self._refusal(request_id)
         if refusal:
             return ClaimReply(code=refusal)
-        self._remember(request_id, made, holder, claim)
+        self._remember(request_id, made, holder, attempt, claim)
         return ClaimReply(code="claimed")
 
     def end(
@@ -156,13 +164,15 @@
         request_id: RequestId,
         made: float,
         holder: EntryId,
+        attempt: int,
         released: _Claim | None,
     ) -> None:
         if released:
             released.holder = holder
+            released.attempt = attempt
             released.phase = _Phase.CLAIMED
             return
-        self._claim_by_id[request_id] = _Claim(holder)
+        self._claim_by_id[request_id] = _Claim(holder, attempt)
         due = made + REQUEST_ID_LIFETIME_SECONDS + CLOCK_ERROR_SECONDS
         heapq.heappush(self._expiry, (due, request_id))
 
--- a/sardinedrift/entry.py
+++ b/sardinedrift/entry.py
@@ -23,6 +23,8 @@
 # own limit anyway.
 DRAIN_SECONDS = 120.0
 _LEAVE_SECONDS = 10.0
+# Time for answers to reach callers that read slowly.
+SHUTDOWN_SECONDS = 5.0
 # Peers that have not folded the leave yet still ask this entry.
 _LINGER_SECONDS = 1.0
 
@@ -36,6 +38,7 @@
         self._stack = contextlib.AsyncExitStack()
         self._tasks: set[asyncio.Task] = set()
         self._stopped = False
+        self._site_by_name: dict[str, web.SockSite] = {}
 
     async def start(self) -> None:
         """Opens the listeners and starts all tasks."""
@@ -62,7 +65,9 @@
         }
         for name, application in applications.items():
             served = _served(application, sockets[name])
-            await self._stack.enter_async_context(served)
+            self._site_by_name[name] = await self._stack.enter_async_context(
+                served
+            )
         for work in self._work():
             self._spawn(work)
         parts.events.record(
@@ -78,6 +83,7 @@
         self._stopped = True
         parts = self._parts
         parts.stopping = True
+        parts.callers.leave()
         parts.events.record(
             EventKind.ENTRY_STOPPING, parts.follower.state.offset
         )
@@ -85,6 +91,8 @@
         # The balancer and the peers learn first; requests that still arrive
         # in this time are served.
         await asyncio.sleep(self._settings.timings.grace_seconds)
+        # A refused connection sends its caller to another entry at once.
+        await self._site_by_name["callers"].stop()
         deadline = parts.clock.now() + DRAIN_SECONDS
         if not await drain_entry(
             parts.callers, parts.dispatcher, deadline, parts.clock
@@ -193,19 +201,20 @@
 @contextlib.asynccontextmanager
 async def _served(
     application: web.Application, listener: socket.socket
-) -> AsyncIterator[None]:
-    """Serves an application on a bound socket."""
+) -> AsyncIterator[web.SockSite]:
+    """Serves an application on a bound socket, and yields the listener."""
     # Without cancellation, a caller that has gone is noticed only at the end.
     runner = web.AppRunner(
         application,
         access_log=None,
-        shutdown_timeout=1.0,
+        shutdown_timeout=SHUTDOWN_SECONDS,
         handler_cancellation=True,
     )
     await runner.setup()
-    await web.SockSite(runner, listener).start()
+    site = web.SockSite(runner, listener)
+    await site.start()
     try:
-        yield
+        yield site
     finally:
         await runner.cleanup()
 
--- a/sardinedrift/exceptions.py
+++ b/sardinedrift/exceptions.py
@@ -99,6 +99,10 @@
     """Bytes were sent and no complete, matching answer was received."""
 
 
+class FailedAnswer(MinionError):  # noqa: N818
+    """The minion answered with a server error, which is passed on."""
+
+
 class WorkerError(SardinedriftError):
     """A guarded worker refused or could not be reached."""
 
--- a/sardinedrift/health.py
+++ b/sardinedrift/health.py
@@ -11,13 +11,23 @@
 # Long enough that a full minion is not asked again at once, short enough that
 # its slots are not wasted when the report was about a passing moment.
 BUSY_SECONDS = 0.1
+# Server errors in a row that put a minion on probation. A team whose own
+# requests fail rarely gets as many in a row on a minion shared with others.
+MOST_FAILED_ANSWERS = 10
 
 
 class _Health:
-    __slots__ = ("busy_until", "failed_at", "failures", "retry_at")
+    __slots__ = (
+        "busy_until",
+        "failed_answers",
+        "failed_at",
+        "failures",
+        "retry_at",
+    )
 
     def __init__(self):
         self.failures = 0
+        self.failed_answers = 0
         self.failed_at = 0.0
         self.retry_at = 0.0
         self.busy_until = 0.0
@@ -49,9 +59,32 @@
         )
         health.retry_at = now + delay * self._random.uniform(1.0, 1.5)
 
+    def answered_error(
+        self,
+        instance_id: InstanceId,
+        granted_at: float,
+        now: float,
+        usable: set[InstanceId],
+    ) -> None:
+        """Notes a server error; many in a row count as a failure.
+
+        Errors caused by the requests themselves appear on every minion, so
+        at most half of the usable minions get on probation this way.
+        """
+        health = self._health_by_id.setdefault(instance_id, _Health())
+        health.failed_answers += 1
+        if health.failed_answers < MOST_FAILED_ANSWERS:
+            return
+        others = usable - {instance_id}
+        failing = sum(1 for each in others if self.on_probation(each))
+        if 2 * (failing + 1) <= len(usable):
+            self.failed(instance_id, granted_at, now)
+
     def succeeded(self, instance_id: InstanceId, granted_at: float) -> None:
         """Ends probation when the request was granted after the failure."""
         health = self._health_by_id.get(instance_id)
+        if health:
+            health.failed_answers = 0
         if health and granted_at >= health.failed_at:
             health.failures = 0
 
--- a/sardinedrift/messages.py
+++ b/sardinedrift/messages.py
@@ -104,6 +104,7 @@
     Attributes:
         failed: the minion failed or refused the request.
         busy: the minion stated that all its slots are taken.
+        failed_answer: the minion answered with a server error.
     """
 
     entry_id: EntryId
@@ -112,6 +113,7 @@
     instance_id: InstanceId
     failed: bool = False
     busy: bool = False
+    failed_answer: bool = False
 
 
 class ClaimAsk(msgspec.Struct, frozen=True, kw_only=True):
@@ -119,10 +121,12 @@
 
     Attributes:
         holder: entry that will send the request.
+        attempt: number that the caller gave the attempt; 0: none.
     """
 
     request_id: RequestId
     holder: EntryId
+    attempt: int = 0
 
 
 class ClaimReply(msgspec.Struct, frozen=True, kw_only=True):
--- a/sardinedrift/relays.py
+++ b/sardinedrift/relays.py
@@ -104,8 +104,8 @@
             claimed=claimed,
         )
         headers = {RELAY_HEADER: msgspec.json.encode(message).decode()}
-        if admitted.first_attempt:
-            headers[ATTEMPT_HEADER] = "1"
+        if admitted.attempt:
+            headers[ATTEMPT_HEADER] = str(admitted.attempt)
         try:
             status, reply_headers, body = await self._peers.post(
                 entry_id,
--- a/sardinedrift/scheduler.py
+++ b/sardinedrift/scheduler.py
@@ -334,6 +334,10 @@
             self._health.busy(grant.instance_id, now)
         elif release.failed:
             self._health.failed(grant.instance_id, grant.since, now)
+        elif release.failed_answer:
+            self._health.answered_error(
+                grant.instance_id, grant.since, now, self._usable_ids()
+            )
         else:
             self._health.succeeded(grant.instance_id, grant.since)
 
--- a/sardinedrift/slots.py
+++ b/sardinedrift/slots.py
@@ -11,6 +11,7 @@
 
 from sardinedrift.exceptions import (
     DialFailed,
+    FailedAnswer,
     OutcomeUnknown,
     PeerError,
     RefusedBeforeStart,
@@ -109,7 +110,7 @@
             yield reply
             return
         self._grant_by_id[reply.grant.grant_id] = reply.grant
-        failed = busy = False
+        failed = busy = failed_answer = False
         try:
             yield reply
         except RefusedBeforeStart as error:
@@ -119,9 +120,12 @@
         except (DialFailed, OutcomeUnknown):
             failed = True
             raise
+        except FailedAnswer:
+            failed_answer = True
+            raise
         finally:
             del self._grant_by_id[reply.grant.grant_id]
-            self._release(reply.grant, failed, busy)
+            self._release(reply.grant, failed, busy, failed_answer)
 
     async def flush(self) -> None:
         """Waits until every release is delivered or given up."""
@@ -210,7 +214,7 @@
             return
         reply = task.result()
         if reply is not None and reply.grant is not None:
-            self._release(reply.grant, failed=False, busy=False)
+            self._release(reply.grant)
 
     def _withdraw(self, ask: SlotAsk) -> None:
         """Gives up the place of an ask, whose id is that of its grant."""
@@ -223,7 +227,13 @@
             )
         )
 
-    def _release(self, grant: HeldGrant, failed: bool, busy: bool) -> None:
+    def _release(
+        self,
+        grant: HeldGrant,
+        failed: bool = False,
+        busy: bool = False,
+        failed_answer: bool = False,
+    ) -> None:
         self._send(
             SlotRelease(
                 entry_id=self._identity.entry_id,
@@ -232,6 +242,7 @@
                 instance_id=grant.instance_id,
                 failed=failed,
                 busy=busy,
+                failed_answer=failed_answer,
             )
         )
 
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -257,7 +257,7 @@
         self.claimed = []
         self.ended = []
 
-    def claim(self, request_id, holder):
+    def claim(self, request_id, holder, attempt=0):
         self.claimed.append(holder)
         return ClaimReply(code=self.code)
 
--- a/tests/processload.py
+++ b/tests/processload.py
@@ -9,7 +9,7 @@
 
 from standins.caller import Caller, new_request_id
 from standins.demo import SECRET, instances, main_configuration
-from standins.fleet import Fleet, running_fleet
+from standins.fleet import Entry, Fleet, running_fleet
 from standins.history import Attempt, read_executions, violations
 
 TEAMS = ("red", "blue")
@@ -42,7 +42,7 @@
     shape = {
         "data_centres": data_centres,
         "pools": [POOL],
-        "teams": {team: (1.0, 40) for team in TEAMS},
+        "teams": dict.fromkeys(TEAMS, (1.0, 40)),
     }
     for change in main_configuration(shape):
         if change["type"] == "PutQueue":
@@ -76,6 +76,13 @@
         self._twice = twice
         self._wait_seconds = wait_seconds
         self._stopped = asyncio.Event()
+        self._callers: list[Caller] = []
+
+    def take_out(self, address: str) -> None:
+        """Sends nothing more to an entry, as the balancer does."""
+        for caller in self._callers:
+            if address in caller.addresses:
+                caller.addresses.remove(address)
 
     def count(self, start: int = 0) -> collections.Counter:
         """Returns how often each outcome and each code occurred."""
@@ -99,12 +106,24 @@
         team = TEAMS[number % len(TEAMS)]
         addresses = [each.callers for each in self.entries]
         key = f"{team}.{SECRET}"
-        async with Caller(
-            team, key, addresses, number, self.history
-        ) as caller:
+        async with Caller(team, key, addresses, number, self.history) as caller:
             while not self._stopped.is_set():
                 await self._request(caller)
 
+    async def request_at(self, entry: Entry) -> None:
+        """Sends a long request to one entry, and repeats it at any."""
+        caller = self._callers[0]
+        home = self._random.choice(self._homes)
+        fields = {
+            "queue": f"{POOL}-quick",
+            "home": home,
+            "run_seconds": 0.8 * RUN_SECONDS,
+            "request_id": new_request_id(home),
+        }
+        first = await caller.send(**fields, address=entry.callers)
+        if first.outcome == "unknown":
+            await caller.send(**fields, attempt=2)
+
     async def _request(self, caller: Caller) -> None:
         idempotent = self._random.random() < 0.2
         home = self._random.choice(self._homes)
@@ -127,11 +146,6 @@
             await caller.send(**fields, attempt=2)
 
 
-async def sleep(seconds: float) -> None:
-    """Lets the load go on."""
-    await asyncio.sleep(seconds)
-
-
 def broken(fleet: Fleet, load: Load) -> list[str]:
     """Returns the broken promises once every execution has ended."""
     time.sleep(RUN_SECONDS + 0.5)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -98,6 +98,14 @@
         self.assertTrue(await stop)
         self.assertEqual(callers.in_progress, 0)
 
+    async def test_leaving_closes_connections(self):
+        """Guards against a connection closed while its caller sends on it."""
+        callers, client = await self.serve(Path(entries=("e1",)))
+        for leaving in (False, True):
+            _, headers, _ = await self.post(client)
+            self.assertEqual(headers.get("Connection") == "close", leaving)
+            callers.leave()
+
     async def test_not_ready(self):
         _, client = await self.serve(Path(entries=("e1",)))
         self.follower.ready = False
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -44,6 +44,13 @@
         return True
 
 
+class _NoAttempts(Claims):
+    """Does not tell attempts apart."""
+
+    def claim(self, request_id, holder, attempt=0):
+        return super().claim(request_id, holder)
+
+
 class _NoStop(Claims):
     """Grants ids while its leave is on the way to the log."""
 
@@ -127,9 +134,9 @@
         self.made.append(f"{HOME}.{made}" if prefix else made)
         return self.made[-1]
 
-    def claim(self, entry_id, name, holder="h1"):
+    def claim(self, entry_id, name, holder="h1", attempt=0):
         claims = self.entry_by_id[entry_id].claims
-        code = claims.claim(name, holder).code
+        code = claims.claim(name, holder, attempt).code
         if code == "claimed":
             assert name not in self.holder_by_claimed, "granted twice"
             self.holder_by_claimed[name] = (entry_id, holder)
@@ -353,6 +360,24 @@
         with self.assertRaisesRegex(AssertionError, "granted twice"):
             self._repeated_release(_ReleasesTwice)
 
+    def _held_up(self, kind, attempt):
+        world = self._pair(kind)
+        name = self._owned_by(world, "e1")
+        world.claim("e1", name, "h2", attempt=2)
+        world.end(name, Outcome.NOT_RUN)
+        return world.claim("e1", name, "h1", attempt=attempt)
+
+    def test_attempt_held_up_does_not_run_after_not_run(self):
+        """Guards against a not_run that an older attempt makes false."""
+        for attempt, code in (
+            (0, "superseded"),
+            (1, "superseded"),
+            (2, "claimed"),
+            (3, "claimed"),
+        ):
+            self.assertEqual(self._held_up(Claims, attempt), code)
+        self.assertEqual(self._held_up(_NoAttempts, 1), "claimed")
+
     def test_codes_follow_the_request(self):
         """Guards against a wrong conclusion about a repeated request."""
         world = self._pair()
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -208,14 +208,19 @@
         self.assertEqual(path.minions.sent, [])
 
     async def test_refusals_of_the_owner(self):
-        for code, outcome in (
-            ("duplicate_request", UNKNOWN),
-            ("already_answered", UNKNOWN),
-            ("owner_is_new", UNKNOWN),
-            ("not_owner", NOT_RUN),
+        """Guards against a false not_run, and a needless unknown."""
+        for code, first, outcome in (
+            ("duplicate_request", True, UNKNOWN),
+            ("already_answered", True, UNKNOWN),
+            ("superseded", True, UNKNOWN),
+            # An earlier owner may have allowed an earlier attempt only.
+            ("owner_is_new", True, NOT_RUN),
+            ("owner_is_new", False, UNKNOWN),
+            ("not_owner", True, NOT_RUN),
+            ("not_owner", False, UNKNOWN),
         ):
             path = Path(code=code, entries=("e1",))
-            await self.check(path, code, outcome, [], first=True)
+            await self.check(path, code, outcome, [], first=first)
             self.assertEqual(path.minions.sent, [])
 
     async def test_owner_unreachable(self):
--- a/tests/test_promise_requests.py
+++ b/tests/test_promise_requests.py
@@ -4,10 +4,14 @@
 import random
 import signal
 import unittest
+from unittest import mock
 
+from sardinedrift import retries
+from sardinedrift.exceptions import DialFailed
 from standins.fleet import Fleet, call
 from standins.history import Attempt, Execution, violations
 from tests.processload import Load, broken, fleet_of
+from tests.test_dispatch import Path
 
 SEED = 11
 
@@ -15,8 +19,9 @@
 class Faults:
     """Faults in an order drawn from a seed; each is undone after a while."""
 
-    def __init__(self, fleet: Fleet, seed: int):
+    def __init__(self, fleet: Fleet, load: Load, seed: int):
         self._fleet = fleet
+        self._load = load
         self._random = random.Random(seed)
 
     async def run(self) -> None:
@@ -83,7 +88,14 @@
             await asyncio.to_thread(self._fleet.cut, entry)
 
     async def _entry_killed(self) -> None:
-        await asyncio.to_thread(self._fleet.kill, self._entry().name)
+        entry = self._entry()
+        # Its callers repeat the id after the holder has died.
+        held = [
+            asyncio.create_task(self._load.request_at(entry)) for _ in range(6)
+        ]
+        await asyncio.sleep(0.3)
+        await asyncio.to_thread(self._fleet.kill, entry.name)
+        await asyncio.gather(*held)
         await asyncio.sleep(1.0)
 
 
@@ -94,7 +106,6 @@
             load = asyncio.run(self._load(fleet))
             found = broken(fleet, load)
         counts = load.count()
-        print(counts)
         self.assertEqual(found, [])
         self.assertGreater(counts["answered"], 500)
         # The faults have reached the callers, and their repeats the owners.
@@ -110,5 +121,97 @@
     async def _load(self, fleet):
         load = Load(fleet, SEED, twice=0.1)
         async with load.running(callers=8):
-            await Faults(fleet, SEED).run()
+            await Faults(fleet, load, SEED).run()
+        return load
+
+
+def attempt(outcome="answered", ended=2.0, **fields):
+    row = Attempt("a", "red", "q", False, 1.0, ended, outcome)
+    return row._replace(**fields)
+
+
+class CheckerTest(unittest.TestCase):
+    """The checks of a history find each broken promise."""
+
+    def check(self, text, attempts, starts):
+        runs = [Execution("a", "red", "m", start, 9.0) for start in starts]
+        found = list(violations(attempts, runs, {}))
+        self.assertEqual(len(found), 1 if text else 0, found)
+        if text:
+            self.assertIn(text, found[0])
+
+    def test_bad_histories(self):
+        again = attempt("not_run", sent=3.0, ended=4.0)
+        for text, attempts, starts in (
+            ("", [attempt()], [1.5]),
+            ("", [attempt("unknown"), attempt(sent=3.0)], [1.5]),
+            ("", [attempt("not_run"), attempt(sent=3.0)], [3.5]),
+            ("ran 2 times", [attempt()], [1.5, 3.5]),
+            ("", [attempt(idempotent=True)], [1.5, 3.5]),
+            ("not run but ran", [attempt("not_run")], [1.5]),
+            ("not run but ran", [attempt("not_run")], [5.0]),
+            ("not run but ran", [attempt("unknown"), again], [5.0]),
+            ("foreign answer", [attempt(whole=False)], [1.5]),
+            ("never ran", [attempt()], []),
+        ):
+            with self.subTest(text=text, starts=starts):
+                self.check(text, attempts, starts)
+
+
+class BudgetTest(unittest.TestCase):
+    def _sends(self, requests=40):
+        async def send():
+            path = Path(*[DialFailed("refused")] * 10_000)
+            for _ in range(requests):
+                await path.outcome(seconds=0.5)
+            return len(path.minions.sent)
+
+        with mock.patch.object(retries, "LONGEST_DELAY_SECONDS", 0.001):
+            return asyncio.run(send())
+
+    def test_retries_of_a_failing_pool(self):
+        """Guards against load that multiplies while a pool fails."""
+        bound = 40 + retries.MOST_HELD
+        self.assertLessEqual(self._sends(), bound)
+        with mock.patch.object(
+            retries.RetryBudget, "try_spend", return_value=True
+        ):
+            self.assertGreater(self._sends(2), bound)
+
+
+class FailingTest(unittest.TestCase):
+    def test_failing_minions(self):
+        """Guards against failing fast that attracts work, and retry storms."""
+        with fleet_of(2, dc1=2) as fleet:
+            failing, sound = fleet.minion_by_name.values()
+            fleet.control(failing.address, fail_fast=True)
+            asyncio.run(self._load(fleet, 3.0))
+            runs = {
+                each.name: len(call(each.address, "/executions")["executions"])
+                for each in (failing, sound)
+            }
+            for each in (failing, sound):
+                fleet.control(each.address, draining=True)
+            before = self._refused(fleet)
+            load = asyncio.run(self._load(fleet, 3.0))
+            refused = self._refused(fleet) - before
+        # Two times the errors in a row, and then one probe after each delay.
+        self.assertGreater(runs[sound.name], 200)
+        self.assertLess(runs[failing.name], 30)
+        counts = load.count()
+        self.assertEqual(counts["answered"], 0)
+        budget = retries.MOST_HELD * len(fleet.entry_by_name)
+        self.assertLessEqual(refused, len(load.history) + budget)
+        self.assertGreater(refused, 0)
+
+    def _refused(self, fleet):
+        return sum(
+            call(each.address, "/executions")["refused"]
+            for each in fleet.minion_by_name.values()
+        )
+
+    async def _load(self, fleet, seconds):
+        load = Load(fleet, SEED, repeat=False, wait_seconds=1.0)
+        async with load.running():
+            await asyncio.sleep(seconds)
         return load
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,9 +1,11 @@
 """Scheduler: prompt quick work, no oversubscription, no lost slots."""
 
 import asyncio
+import collections
 import itertools
 import random
 import unittest
+from unittest import mock
 
 from sardinedrift import changes as ch
 from sardinedrift import health
@@ -125,6 +127,29 @@
 
 
 class SchedulerTest(SchedulerCase):
+    async def _draw(self, scheduler, failing):
+        """Runs requests one by one; returns how many each minion got."""
+        counts = collections.Counter()
+        for _ in range(200):
+            (reply,) = await self.fill(scheduler, 1)
+            name = reply.grant.instance_id
+            counts[name] += 1
+            self.release(scheduler, reply, failed_answer=name in failing)
+        return counts
+
+    async def test_server_errors(self):
+        """Guards against a minion that fails fast and so attracts work."""
+        counts = await self._draw(self.make(), ("m1",))
+        self.assertEqual(counts["m1"], health.MOST_FAILED_ANSWERS)
+        with mock.patch.object(health, "MOST_FAILED_ANSWERS", 10_000):
+            counts = await self._draw(self.make(), ("m1",))
+        self.assertGreater(counts["m1"], 50)
+
+    async def test_requests_that_always_fail(self):
+        """Guards against one team's errors that disable a whole pool."""
+        counts = await self._draw(self.make(), ("m0", "m1"))
+        self.assertEqual(sum(counts.values()), 200)
+
     async def test_quick_work_starts_beside_waiting_long_work(self):
         """Guards against long work that holds every slot."""
         scheduler = self.make()
