--- a/tests/processload.py
+++ b/tests/processload.py
@@ -106,7 +106,9 @@
         team = TEAMS[number % len(TEAMS)]
         addresses = [each.callers for each in self.entries]
         key = f"{team}.{SECRET}"
-        async with Caller(team, key, addresses, number, self.history) as caller:
+        caller = Caller(team, key, addresses, number, self.history)
+        self._callers.append(caller)
+        async with caller:
             while not self._stopped.is_set():
                 await self._request(caller)
 
