--- a/sardinedrift/callers.py
+++ b/sardinedrift/callers.py
@@ -31,6 +31,8 @@
 REQUEST_ID_HEADER = "Sardinedrift-Request-Id"
 DATA_CENTRE_HEADER = "Sardinedrift-Data-Centre"
 _DRAIN_POLL_SECONDS = 0.05
+# With half of the owners dead, one id in a million has a dead owner.
+_MOST_ID_TRIES = 20
 
 
 class Callers:
@@ -100,8 +102,15 @@
         return True
 
     async def make_request_id(self, request: web.Request) -> web.Response:
-        """Answers with a fresh request id homed in this data centre."""
-        request_id = new_request_id(self._identity.data_centre_id)
+        """Answers with a fresh request id homed in this data centre.
+
+        An id of an owner that has ended would be refused until that owner is
+        shown to be gone.
+        """
+        for _ in range(_MOST_ID_TRIES):
+            request_id = new_request_id(self._identity.data_centre_id)
+            if self._dispatcher.can_claim(request_id):
+                break
         return web.json_response({"request_id": request_id})
 
     async def receive(self, request: web.Request) -> web.Response:
--- a/sardinedrift/claiming.py
+++ b/sardinedrift/claiming.py
@@ -74,6 +74,12 @@
         self._clock = clock
         self._tasks: set[asyncio.Task] = set()
 
+    def can_claim(self, request_id: RequestId) -> bool:
+        """Tells whether the owner of an id is live."""
+        home = request_home(request_id)
+        owner = self._owner(request_id)
+        return home is not None and owner in self._peers.live_members(home)
+
     async def claim(self, admitted: Admitted) -> Claim:
         """Claims the id of a request at its owner.
 
--- a/sardinedrift/dispatch.py
+++ b/sardinedrift/dispatch.py
@@ -29,6 +29,7 @@
     InstanceState,
     Outcome,
     PoolId,
+    RequestId,
 )
 from sardinedrift.ports import Answer, Clock, MinionPort
 from sardinedrift.relays import RelayNotRun, Relays
@@ -151,6 +152,10 @@
         _requests.labels(Outcome.ANSWERED.value, "").inc()
         return answer
 
+    def can_claim(self, request_id: RequestId) -> bool:
+        """Tells whether the owner of an id is live."""
+        return self._asker.can_claim(request_id)
+
     async def flush(self) -> None:
         """Waits until no attempt, release or end of a claim is pending."""
         await self._attempts.drained()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,6 +8,7 @@
 from aiohttp.test_utils import TestClient, TestServer
 
 from sardinedrift import changes as ch
+from sardinedrift import membership
 from sardinedrift.callers import Callers
 from sardinedrift.drains import DrainAcks, drain_entry
 from sardinedrift.exceptions import LogUnavailable, OutcomeUnknown
@@ -57,6 +58,18 @@
         self.assertEqual(body["outcome"], "not_run")
         self.assertEqual(headers["Sardinedrift-Outcome"], "not_run")
 
+    async def test_fresh_ids_have_a_live_owner(self):
+        """Guards against ids that are refused while an owner is dead."""
+        path = Path(entries=("e1", "e2"))
+        path.peers.add("e1")
+        _, client = await self.serve(path)
+        owners = set()
+        for _ in range(10):
+            async with client.get("/v1/request-ids") as reply:
+                request_id = (await reply.json())["request_id"]
+            owners.add(membership.owner(path.log.state, "dc1", request_id))
+        self.assertEqual(owners, {"e1"})
+
     async def test_unknown_outcome_names_the_request(self):
         path = Path(OutcomeUnknown("reset"), entries=("e1",))
         _, client = await self.serve(path)
--- a/tests/test_promise_requests.py
+++ b/tests/test_promise_requests.py
@@ -52,9 +52,11 @@
         await asyncio.to_thread(self._fleet.control, minion.address, **message)
 
     async def _damaged(self) -> None:
-        for minion in tuple(self._fleet.minion_by_name.values()):
-            await self._control(minion, wrong_dispatch_id=3, truncate=3)
-        await asyncio.sleep(0.5)
+        # One after the other: a short answer would hide its wrong id.
+        for fault in ("wrong_dispatch_id", "truncate"):
+            for minion in tuple(self._fleet.minion_by_name.values()):
+                await self._control(minion, **{fault: 3})
+            await asyncio.sleep(0.5)
 
     async def _late(self) -> None:
         minion = self._minion()
