--- a/sardinedrift/claims.py
+++ b/sardinedrift/claims.py
@@ -77,8 +77,9 @@
     ) -> ClaimReply:
         """Grants an id to a holder, or tells why not.
 
-        A caller was told that attempt n did not run. An attempt below n that
-        was held up, in a frozen entry for example, must not run afterwards.
+        Once a caller was told that attempt n, from 2 on, did not run, only
+        later ones may: one that was sent before and held up, in a frozen
+        entry for example, would make that refusal false.
 
         The code is "claimed", "duplicate_request", "already_answered",
         "superseded", "not_owner", "owner_is_new", "expired", "malformed" or
@@ -98,7 +99,7 @@
         claim = self._claim_by_id.get(request_id)
         if claim and claim.phase is not _Phase.RELEASED:
             return ClaimReply(code=_repeated(claim))
-        if claim and claim.attempt > max(attempt, 1):
+        if claim and claim.attempt >= max(attempt, 2):
             return ClaimReply(code="superseded")
         refusal = self._refusal(request_id)
         if refusal:
