--- a/sardinedrift/callers.py
+++ b/sardinedrift/callers.py
@@ -31,6 +31,8 @@
 REQUEST_ID_HEADER = "Sardinedrift-Request-Id"
 DATA_CENTRE_HEADER = "Sardinedrift-Data-Centre"
 _DRAIN_POLL_SECONDS = 0.05
+# With half of the owners dead, one id in a million has a dead owner.
+_MOST_ID_TRIES = 20
 
 
 class Callers:
@@ -51,6 +53,7 @@
         self._dispatcher = dispatcher
         self._clock = clock
         self._admission = Admission(identity.data_centre_id)
+        self._leaving = False
         self._stopping = False
         self._in_progress = 0
 
@@ -74,6 +77,14 @@
         """Returns the routes for relays by other entries."""
         return [web.post(RELAY_PATH, self.receive_relay)]
 
+    def leave(self) -> None:
+        """Closes each connection with its next answer.
+
+        A connection that stays open would be closed at the end of the stop,
+        perhaps at the moment its caller sends on it.
+        """
+        self._leaving = True
+
     def stop(self) -> None:
         """Refuses further requests; those in progress go on."""
         self._stopping = True
@@ -91,8 +102,15 @@
         return True
 
     async def make_request_id(self, request: web.Request) -> web.Response:
-        """Answers with a fresh request id homed in this data centre."""
-        request_id = new_request_id(self._identity.data_centre_id)
+        """Answers with a fresh request id homed in this data centre.
+
+        An id of an owner that has ended would be refused until that owner is
+        shown to be gone.
+        """
+        for _ in range(_MOST_ID_TRIES):
+            request_id = new_request_id(self._identity.data_centre_id)
+            if self._dispatcher.can_claim(request_id):
+                break
         return web.json_response({"request_id": request_id})
 
     async def receive(self, request: web.Request) -> web.Response:
@@ -132,7 +150,8 @@
         self, request: web.Request, relayed: RelayedRequest
     ) -> tuple[RequestId, Answer]:
         made_by_caller = not relayed.claimed
-        first_attempt = request.headers.get(ATTEMPT_HEADER) == "1"
+        attempt = _attempt(request.headers.get(ATTEMPT_HEADER, ""))
+        first_attempt = attempt == 1
         self._check_serving(made_by_caller, first_attempt)
         queue = self._follower.state.tables.queue_by_id.get(relayed.queue_id)
         if queue is None:
@@ -152,6 +171,7 @@
             run_deadline_bound=relayed.deadline,
             content_type=relayed.content_type,
             hops=tuple(relayed.hops),
+            attempt=attempt,
         )
         return await self._dispatch(request, admitted)
 
@@ -204,25 +224,23 @@
         except AdmissionError as error:
             known = error.request_id or request_id
             return self._refusal(error, known)
-        return web.Response(
-            status=answer.status,
-            body=answer.body,
-            headers={
-                "Content-Type": answer.content_type,
-                **self._headers(request_id, "answered"),
-            },
-        )
+        headers = self._headers(request_id, "answered")
+        headers["Content-Type"] = answer.content_type
+        return self._response(answer.status, answer.body, headers)
 
     def _refusal(self, error: AdmissionError, request_id: str) -> web.Response:
         body = ErrorBody(error.code, str(error), error.outcome, request_id)
-        return web.Response(
-            status=error.status,
-            body=msgspec.json.encode(body),
-            headers={
-                "Content-Type": "application/json",
-                **self._headers(request_id, error.outcome.value),
-            },
-        )
+        headers = self._headers(request_id, error.outcome.value)
+        headers["Content-Type"] = "application/json"
+        return self._response(error.status, msgspec.json.encode(body), headers)
+
+    def _response(
+        self, status: int, body: bytes, headers: dict[str, str]
+    ) -> web.Response:
+        response = web.Response(status=status, body=body, headers=headers)
+        if self._leaving:
+            response.force_close()
+        return response
 
     def _headers(self, request_id: str, outcome: str) -> dict[str, str]:
         return {
@@ -240,6 +258,11 @@
             self._in_progress -= 1
 
 
+def _attempt(text: str) -> int:
+    """Returns the number of a relayed attempt; 0: the caller gave none."""
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
 def _asked(request: web.Request) -> CallerRequest:
     get: Callable[[str], str | None] = request.headers.get
     return CallerRequest(
--- /dev/null
+++ b/tests/test_promise_requests.py
@@ -0,0 +1,221 @@
+"""Requests under faults: whole answers, true refusals, one run each."""
+
+import asyncio
+import random
+import signal
+import unittest
+from unittest import mock
+
+from sardinedrift import retries
+from sardinedrift.exceptions import DialFailed
+from standins.fleet import Fleet, call
+from standins.history import Attempt, Execution, violations
+from tests.processload import Load, broken, fleet_of
+from tests.test_dispatch import Path
+
+SEED = 11
+
+
+class Faults:
+    """Faults in an order drawn from a seed; each is undone after a while."""
+
+    def __init__(self, fleet: Fleet, load: Load, seed: int):
+        self._fleet = fleet
+        self._load = load
+        self._random = random.Random(seed)
+
+    async def run(self) -> None:
+        """Injects every kind once."""
+        kinds = [
+            self._damaged,
+            self._late,
+            self._silent,
+            self._minion_killed,
+            self._frozen,
+            self._cut,
+            self._entry_killed,
+        ]
+        self._random.shuffle(kinds)
+        for kind in kinds:
+            await kind()
+            await asyncio.sleep(0.3)
+
+    def _minion(self):
+        names = sorted(self._fleet.minion_by_name)
+        return self._fleet.minion_by_name[self._random.choice(names)]
+
+    def _entry(self):
+        names = sorted(self._fleet.entry_by_name)
+        return self._fleet.entry_by_name[self._random.choice(names)]
+
+    async def _control(self, minion, **message) -> None:
+        await asyncio.to_thread(self._fleet.control, minion.address, **message)
+
+    async def _damaged(self) -> None:
+        # One after the other: a short answer would hide its wrong id.
+        for fault in ("wrong_dispatch_id", "truncate"):
+            for minion in tuple(self._fleet.minion_by_name.values()):
+                await self._control(minion, **{fault: 3})
+            await asyncio.sleep(0.5)
+
+    async def _late(self) -> None:
+        minion = self._minion()
+        await self._control(minion, late=6.0)
+        await asyncio.sleep(0.5)
+        await self._control(minion, late=0.0)
+
+    async def _silent(self) -> None:
+        await self._control(self._minion(), silent=True)
+        await asyncio.sleep(0.5)
+
+    async def _minion_killed(self) -> None:
+        name = self._minion().name
+        await asyncio.to_thread(self._fleet.kill_minion, name)
+        await asyncio.sleep(0.7)
+        await asyncio.to_thread(self._fleet.restart_minion, name)
+
+    async def _frozen(self) -> None:
+        process = self._entry().process
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(1.5)
+        process.send_signal(signal.SIGCONT)
+
+    async def _cut(self) -> None:
+        entries = tuple(self._fleet.entry_by_name.values())
+        for entry in entries:
+            other = {"dc1": "dc2", "dc2": "dc1"}[entry.data_centre]
+            await asyncio.to_thread(self._fleet.cut, entry, other)
+        await asyncio.sleep(2.0)
+        for entry in entries:
+            await asyncio.to_thread(self._fleet.cut, entry)
+
+    async def _entry_killed(self) -> None:
+        entry = self._entry()
+        # Its callers repeat the id after the holder has died.
+        held = [
+            asyncio.create_task(self._load.request_at(entry)) for _ in range(6)
+        ]
+        await asyncio.sleep(0.3)
+        await asyncio.to_thread(self._fleet.kill, entry.name)
+        await asyncio.gather(*held)
+        await asyncio.sleep(1.0)
+
+
+class FaultTest(unittest.TestCase):
+    def test_promises_under_faults(self):
+        """Guards against second runs, false refusals and foreign answers."""
+        with fleet_of(2, remote=1, dc1=2, dc2=2) as fleet:
+            load = asyncio.run(self._load(fleet))
+            found = broken(fleet, load)
+        counts = load.count()
+        self.assertEqual(found, [])
+        self.assertGreater(counts["answered"], 100)
+        # The faults have reached the callers, and their repeats the owners.
+        for code in (
+            "outcome_unknown",
+            "connection_lost",
+            "owner_unreachable",
+            "already_answered",
+            "duplicate_request",
+        ):
+            self.assertGreater(counts[code], 0, code)
+
+    async def _load(self, fleet):
+        load = Load(fleet, SEED, twice=0.1)
+        async with load.running(callers=20):
+            await Faults(fleet, load, SEED).run()
+        return load
+
+
+def attempt(outcome="answered", ended=2.0, **fields):
+    row = Attempt("a", "red", "q", False, 1.0, ended, outcome)
+    return row._replace(**fields)
+
+
+class CheckerTest(unittest.TestCase):
+    """The checks of a history find each broken promise."""
+
+    def check(self, text, attempts, starts):
+        runs = [Execution("a", "red", "m", start, 9.0) for start in starts]
+        found = list(violations(attempts, runs, {}))
+        self.assertEqual(len(found), 1 if text else 0, found)
+        if text:
+            self.assertIn(text, found[0])
+
+    def test_bad_histories(self):
+        again = attempt("not_run", sent=3.0, ended=4.0)
+        for text, attempts, starts in (
+            ("", [attempt()], [1.5]),
+            ("", [attempt("unknown"), attempt(sent=3.0)], [1.5]),
+            ("", [attempt("not_run"), attempt(sent=3.0)], [3.5]),
+            ("ran 2 times", [attempt()], [1.5, 3.5]),
+            ("", [attempt(idempotent=True)], [1.5, 3.5]),
+            ("not run but ran", [attempt("not_run")], [1.5]),
+            ("not run but ran", [attempt("not_run")], [5.0]),
+            ("not run but ran", [attempt("unknown"), again], [5.0]),
+            ("foreign answer", [attempt(whole=False)], [1.5]),
+            ("never ran", [attempt()], []),
+        ):
+            with self.subTest(text=text, starts=starts):
+                self.check(text, attempts, starts)
+
+
+class BudgetTest(unittest.TestCase):
+    def _sends(self, requests=40):
+        async def send():
+            failures = [DialFailed("refused")] * 10_000
+            path = Path(*failures, entries=("e1",))
+            for _ in range(requests):
+                await path.outcome(seconds=2.0)
+            return len(path.minions.sent)
+
+        with mock.patch.object(retries, "LONGEST_DELAY_SECONDS", 0.001):
+            return asyncio.run(send())
+
+    def test_retries_of_a_failing_pool(self):
+        """Guards against load that multiplies while a pool fails."""
+        bound = 40 + retries.MOST_HELD
+        self.assertEqual(self._sends(), bound)
+        endless = mock.patch.object(
+            retries.RetryBudget, "try_spend", return_value=True
+        )
+        with endless:
+            self.assertGreater(self._sends(2), bound)
+
+
+class FailingTest(unittest.TestCase):
+    def test_failing_minions(self):
+        """Guards against failing fast that attracts work, and retry storms."""
+        with fleet_of(2, dc1=2) as fleet:
+            failing, sound = fleet.minion_by_name.values()
+            fleet.control(failing.address, fail_fast=True)
+            asyncio.run(self._load(fleet, 2.0))
+            runs = {
+                each.name: len(call(each.address, "/executions")["executions"])
+                for each in (failing, sound)
+            }
+            for each in (failing, sound):
+                fleet.control(each.address, draining=True)
+            before = self._refused(fleet)
+            load = asyncio.run(self._load(fleet, 2.0))
+            refused = self._refused(fleet) - before
+        # Two times the errors in a row, and then one probe after each delay.
+        self.assertGreater(runs[sound.name], 100)
+        self.assertLess(runs[failing.name], 30)
+        counts = load.count()
+        self.assertEqual(counts["answered"], 0)
+        budget = retries.MOST_HELD * len(fleet.entry_by_name)
+        self.assertLessEqual(refused, len(load.history) + budget)
+        self.assertGreater(refused, 0)
+
+    def _refused(self, fleet):
+        return sum(
+            call(each.address, "/executions")["refused"]
+            for each in fleet.minion_by_name.values()
+        )
+
+    async def _load(self, fleet, seconds):
+        load = Load(fleet, SEED, repeat=False, wait_seconds=1.0)
+        async with load.running():
+            await asyncio.sleep(seconds)
+        return load
