Choose remote partners by log membership and report neighbours

Entries exchanged with one entry of each other data centre, chosen over the addresses that were not skipped lately. Non-members took part in the choice and an entry that was neither partner nor sender fell out of the live set, so the set of live remote members was incomplete and changed all the time.

The partner is now chosen by rendezvous over the ACTIVE members in the fold; a failing one is replaced and tried again from time to time. Exchanges across data centres name the live members of the sender's data centre with their spare units, so that live_members and exchange_of cover all of them. A full mesh across data centres was ruled out by its cost at 69 entries.

--- a/sardinedrift/messages.py
+++ b/sardinedrift/messages.py
@@ -33,6 +33,21 @@
     since: float
 
 
+class Neighbour(msgspec.Struct, frozen=True, kw_only=True):
+    """A live member of the sender's data centre, as the sender last heard it.
+
+    Attributes:
+        spare_by_team: idle allowance units it could give.
+    """
+
+    entry_id: EntryId
+    address: str
+    ready: bool
+    offset: Offset
+    current_at: float
+    spare_by_team: dict[TeamId, int] = {}
+
+
 class Exchange(msgspec.Struct, frozen=True, kw_only=True):
     """`POST /peer/exchange`: heartbeat, answered with the peer's own.
 
@@ -48,6 +63,8 @@
         contended_use: cumulative slot-seconds of each team in each pool while
             the pool was full, as scheduled in the sender's data centre.
         endpoints: pools with a usable endpoint in the sender's data centre.
+        neighbours: other live members of the sender's data centre; sent to
+            other data centres, which exchange with few of them.
     """
 
     entry_id: EntryId
@@ -63,6 +80,7 @@
     wanted_by_team: dict[TeamId, int] = {}
     contended_use: dict[PoolId, dict[TeamId, float]] = {}
     endpoints: list[PoolId] = []
+    neighbours: list[Neighbour] = []
 
 
 class SlotAsk(msgspec.Struct, frozen=True, kw_only=True):
--- a/sardinedrift/peerclient.py
+++ b/sardinedrift/peerclient.py
@@ -3,13 +3,19 @@
 import asyncio
 import errno
 import socket
+import zlib
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, TypeVar
 
 import aiohttp
+import msgspec
 
+from sardinedrift import snapshots
 from sardinedrift.exceptions import PeerError
 from sardinedrift.ports import Clock
+from sardinedrift.state import State
+
+Reply = TypeVar("Reply")
 
 CONNECT_SECONDS = 0.5
 # Bytes not acknowledged for this long end a connection that went silent.
@@ -104,3 +110,33 @@
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
     )
     return made
+
+
+def decode_reply(
+    status: int, body: bytes, reply_type: type[Reply], source: str
+) -> Reply:
+    """Returns the message in a reply.
+
+    Raises:
+        PeerError: the reply is an error or unreadable.
+    """
+    if status != 200:
+        raise PeerError(f"{source} answered {status}: {body[:200]!r}")
+    try:
+        return msgspec.json.decode(body, type=reply_type)
+    except msgspec.DecodeError as error:
+        raise PeerError(f"{source}: {error}") from error
+
+
+def decode_snapshot(status: int, body: bytes, source: str) -> State:
+    """Returns the state in a reply.
+
+    Raises:
+        PeerError: the reply is an error or unreadable.
+    """
+    if status != 200:
+        raise PeerError(f"{source} answered {status}")
+    try:
+        return snapshots.decode(body)
+    except (msgspec.DecodeError, zlib.error) as error:
+        raise PeerError(f"{source}: {error}") from error
--- a/sardinedrift/peerlinks.py
+++ b/sardinedrift/peerlinks.py
@@ -1,10 +1,12 @@
 """What is known about each peer address: liveness and evidence of an end."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
+import msgspec
+
 from sardinedrift.identifiers import DataCentreId, EntryId, Identity
-from sardinedrift.messages import Exchange
+from sardinedrift.messages import Exchange, Neighbour
 from sardinedrift.ports import Clock
 from sardinedrift.routing import rendezvous
 
@@ -32,8 +34,8 @@
         exchange: last exchange from this address.
         live_until: unix seconds.
         failing: the last exchange sent to it had no answer.
-        skip_until: unix seconds until which another entry of its data centre
-            is used instead.
+        skip_until: unix seconds until which a failing entry of another data
+            centre is not tried again.
         last_heard: unix seconds of the last exchange.
     """
 
@@ -94,16 +96,30 @@
 
 
 class LinkTable:
-    """All peer addresses, and which of them to exchange with."""
+    """All peer addresses, and which of them to exchange with.
+
+    Args:
+        identity: this entry.
+        clock: source of the time.
+        near: timing within the data centre.
+        far: timing across data centres.
+        members: returns the addresses of the members of a data centre.
+    """
 
     def __init__(
-        self, identity: Identity, clock: Clock, near: Timing, far: Timing
+        self,
+        identity: Identity,
+        clock: Clock,
+        near: Timing,
+        far: Timing,
+        members: Callable[[DataCentreId], set[str]],
     ):
         self.by_address: dict[str, Link] = {}
         self.near = near
         self.far = far
         self._identity = identity
         self._clock = clock
+        self._members = members
 
     def add(self, address: str) -> Link | None:
         """Returns the link of an address; None for the own one."""
@@ -131,6 +147,60 @@
             if self.is_live(link):
                 yield link
 
+    def exchanges(
+        self, data_centre_id: DataCentreId | None = None
+    ) -> list[Exchange]:
+        """Returns the last exchange of each live entry, of one data centre.
+
+        Members of other data centres with which this entry does not exchange
+        are included as their neighbours describe them.
+        """
+        direct = [
+            link.exchange
+            for link in self.live()
+            if data_centre_id in (None, link.exchange.data_centre_id)
+        ]
+        found = {each.entry_id: each for each in direct}
+        for exchange in direct:
+            for each in self._reported(exchange):
+                found.setdefault(each.entry_id, each)
+        return list(found.values())
+
+    def exchange_of(self, entry_id: EntryId) -> Exchange | None:
+        """Returns the last exchange of a live entry."""
+        link = self.of_entry(entry_id)
+        if link is not None and self.is_live(link):
+            return link.exchange
+        for other in self.live():
+            for each in self._reported(other.exchange):
+                if each.entry_id == entry_id:
+                    return each
+        return None
+
+    def _reported(self, exchange: Exchange) -> Iterator[Exchange]:
+        """Yields what an exchange tells of others, but those known to fail."""
+        for neighbour in exchange.neighbours:
+            link = self.by_address.get(neighbour.address)
+            if link is None or not link.failing:
+                yield _reported(neighbour, exchange)
+
+    def neighbours(self) -> list[Neighbour]:
+        """Returns the live members of the own data centre, without itself."""
+        return [
+            Neighbour(
+                entry_id=each.entry_id,
+                address=each.address,
+                ready=each.ready,
+                offset=each.offset,
+                current_at=each.current_at,
+                spare_by_team=each.spare_by_team,
+            )
+            for each in (link.exchange for link in self.live())
+            if each.data_centre_id == self._identity.data_centre_id
+            and each.member
+            and not each.stopping
+        ]
+
     def is_live(self, link: Link) -> bool:
         """Tells whether a link is live; it then has an exchange."""
         return link.exchange is not None and (
@@ -146,21 +216,28 @@
         """Tells whether this entry sends exchanges to an address.
 
         All of the own data centre, all whose data centre is not known yet,
-        and one of each other data centre.
+        and one member of each other data centre. The choice depends on the
+        members in the log and not on who was heard of lately: a choice among
+        live entries would change that set itself. A member that fails is
+        replaced by another and tried again from time to time.
         """
         own = self._identity.data_centre_id
         if link.data_centre_id in (None, own):
             return True
-        now = self._clock.now()
-        addresses = [
-            each.address
+        links = [
+            each
             for each in self.by_address.values()
             if each.data_centre_id == link.data_centre_id
-            and each.skip_until <= now
         ]
-        if not addresses:
-            return True
-        return rendezvous(self._identity.entry_id, addresses) == link.address
+        members = self._members(link.data_centre_id)
+        candidates = [each for each in links if each.address in members]
+        candidates = candidates or links
+        if link not in candidates:
+            return False
+        usable = [each.address for each in candidates if not each.failing]
+        if link.failing:
+            return not usable or link.skip_until <= self._clock.now()
+        return rendezvous(self._identity.entry_id, usable) == link.address
 
     def answered(self, link: Link, exchange: Exchange) -> None:
         """Notes an answered exchange."""
@@ -208,3 +285,22 @@
         link.data_centre_id = exchange.data_centre_id
         link.last_heard = now
         link.live_until = now + self.timing(link).dead_after
+
+
+def _reported(neighbour: Neighbour, by: Exchange) -> Exchange:
+    """Returns the exchange of a member as another one describes it."""
+    return msgspec.structs.replace(
+        by,
+        entry_id=neighbour.entry_id,
+        address=neighbour.address,
+        member=True,
+        ready=neighbour.ready,
+        stopping=False,
+        offset=neighbour.offset,
+        current_at=neighbour.current_at,
+        spare_by_team=neighbour.spare_by_team,
+        held={},
+        wanted_by_team={},
+        contended_use={},
+        neighbours=[],
+    )
--- a/sardinedrift/peers.py
+++ b/sardinedrift/peers.py
@@ -2,15 +2,13 @@
 
 import asyncio
 import contextlib
-import zlib
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from typing import Any, TypeVar
+from typing import TypeVar
 
 import msgspec
 from loguru import logger
 from prometheus_client import Counter
 
-from sardinedrift import snapshots
 from sardinedrift.exceptions import PeerError
 from sardinedrift.follower import Follower, PeerSource
 from sardinedrift.identifiers import (
@@ -22,7 +20,11 @@
     PoolId,
 )
 from sardinedrift.messages import Exchange, RecordsReply
-from sardinedrift.peerclient import PeerClient
+from sardinedrift.peerclient import (
+    PeerClient,
+    decode_reply,
+    decode_snapshot,
+)
 from sardinedrift.peerlinks import Link, LinkTable, Timing
 from sardinedrift.ports import Clock
 from sardinedrift.routing import rendezvous
@@ -80,7 +82,9 @@
         self._seeds = tuple(seeds)
         self._fill = fill
         self._discover = discover
-        self._links = LinkTable(identity, clock, near, far)
+        self._links = LinkTable(
+            identity, clock, near, far, self._member_addresses
+        )
         self._client = PeerClient(clock)
         self._task_by_address: dict[str, asyncio.Task] = {}
         self._relaying = asyncio.Lock()
@@ -130,9 +134,12 @@
         return entry.address if entry else None
 
     def exchange_of(self, entry_id: EntryId) -> Exchange | None:
-        """Returns the last exchange of a live entry."""
-        link = self._links.of_entry(entry_id)
-        return link.exchange if link and self._links.is_live(link) else None
+        """Returns the last exchange of a live entry.
+
+        That of an entry of another data centre may be as reported by one of
+        its neighbours; it then lacks what only its receiver uses.
+        """
+        return self._links.exchange_of(entry_id)
 
     def ended_since(self, entry_id: EntryId) -> float | None:
         """Returns since when a process has shown that it has ended.
@@ -185,7 +192,7 @@
             link = self._links.add(exchange.address)
             self._links.heard(link, exchange)
             self._observe(exchange)
-        return self._fill(exchange.entry_id)
+        return self._outgoing(exchange.entry_id, exchange.data_centre_id)
 
     async def call(
         self,
@@ -207,7 +214,7 @@
             msgspec.json.encode(message),
             deadline,
         )
-        return _decode(status, body, reply_type, f"{entry_id} {path}")
+        return decode_reply(status, body, reply_type, f"{entry_id} {path}")
 
     async def post(
         self,
@@ -236,11 +243,27 @@
         if data_centre_id == self._identity.data_centre_id:
             yield self._fill(None)
         entry_by_id = self._follower.state.tables.entry_by_id
-        for link in self._links.live():
-            entry = entry_by_id.get(link.entry_id)
-            gone = entry is not None and entry.state is EntryState.GONE
-            if link.exchange.data_centre_id == data_centre_id and not gone:
-                yield link.exchange
+        for exchange in self._links.exchanges(data_centre_id):
+            entry = entry_by_id.get(exchange.entry_id)
+            if entry is None or entry.state is not EntryState.GONE:
+                yield exchange
+
+    def _member_addresses(self, data_centre_id: DataCentreId) -> set[str]:
+        state = self._follower.state
+        return {
+            state.tables.entry_by_id[entry_id].address
+            for entry_id in state.active_entries(data_centre_id)
+        }
+
+    def _outgoing(
+        self, receiver: EntryId | None, data_centre_id: DataCentreId | None
+    ) -> Exchange:
+        """Returns the exchange to send to an entry of a data centre."""
+        exchange = self._fill(receiver)
+        if data_centre_id in (None, self._identity.data_centre_id):
+            return exchange
+        neighbours = self._links.neighbours()
+        return msgspec.structs.replace(exchange, neighbours=neighbours)
 
     def _find_peers(self) -> None:
         """Starts a task for each new address and ends those of old ones."""
@@ -278,7 +301,7 @@
             await asyncio.sleep(min(max(rest, 0.01), timing.interval))
 
     async def _exchange(self, link: Link, deadline: float) -> None:
-        sent = self._fill(link.entry_id)
+        sent = self._outgoing(link.entry_id, link.data_centre_id)
         try:
             status, _, body = await self._request(
                 "POST",
@@ -288,7 +311,7 @@
                 msgspec.json.encode(sent),
                 deadline,
             )
-            exchange = _decode(status, body, Exchange, link.address)
+            exchange = decode_reply(status, body, Exchange, link.address)
             if exchange.data_centre_id in self.blocked:
                 raise PeerError(f"{link.address} is blocked")
         except PeerError as error:
@@ -319,7 +342,7 @@
                     b"",
                     self._clock.now() + RELAY_SECONDS,
                 )
-                reply = _decode(status, body, RecordsReply, link.address)
+                reply = decode_reply(status, body, RecordsReply, link.address)
                 self._follower.offer(reply.records)
                 if not reply.records and reply.next > start:
                     self._follower.note_gap()
@@ -333,12 +356,7 @@
             b"",
             self._clock.now() + SNAPSHOT_SECONDS,
         )
-        if status != 200:
-            raise PeerError(f"{link.address} answered {status}")
-        try:
-            return snapshots.decode(body)
-        except (msgspec.DecodeError, zlib.error) as error:
-            raise PeerError(f"{link.address}: {error}") from error
+        return decode_snapshot(status, body, link.address)
 
     async def _request(
         self,
@@ -366,8 +384,8 @@
     def _notice_changes(self) -> None:
         """Wakes waiters when the live entries or their states changed."""
         seen = frozenset(
-            (each.entry_id, each.exchange.member, each.exchange.stopping)
-            for each in self._links.live()
+            (each.entry_id, each.member, each.stopping)
+            for each in self._links.exchanges()
         )
         if seen == self._seen:
             return
@@ -384,14 +402,3 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await self._client.close()
-
-
-def _decode(
-    status: int, body: bytes, reply_type: type[Any], source: str
-) -> Any:
-    if status != 200:
-        raise PeerError(f"{source} answered {status}: {body[:200]!r}")
-    try:
-        return msgspec.json.decode(body, type=reply_type)
-    except msgspec.DecodeError as error:
-        raise PeerError(f"{source}: {error}") from error
