Prove limits of teams under failure with processes

Covers a killed, a frozen and a cut off holder, limits changed under load and the replacement of a data centre in an outage of the log. A variant without the allowance check shows that the check of the journals finds passed limits.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -161,9 +161,19 @@
         name: str,
         data_centre: str,
         seeds: list[str] | None = None,
+        program: tuple[str, ...] = ("-m", "sardinedrift"),
         **settings: Any,
     ) -> Entry:
-        """Starts an entry; it is listed once it has told its id."""
+        """Starts an entry; it is listed once it has told its id.
+
+        Args:
+            name: name of its files.
+            data_centre: where it runs.
+            seeds: peers to try first; None: all running entries.
+            program: arguments of the interpreter; another than the default
+                runs a variant.
+            **settings: settings that differ from the defaults.
+        """
         path = self.directory / f"{name}.yaml"
         if seeds is None:
             seeds = [each.peers for each in self.entry_by_name.values()]
@@ -189,7 +199,8 @@
             process = subprocess.Popen(
                 [
                     sys.executable,
-                    *("-m", "sardinedrift", "entry", "run"),
+                    *program,
+                    *("entry", "run"),
                     *("--config", str(path)),
                 ],
                 stdout=stream,
--- /dev/null
+++ b/tests/test_promise_limits.py
@@ -0,0 +1,155 @@
+"""Limits of teams (P4) under failure, with real processes."""
+
+import signal
+import time
+import unittest
+
+from standins.fleet import running_fleet, wait_until
+from standins.history import Execution, read_executions
+from tests import promise_fleet
+from tests.promise_fleet import LimitChange
+
+# Three of the four entries hold no unit of the first team at any time.
+SMALL, MEDIUM = 2, 10
+TEAMS = {"small": (1.0, SMALL), "medium": (1.0, MEDIUM)}
+# An accepted limit is in force everywhere after this.
+GRACE_SECONDS = 2.0
+# The mechanism off: every entry starts whatever is asked of it.
+UNLIMITED = (
+    "-c",
+    "from sardinedrift import cli, limits;"
+    "limits.Limits._free = lambda self, team_id: 1000;"
+    "cli.main()",
+)
+
+
+class LimitPromiseTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = self.enterContext(running_fleet())
+        self.load = promise_fleet.Load({"small": 2, "medium": 5}, 0.1)
+        self.changes = {
+            "small": [LimitChange(SMALL, 0.0, 0.0)],
+            "medium": [LimitChange(MEDIUM, 0.0, 0.0)],
+        }
+
+    def start(self, data_centres=promise_fleet.DATA_CENTRES, **more):
+        self.entries = promise_fleet.start_fleet(
+            self.fleet, TEAMS, data_centres, **more
+        )
+        return self.entries
+
+    def set_limit(self, limit, entry):
+        """Sets the limit of the medium team."""
+        revision = promise_fleet.row(entry, "teams/medium")["revision"]
+        sent = time.time()
+        change = {"type": "PutTeam", "team_id": "medium", "share": 1.0}
+        change |= {"limit": limit, "expected_revision": revision}
+        self.fleet.publish(change, entry=entry)
+        self.changes["medium"].append(LimitChange(limit, sent, time.time()))
+
+    def go_on(self, *teams):
+        """Waits for answers to requests sent from now on."""
+        now = time.time()
+        for team in teams or TEAMS:
+            self.load.wait_answers(10, team, now)
+
+    def passed(self):
+        """Returns the starts above the limits, from all journals."""
+        executions = list(read_executions(self.fleet.directory))
+        lines = []
+        for team, changes in self.changes.items():
+            own = [each for each in executions if each.team == team]
+            self.assertGreater(len(own), 20)
+            lines += promise_fleet.limit_passed(own, changes, GRACE_SECONDS)
+        return lines
+
+    def test_limits_hold_under_failure(self):
+        """Guards against work above a limit while holders fail or are cut."""
+        first, killed, other, frozen = self.start()
+        with self.load.at(*self.entries):
+            self.go_on()
+            self.fleet.kill(killed.name)
+            self.go_on("medium")
+            frozen.process.send_signal(signal.SIGSTOP)
+            self.go_on("medium")
+            time.sleep(1.0)
+            frozen.process.send_signal(signal.SIGCONT)
+            self.go_on("medium")
+            self.cut_off(first, other, frozen)
+            self.go_on("medium")
+            for limit in (4, 14, 3, MEDIUM):
+                self.set_limit(limit, other)
+                time.sleep(GRACE_SECONDS + 0.5)
+            frozen.process.send_signal(signal.SIGSTOP)
+            self.set_limit(6, first)
+            time.sleep(1.0)
+            frozen.process.send_signal(signal.SIGCONT)
+            self.go_on("medium")
+        self.assertEqual(self.passed(), [])
+
+    def cut_off(self, first, *others):
+        """Cuts the second data centre off for a while, and heals it."""
+        promise_fleet.block_platform(self.fleet, "dc2")
+        self.fleet.cut(first, "dc2")
+        for entry in others:
+            self.fleet.cut(entry, "dc1")
+        self.go_on("medium")
+        time.sleep(1.0)
+        promise_fleet.block_platform(self.fleet)
+        for entry in (first, *others):
+            self.fleet.cut(entry)
+
+    def test_limits_hold_when_a_data_centre_is_replaced(self):
+        """Guards against new entries that work without an allowance."""
+        old = self.start()[:2]
+        with self.load.at(*self.entries):
+            self.go_on()
+        self.fleet.control(self.fleet.log, outage=True)
+        with self.load.at(*old):
+            for entry in old:
+                self.fleet.kill(entry.name)
+        new = [
+            self.fleet.start_entry(f"dc1-n{number}", "dc1")
+            for number in range(2)
+        ]
+        for entry in new:
+            wait_until(
+                lambda entry=entry: self.fleet.status(entry)["ready"],
+                f"{entry.name} is ready in an outage",
+            )
+            self.assertFalse(self.fleet.status(entry)["member"])
+        with self.load.at(*new):
+            self.go_on("medium")
+        with self.load.at(*new, *self.entries[2:]):
+            self.fleet.control(self.fleet.log, outage=False)
+            self.fleet.wait_ready(*new)
+            self.go_on("medium")
+        self.assertEqual(self.passed(), [])
+
+    def test_entries_without_limits_are_noticed(self):
+        """Guards against a check of limits that passes without them."""
+        self.start(("dc1",), program=UNLIMITED)
+        with self.load.at(*self.entries):
+            self.go_on()
+        self.assertNotEqual(self.passed(), [])
+
+
+class LimitCheckTest(unittest.TestCase):
+    def check(self, executions, *changes):
+        runs = [Execution("i", "t", "m", *each) for each in executions]
+        return list(promise_fleet.limit_passed(runs, list(changes), 2.0))
+
+    def test_start_above_a_limit_is_noticed(self):
+        """Guards against a check of limits that overlooks a start."""
+        low = LimitChange(1, 0.0, 0.0)
+        self.assertEqual(self.check([(1, 2), (2, 3)], low), [])
+        self.assertEqual(len(self.check([(1, 3), (2, 4)], low)), 1)
+        # One without an end is still running.
+        self.assertEqual(len(self.check([(1, None), (9, 10)], low)), 1)
+
+    def test_lowered_limit_bars_starts(self):
+        """Guards against a check that forgives starts after a cut."""
+        changes = LimitChange(2, 0.0, 0.0), LimitChange(1, 5.0, 6.0)
+        self.assertEqual(self.check([(1, 20), (7, 20)], *changes), [])
+        self.assertEqual(self.check([(1, 20), (2, 20)], *changes), [])
+        self.assertEqual(len(self.check([(1, 20), (9, 20)], *changes)), 1)
