Settle lowered limits promptly and keep gives through long outages

After a limit was lowered, all work of the team stood still for up to three seconds. Holders looked for the debt once a second, and counted units of holders that are gone, which cannot be returned, in their parts. They now act as soon as the fold shows the debt and whenever a unit becomes idle.

Units locked for a peer stayed locked for good when the log was down for more than half an hour, because a give was not published after that time. The bound now starts with the first append that may be in the log; gives that were certainly not appended have no bound.

--- a/sardinedrift/limits.py
+++ b/sardinedrift/limits.py
@@ -15,6 +15,7 @@
 from sardinedrift.demand import TeamUse
 from sardinedrift.exceptions import (
     LogServiceError,
+    LogUnavailable,
     PeerError,
     PublishUnknown,
 )
@@ -40,7 +41,7 @@
     Attributes:
         held: units of this entry.
         unallocated: limit less all units; negative after a cut.
-        total: units of all holders.
+        total: units of all holders that are not gone.
     """
 
     held: int
@@ -88,6 +89,7 @@
         """Ends the use of a unit."""
         self._use(team_id).finish()
         self._admit(team_id)
+        self._wake_for_debt(team_id)
 
     async def wait(self, team_id: TeamId, deadline: float) -> bool:
         """Waits in order of arrival until a unit is free.
@@ -145,7 +147,7 @@
             elif wanted > 0:
                 self._reserve(team_id, ask.entry_id, wanted)
         if promised:
-            self._transfers.give(ask.entry_id, promised, self._clock.now())
+            self._transfers.give(ask.entry_id, promised)
         self._wake.set()
         return promised
 
@@ -205,8 +207,14 @@
             self._transfers.settle()
             for team_id in list(self._use_by_team):
                 self._admit(team_id)
+                self._wake_for_debt(team_id)
             await self._follower.changed(offset)
 
+    def _wake_for_debt(self, team_id: TeamId) -> None:
+        """Returns units at once: nobody starts work while there is a debt."""
+        if self._units(team_id).unallocated < 0 < self._idle(team_id):
+            self._wake.set()
+
     def _use(self, team_id: TeamId) -> TeamUse:
         use = self._use_by_team.get(team_id)
         if use is None:
@@ -222,7 +230,8 @@
         held = 0
         if entry and entry.state is EntryState.ACTIVE:
             held = allowances.units_by_entry.get(entry.entry_id, 0)
-        return Units(held, state.unallocated(team_id), allowances.total)
+        total = sum(allowances.units_by_entry.values())
+        return Units(held, state.unallocated(team_id), total)
 
     def _idle(self, team_id: TeamId) -> int:
         """Returns the units on which nothing runs and that are not locked."""
@@ -264,8 +273,7 @@
             peer, units = use.end_reservation()
             units = min(units, self._idle(team_id))
             if units > 0 and peer:
-                now = self._clock.now()
-                self._transfers.give(peer, {team_id: units}, now)
+                self._transfers.give(peer, {team_id: units})
 
     def _return_debts(self) -> None:
         """Returns idle units of teams whose limit was lowered."""
@@ -275,13 +283,14 @@
             if unallocated >= 0 or held <= 0:
                 continue
             # Each holder returns its part, rounded up, so that the holders
-            # together do not return much more than the debt.
+            # together do not return much more than the debt. Those that are
+            # gone return nothing, so their units do not count.
             part = -(unallocated * held // total)
             units = min(part, self._idle(team_id))
             if units > 0:
                 returned[team_id] = units
         if returned:
-            self._transfers.give_back(returned, self._clock.now())
+            self._transfers.give_back(returned)
 
     def _teams(self) -> Iterator[TeamId]:
         """Yields the teams of which this entry holds units."""
@@ -326,10 +335,13 @@
                 batch, now + _PUBLISH_SECONDS
             )
             self._transfers.drop_refused(results)
+        except LogUnavailable:
+            # Gives stay locked and are published again when the log is back.
+            pass
         except (LogServiceError, PublishUnknown):
             # Nothing is assumed: gives stay locked and are published again
             # with the same ids; takes count only once they are folded.
-            pass
+            self._transfers.note_unknown(batch, now)
         self._transfers.settle()
         return True
 
--- a/sardinedrift/transfers.py
+++ b/sardinedrift/transfers.py
@@ -1,8 +1,9 @@
 """Units that this entry has locked because it gives or returns them."""
 
+import math
 import uuid
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 from sardinedrift import changes as ch
@@ -11,8 +12,10 @@
 
 
 class _Transfer(NamedTuple):
+    """Units under way; `publish_until` is inf before an append may exist."""
+
     change: ch.AllowanceGive | ch.AllowanceReturn
-    publish_until: float
+    publish_until: float = math.inf
 
 
 class Transfers:
@@ -33,9 +36,7 @@
         """Returns the units of a team that must not be used."""
         return self._locked_by_team[team_id]
 
-    def give(
-        self, receiver: EntryId, units_by_team: dict[TeamId, int], now: float
-    ) -> None:
+    def give(self, receiver: EntryId, units_by_team: dict[TeamId, int]) -> None:
         """Locks units for a peer; published with the next batch."""
         change = ch.AllowanceGive(
             change_id=self.fresh_id(),
@@ -43,28 +44,43 @@
             receiver_id=receiver,
             units_by_team=units_by_team,
         )
-        self._lock(change, now)
+        self._lock(change)
 
-    def give_back(self, units_by_team: dict[TeamId, int], now: float) -> None:
+    def give_back(self, units_by_team: dict[TeamId, int]) -> None:
         """Locks units to return them to the limit."""
         change = ch.AllowanceReturn(
             change_id=self.fresh_id(),
             entry_id=self._entry_id,
             units_by_team=units_by_team,
         )
-        self._lock(change, now)
+        self._lock(change)
 
     def unsettled(self, now: float) -> Iterator[ch.AnyChange]:
         """Yields the changes to publish, again or for the first time.
 
         A change is not published again when the fold may have forgotten its
-        first result, because it would then be applied twice.
+        first result, because it would then be applied twice. One that was
+        never appended is published however long the log was down.
         """
         self.settle()
         for transfer in self._transfer_by_id.values():
             if now < transfer.publish_until:
                 yield transfer.change
 
+    def note_unknown(self, batch: Iterable[ch.AnyChange], now: float) -> None:
+        """Notes that changes may be in the log, from a time on at the earliest.
+
+        Args:
+            batch: what was published.
+            now: unix seconds before the first append.
+        """
+        until = now + RESULT_LIFETIME_SECONDS / 2
+        for change in batch:
+            known = self._transfer_by_id.get(change.change_id)
+            if known and known.publish_until == math.inf:
+                transfer = _Transfer(known.change, until)
+                self._transfer_by_id[change.change_id] = transfer
+
     def settle(self) -> None:
         """Unlocks what the fold has given away or refused to give."""
         for change_id, transfer in list(self._transfer_by_id.items()):
@@ -91,9 +107,6 @@
         del self._transfer_by_id[transfer.change.change_id]
         self._locked_by_team.subtract(transfer.change.units_by_team)
 
-    def _lock(
-        self, change: ch.AllowanceGive | ch.AllowanceReturn, now: float
-    ) -> None:
-        until = now + RESULT_LIFETIME_SECONDS / 2
-        self._transfer_by_id[change.change_id] = _Transfer(change, until)
+    def _lock(self, change: ch.AllowanceGive | ch.AllowanceReturn) -> None:
+        self._transfer_by_id[change.change_id] = _Transfer(change)
         self._locked_by_team.update(change.units_by_team)
