--- a/tests/test_promise_configuration.py
+++ b/tests/test_promise_configuration.py
@@ -8,12 +8,15 @@
 from sardinedrift import changes as ch
 from sardinedrift import fold
 from sardinedrift.follower import Follower
+from sardinedrift.identifiers import Identity
+from sardinedrift.messages import Exchange, Neighbour
+from sardinedrift.peerlinks import LinkTable, Timing
 from sardinedrift.state import State
 from standins.demo import SECRET
 from standins.fleet import FleetError, running_fleet, wait_until
 from standins.history import Attempt
 from tests import promise_fleet
-from tests.fakes import FakeLog, SystemClock
+from tests.fakes import FakeLog, ManualClock, SystemClock
 
 # The target is 2 s in this fleet and 17 s at full size; the first is recorded
 # as measured, the second is asserted.
@@ -265,6 +268,71 @@
         self.fleet.stop("dc1-snapshot")
 
 
+class PartnerTest(unittest.TestCase):
+    def test_remote_members_stay_live(self):
+        """Guards against live entries that come and go without a cause."""
+        clock = ManualClock()
+        members = {f"b{number}" for number in range(3)}
+        links = LinkTable(
+            Identity("a", "dc1", "a"),
+            clock,
+            Timing(0.25, 0.75),
+            Timing(1.0, 3.0),
+            lambda data_centre_id: members,
+        )
+        # The last is not a member; it must not be chosen.
+        for address in ("b0", "b1", "b2", "b3"):
+            links.add(address).data_centre_id = "dc2"
+        (partner,) = self.wanted(links)
+        self.assertIn(partner.address, members)
+        for _ in range(20):
+            links.answered(partner, self.exchange(partner.address, members))
+            self.assertEqual(self.wanted(links), [partner])
+            self.assertEqual(self.live(links), members)
+            clock.time += 1.0
+        links.failed(partner, refused=False)
+        (second,) = self.wanted(links)
+        self.assertIn(second.address, members - {partner.address})
+        links.answered(second, self.exchange(second.address, members))
+        # What the second says of a partner that fails here is no help.
+        clock.time += 2.9
+        self.assertEqual(self.live(links), members - {partner.address})
+        self.assertEqual(self.wanted(links), [second])
+        # Tried again later, beside the one in use.
+        clock.time += 10.0
+        self.assertCountEqual(self.wanted(links), [partner, second])
+
+    def wanted(self, links):
+        return [
+            each for each in links.by_address.values() if links.wanted(each)
+        ]
+
+    def live(self, links):
+        return {each.entry_id for each in links.exchanges("dc2")}
+
+    def exchange(self, entry_id, members):
+        return Exchange(
+            entry_id=entry_id,
+            data_centre_id="dc2",
+            address=entry_id,
+            member=True,
+            ready=True,
+            stopping=False,
+            offset=0,
+            current_at=0.0,
+            neighbours=[
+                Neighbour(
+                    entry_id=each,
+                    address=each,
+                    ready=True,
+                    offset=0,
+                    current_at=0.0,
+                )
+                for each in members - {entry_id}
+            ],
+        )
+
+
 class Reverting(Follower):
     """Variant that adopts any snapshot, also an older one."""
 
