--- a/sardinedrift/peers.py
+++ b/sardinedrift/peers.py
@@ -134,11 +134,7 @@
         return entry.address if entry else None
 
     def exchange_of(self, entry_id: EntryId) -> Exchange | None:
-        """Returns the last exchange of a live entry.
-
-        That of an entry of another data centre may be as reported by one of
-        its neighbours; it then lacks what only its receiver uses.
-        """
+        """Returns the last exchange of a live entry, or what peers report."""
         return self._links.exchange_of(entry_id)
 
     def ended_since(self, entry_id: EntryId) -> float | None:
--- a/sardinedrift/snapshotter.py
+++ b/sardinedrift/snapshotter.py
@@ -60,28 +60,40 @@
         """Appends snapshots until cancelled."""
         await self._follower.wait_ready()
         while True:
-            if self.due() and self._chosen():
+            if self.due():
                 await self._append()
             await asyncio.sleep(self._check_seconds)
 
     def due(self) -> bool:
-        """Tells whether the newest complete snapshot is too old.
+        """Tells whether this entry is to append a snapshot now.
+
+        When the newest complete one is too old, one member writes; when it
+        does not appear in time, another does. The first may be cut off from
+        the log alone, and then still counts as live for its peers.
+        """
+        overdue = self._overdue()
+        if overdue < 0:
+            return False
+        return self._chosen(int(overdue // APPEND_SECONDS))
+
+    def _overdue(self) -> float:
+        """Returns for how many seconds a snapshot has been due.
 
         Records expire by wall time, and log time stands still while nothing
         is appended; so the later of the two counts.
         """
         tables = self._follower.state.tables
         if self._follower.state.offset < 0:
-            return False
+            return -1.0
         times = [
             each.time
             for each in tables.snapshot_by_id.values()
             if each.complete
         ]
         now = max(self._clock.now(), self._follower.state.time)
-        return not times or now - max(times) >= self._interval
+        return now - max(times, default=0.0) - self._interval
 
-    def _chosen(self) -> bool:
+    def _chosen(self, turn: int) -> bool:
         """Tells whether this entry writes; two writers at once do no harm."""
         tables = self._follower.state.tables
         members = [
@@ -89,7 +101,9 @@
             for data_centre_id in tables.memberships_by_data_centre
             for member in self._peers.live_members(data_centre_id)
         ]
-        return rendezvous("snapshot", members) == self._identity.entry_id
+        return (
+            rendezvous(f"snapshot/{turn}", members) == self._identity.entry_id
+        )
 
     async def _append(self) -> None:
         """Appends the chunks, each in a record of its own."""
--- a/tests/test_promise_configuration.py
+++ b/tests/test_promise_configuration.py
@@ -4,6 +4,7 @@
 import hashlib
 import time
 import unittest
+import unittest.mock
 
 from sardinedrift import changes as ch
 from sardinedrift import fold
@@ -11,6 +12,7 @@
 from sardinedrift.identifiers import Identity
 from sardinedrift.messages import Exchange, Neighbour
 from sardinedrift.peerlinks import LinkTable, Timing
+from sardinedrift.snapshotter import Snapshotter
 from sardinedrift.state import State
 from standins import promises
 from standins.demo import SECRET
@@ -307,6 +309,33 @@
         )
 
 
+class SnapshotTurnTest(unittest.TestCase):
+    def test_another_member_writes_an_overdue_snapshot(self):
+        """Guards against expiry when the chosen member cannot append."""
+        clock = ManualClock(10_000.0)
+        follower = Follower(FakeLog(), clock)
+        join = ch.EntryJoin(
+            change_id="j", entry_id="a", data_centre_id="dc1", address="a"
+        )
+        data = ch.encode_batch(ch.Batch((join,)))
+        fold.apply_record(follower.state, 0, clock.now(), data)
+        peers = unittest.mock.Mock()
+        peers.live_members.return_value = ["a", "b"]
+        writers = [
+            Snapshotter(
+                Identity(each, "dc1", each), follower, None, peers, clock, 60.0
+            )
+            for each in ("a", "b")
+        ]
+        turns = []
+        for _ in range(8):
+            turns.append([each.due() for each in writers])
+            clock.time += 60.0
+        self.assertEqual({sum(each) for each in turns}, {1})
+        self.assertIn([True, False], turns)
+        self.assertIn([False, True], turns)
+
+
 class Reverting(Follower):
     """Variant that adopts any snapshot, also an older one."""
 
