Take units for an entry that is cut off from the log

An entry that alone was cut off from the platform never got units of a team as long as some were unallocated: it tried to take them itself and asked its peers only when none was left, so its work was refused beside free units. An entry whose last batch failed now asks a peer, which takes units for it; the entry uses them once the record has reached it. The new test waited 30 s in vain before the change.

--- a/sardinedrift/limits.py
+++ b/sardinedrift/limits.py
@@ -31,7 +31,7 @@
 
 BATCH_SECONDS = 1.0
 _PAUSE_SECONDS = 0.05
-_PUBLISH_SECONDS = 10.0
+_PUBLISH_SECONDS = 3.0
 _ASK_SECONDS = 2.0
 
 
@@ -73,6 +73,8 @@
         self._wake = asyncio.Event()
         self._remembered_at = clock.now()
         self._stopped = False
+        self._published = True
+        self._takes_by_peer: dict[EntryId, dict[TeamId, int]] = {}
 
     def try_acquire(self, team_id: TeamId) -> bool:
         """Takes a unit for one request; False when none is free."""
@@ -144,6 +146,10 @@
             units = min(wanted, self._surplus(team_id))
             if units > 0:
                 promised[team_id] = units
+            elif wanted > 0 and self._units(team_id).unallocated > 0:
+                # The peer is cut off from the log; it learns through peers.
+                takes = self._takes_by_peer.setdefault(ask.entry_id, {})
+                takes[team_id] = wanted
             elif wanted > 0:
                 self._reserve(team_id, ask.entry_id, wanted)
         if promised:
@@ -194,11 +200,9 @@
 
     async def _next_step(self) -> None:
         """Waits for a reason to act, at most a few seconds."""
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(BATCH_SECONDS):
                 await self._wake.wait()
-        except TimeoutError:
-            return
 
     async def _watch(self) -> None:
         """Admits waiting work as soon as the fold shows new units."""
@@ -320,21 +324,26 @@
             for team_id, missing, unallocated in self._missing()
             if unallocated > 0
         }
+        takes_by_entry, self._takes_by_peer = self._takes_by_peer, {}
         if takes and self._is_member(self._identity.entry_id):
-            batch.append(
-                ch.AllowanceTake(
-                    change_id=self._transfers.fresh_id(),
-                    entry_id=self._identity.entry_id,
-                    units_by_team=takes,
-                )
+            takes_by_entry[self._identity.entry_id] = takes
+        batch += (
+            ch.AllowanceTake(
+                change_id=self._transfers.fresh_id(),
+                entry_id=entry_id,
+                units_by_team=units_by_team,
             )
+            for entry_id, units_by_team in takes_by_entry.items()
+        )
         if not batch:
             return False
+        self._published = False
         try:
             results = await self._publisher.publish(
                 batch, now + _PUBLISH_SECONDS
             )
             self._transfers.drop_refused(results)
+            self._published = True
         except LogUnavailable:
             # Gives stay locked and are published again when the log is back.
             pass
@@ -354,7 +363,8 @@
         asks_by_peer: dict[EntryId, dict[TeamId, int]] = {}
         for team_id, missing, unallocated in self._missing():
             waiting = len(self._use(team_id).waiters)
-            if unallocated > 0 or not waiting:
+            # Units that this entry cannot take itself, peers take for it.
+            if not waiting or (unallocated > 0 and self._published):
                 continue
             peer = self._richest_peer(team_id)
             if peer:
--- a/tests/test_promise_limits.py
+++ b/tests/test_promise_limits.py
@@ -127,6 +127,23 @@
             self.go_on("medium")
         self.assertEqual(self.passed(), [])
 
+    def test_entry_without_log_gets_units_through_peers(self):
+        """Guards against an idle entry beside units that nobody holds."""
+        entry, peer = self.start(("dc1",))
+        entry_id = self.fleet.status(entry)["entry_id"]
+        promises.block_platform(self.fleet, entry_id)
+        with self.load.at(peer):
+            self.go_on("medium")
+        with self.load.at(entry):
+            wait_until(
+                lambda: promises.row(peer, "allowances/medium")[
+                    "units_by_entry"
+                ].get(entry_id),
+                "units of the entry that is cut off",
+            )
+            self.go_on("medium")
+        self.assertEqual(self.passed(), [])
+
     def test_entries_without_limits_are_noticed(self):
         """Guards against a check of limits that passes without them."""
         self.start(("dc1",), program=UNLIMITED)
