--- a/sardinedrift/limits.py
+++ b/sardinedrift/limits.py
@@ -15,6 +15,7 @@
 from sardinedrift.demand import TeamUse
 from sardinedrift.exceptions import (
     LogServiceError,
+    LogUnavailable,
     PeerError,
     PublishUnknown,
 )
@@ -30,7 +31,7 @@
 
 BATCH_SECONDS = 1.0
 _PAUSE_SECONDS = 0.05
-_PUBLISH_SECONDS = 10.0
+_PUBLISH_SECONDS = 3.0
 _ASK_SECONDS = 2.0
 
 
@@ -40,7 +41,7 @@
     Attributes:
         held: units of this entry.
         unallocated: limit less all units; negative after a cut.
-        total: units of all holders.
+        total: units of all holders that are not gone.
     """
 
     held: int
@@ -72,6 +73,8 @@
         self._wake = asyncio.Event()
         self._remembered_at = clock.now()
         self._stopped = False
+        self._published = True
+        self._takes_by_peer: dict[EntryId, dict[TeamId, int]] = {}
 
     def try_acquire(self, team_id: TeamId) -> bool:
         """Takes a unit for one request; False when none is free."""
@@ -88,6 +91,7 @@
         """Ends the use of a unit."""
         self._use(team_id).finish()
         self._admit(team_id)
+        self._wake_for_debt(team_id)
 
     async def wait(self, team_id: TeamId, deadline: float) -> bool:
         """Waits in order of arrival until a unit is free.
@@ -142,10 +146,14 @@
             units = min(wanted, self._surplus(team_id))
             if units > 0:
                 promised[team_id] = units
+            elif wanted > 0 and self._units(team_id).unallocated > 0:
+                # The peer is cut off from the log; it learns through peers.
+                takes = self._takes_by_peer.setdefault(ask.entry_id, {})
+                takes[team_id] = wanted
             elif wanted > 0:
                 self._reserve(team_id, ask.entry_id, wanted)
         if promised:
-            self._transfers.give(ask.entry_id, promised, self._clock.now())
+            self._transfers.give(ask.entry_id, promised)
         self._wake.set()
         return promised
 
@@ -193,11 +201,9 @@
 
     async def _next_step(self) -> None:
         """Waits for a reason to act, at most a few seconds."""
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(BATCH_SECONDS):
                 await self._wake.wait()
-        except TimeoutError:
-            return
 
     async def _watch(self) -> None:
         """Admits waiting work as soon as the fold shows new units."""
@@ -206,8 +212,14 @@
             self._transfers.settle()
             for team_id in list(self._use_by_team):
                 self._admit(team_id)
+                self._wake_for_debt(team_id)
             await self._follower.changed(offset)
 
+    def _wake_for_debt(self, team_id: TeamId) -> None:
+        """Returns units at once: nobody starts work while there is a debt."""
+        if self._units(team_id).unallocated < 0 < self._idle(team_id):
+            self._wake.set()
+
     def _use(self, team_id: TeamId) -> TeamUse:
         use = self._use_by_team.get(team_id)
         if use is None:
@@ -223,7 +235,8 @@
         held = 0
         if entry and entry.state is EntryState.ACTIVE:
             held = allowances.units_by_entry.get(entry.entry_id, 0)
-        return Units(held, state.unallocated(team_id), allowances.total)
+        total = sum(allowances.units_by_entry.values())
+        return Units(held, state.unallocated(team_id), total)
 
     def _idle(self, team_id: TeamId) -> int:
         """Returns the units on which nothing runs and that are not locked."""
@@ -265,8 +278,7 @@
             peer, units = use.end_reservation()
             units = min(units, self._idle(team_id))
             if units > 0 and peer:
-                now = self._clock.now()
-                self._transfers.give(peer, {team_id: units}, now)
+                self._transfers.give(peer, {team_id: units})
 
     def _return_debts(self) -> None:
         """Returns idle units of teams whose limit was lowered."""
@@ -276,13 +288,14 @@
             if unallocated >= 0 or held <= 0:
                 continue
             # Each holder returns its part, rounded up, so that the holders
-            # together do not return much more than the debt.
+            # together do not return much more than the debt. Those that are
+            # gone return nothing, so their units do not count.
             part = -(unallocated * held // total)
             units = min(part, self._idle(team_id))
             if units > 0:
                 returned[team_id] = units
         if returned:
-            self._transfers.give_back(returned, self._clock.now())
+            self._transfers.give_back(returned)
 
     def _return_for_jobs(self) -> None:
         """Returns surplus units of teams whose jobs wait for units."""
@@ -325,25 +338,33 @@
             for team_id, missing, unallocated in self._missing()
             if unallocated > 0
         }
+        takes_by_entry, self._takes_by_peer = self._takes_by_peer, {}
         if takes and self._is_member(self._identity.entry_id):
-            batch.append(
-                ch.AllowanceTake(
-                    change_id=self._transfers.fresh_id(),
-                    entry_id=self._identity.entry_id,
-                    units_by_team=takes,
-                )
+            takes_by_entry[self._identity.entry_id] = takes
+        batch += (
+            ch.AllowanceTake(
+                change_id=self._transfers.fresh_id(),
+                entry_id=entry_id,
+                units_by_team=units_by_team,
             )
+            for entry_id, units_by_team in takes_by_entry.items()
+        )
         if not batch:
             return False
+        self._published = False
         try:
             results = await self._publisher.publish(
                 batch, now + _PUBLISH_SECONDS
             )
             self._transfers.drop_refused(results)
+            self._published = True
+        except LogUnavailable:
+            # Gives stay locked and are published again when the log is back.
+            pass
         except (LogServiceError, PublishUnknown):
             # Nothing is assumed: gives stay locked and are published again
             # with the same ids; takes count only once they are folded.
-            pass
+            self._transfers.note_unknown(batch, now)
         self._transfers.settle()
         return True
 
@@ -356,7 +377,8 @@
         asks_by_peer: dict[EntryId, dict[TeamId, int]] = {}
         for team_id, missing, unallocated in self._missing():
             waiting = len(self._use(team_id).waiters)
-            if unallocated > 0 or not waiting:
+            # Units that this entry cannot take itself, peers take for it.
+            if not waiting or (unallocated > 0 and self._published):
                 continue
             peer = self._richest_peer(team_id)
             if peer:
--- a/sardinedrift/liveness.py
+++ b/sardinedrift/liveness.py
@@ -99,7 +99,7 @@
         self._live = {}
         self._members = {}
         self._scheduler_by_pool = {}
-        for place, entry_id, standing in self._standings(links):
+        for place, entry_id, standing in self._standings():
             if standing.stopping:
                 continue
             self._live.setdefault(place, []).append(entry_id)
@@ -108,17 +108,14 @@
         for entry_ids in (*self._live.values(), *self._members.values()):
             entry_ids.sort()
 
-    def _standings(
-        self, links
-    ) -> Iterator[tuple[DataCentreId, EntryId, Standing]]:
+    def _standings(self) -> Iterator[tuple[DataCentreId, EntryId, Standing]]:
         """Yields the live entries, the own one included."""
         own = self._identity
         yield own.data_centre_id, own.entry_id, self._standing()
         entry_by_id = self._follower.state.tables.entry_by_id
-        for link in links:
-            entry = entry_by_id.get(link.entry_id)
+        for exchange in self._links.exchanges():
+            entry = entry_by_id.get(exchange.entry_id)
             if entry is not None and entry.state is EntryState.GONE:
                 continue
-            exchange = link.exchange
             standing = Standing(exchange.member, exchange.stopping)
             yield exchange.data_centre_id, exchange.entry_id, standing
