Carry used slot-time from every scheduler to every data centre

Cause: an exchange across data centres carried only the counters of its sender's own schedulers, and only the entry that got it used them, so most schedulers never learned what teams used elsewhere. An observer that was cut off from the platform alone reported nothing. Other members report an instance that the chosen one has left unreported for 5 s. test_remote_use_is_counted_once is replaced by a check of copies out of order and of a second scheduler, because a smaller counter is now an older copy and no restart. Ruled out: totals by data centre, which count twice when they come from two entries that lag differently.

--- a/sardinedrift/assembly.py
+++ b/sardinedrift/assembly.py
@@ -33,6 +33,7 @@
 from sardinedrift.settings import Settings
 from sardinedrift.slots import Slots
 from sardinedrift.snapshotter import Snapshotter
+from sardinedrift.usage import UseTable
 from sardinedrift.waves import Waves
 from sardinedrift.workers import HttpWorkers
 
@@ -134,7 +135,7 @@
             held=self._held_for(receiver) if near else {},
             spare_by_team=self.limits.spare(),
             wanted_by_team=self.limits.wanted(),
-            contended_use=self._contended_use(),
+            contended_use=self._use_for(receiver, near),
             endpoints=self.usable_pools.ids(),
         )
 
@@ -144,11 +145,11 @@
             for pool_id, grants in exchange.held.items():
                 scheduler = self.schedulers[pool_id]
                 scheduler.report_held(exchange.entry_id, grants)
+            self.use.note(exchange.contended_use)
             return
-        for pool_id, use in exchange.contended_use.items():
-            self.schedulers[pool_id].add_remote_use(
-                exchange.data_centre_id, use
-            )
+        for scheduler_id, use_by_pool in exchange.contended_use.items():
+            for pool_id, use in use_by_pool.items():
+                self.schedulers[pool_id].add_remote_use(scheduler_id, use)
 
     def _make_platform(self) -> None:
         settings = self.settings
@@ -206,6 +207,7 @@
     def _make_decisions(self) -> None:
         identity, follower, clock = self.identity, self.follower, self.clock
         self.schedulers = Schedulers(identity, follower, self.view, clock)
+        self.use = UseTable(identity.entry_id, self._contended_use, clock)
         self.slots = Slots(identity, self.peers, self.schedulers, clock)
         self.claims = Claims(identity, follower, clock)
         self.limits = Limits(
@@ -323,6 +325,11 @@
             if self.peers.scheduler(pool_id) == receiver
         }
 
+    def _use_for(self, receiver: EntryId | None, near: bool):
+        if receiver is None:
+            return {}
+        return self.use.outgoing(receiver, near)
+
     def _contended_use(self):
         use_by_pool = {
             pool_id: scheduler.contended_use()
--- a/sardinedrift/messages.py
+++ b/sardinedrift/messages.py
@@ -61,7 +61,7 @@
         spare_by_team: idle allowance units the sender could give.
         wanted_by_team: units the sender has work waiting for.
         contended_use: cumulative slot-seconds of each team in each pool while
-            the pool was full, as scheduled in the sender's data centre.
+            the pool was full, by scheduler; only what has grown.
         endpoints: pools with a usable endpoint in the sender's data centre.
         neighbours: other live members of the sender's data centre; sent to
             other data centres, which exchange with few of them.
@@ -78,7 +78,7 @@
     held: dict[PoolId, list[HeldGrant]] = {}
     spare_by_team: dict[TeamId, int] = {}
     wanted_by_team: dict[TeamId, int] = {}
-    contended_use: dict[PoolId, dict[TeamId, float]] = {}
+    contended_use: dict[EntryId, dict[PoolId, dict[TeamId, float]]] = {}
     endpoints: list[PoolId] = []
     neighbours: list[Neighbour] = []
 
--- a/sardinedrift/observations.py
+++ b/sardinedrift/observations.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import uuid
+from collections.abc import Iterator
 
 from loguru import logger
 
@@ -18,6 +19,7 @@
 # An instance must look different for this long before it is reported, so
 # that a list that is read during a restart causes no records.
 SETTLE_SECONDS = 1.0
+TAKE_OVER_SECONDS = 5.0
 _TICK_SECONDS = 0.25
 _PUBLISH_SECONDS = 5.0
 
@@ -25,8 +27,9 @@
 class Observer:
     """Publishes `InstanceObserved` for changes seen in the instance list.
 
-    One live member of the data centre reports; two at once, for a moment,
-    report the same and do no harm.
+    One live member of the data centre reports, and the others when a
+    difference stays: the one that is chosen may be cut off from the platform
+    alone. Several reports of the same difference do no harm.
     """
 
     def __init__(
@@ -44,16 +47,16 @@
         self._peers = peers
         self._view = view
         self._clock = clock
-        self._settle_deadline_by_id: dict[InstanceId, float] = {}
+        self._different_since_by_id: dict[InstanceId, float] = {}
 
     async def run(self) -> None:
         """Reports until cancelled."""
         while True:
             await asyncio.sleep(_TICK_SECONDS)
-            if not self._is_reporter() or not self._view.reachable:
-                self._settle_deadline_by_id.clear()
+            if not self._view.reachable:
+                self._different_since_by_id.clear()
                 continue
-            changes = tuple(self._settled())
+            changes = tuple(self._settled(self._patience()))
             if not changes:
                 continue
             try:
@@ -63,13 +66,16 @@
             except SardinedriftError as error:
                 logger.debug("instance observations not published: {}", error)
 
-    def _is_reporter(self) -> bool:
+    def _patience(self) -> float:
+        """Returns for how long a difference is left to the reporter."""
         data_centre_id = self._identity.data_centre_id
         members = self._peers.live_members(data_centre_id)
         reporter = rendezvous(f"observer/{data_centre_id}", members)
-        return reporter == self._identity.entry_id
+        if reporter == self._identity.entry_id:
+            return SETTLE_SECONDS
+        return TAKE_OVER_SECONDS
 
-    def _settled(self):
+    def _settled(self, patience: float) -> Iterator[ch.InstanceObserved]:
         """Yields a change for each difference that has lasted."""
         now = self._clock.now()
         for instance in self._follower.state.instances_in(
@@ -78,12 +84,10 @@
             instance_id = instance.instance_id
             up = self._view.listed(instance_id)
             if up == instance.up:
-                self._settle_deadline_by_id.pop(instance_id, None)
+                self._different_since_by_id.pop(instance_id, None)
                 continue
-            deadline = self._settle_deadline_by_id.setdefault(
-                instance_id, now + SETTLE_SECONDS
-            )
-            if now >= deadline:
+            since = self._different_since_by_id.setdefault(instance_id, now)
+            if now >= since + patience:
                 yield ch.InstanceObserved(
                     change_id=ChangeId(str(uuid.uuid4())),
                     instance_id=instance_id,
--- a/sardinedrift/scheduler.py
+++ b/sardinedrift/scheduler.py
@@ -60,9 +60,7 @@
         self._queues = AskQueues(most_waiting)
         self._grants = Grants()
         self._ledger = ShareLedger(self._share_of)
-        self._seen_use_by_data_centre: dict[
-            DataCentreId, dict[TeamId, float]
-        ] = {}
+        self._seen_use_by_scheduler: dict[EntryId, dict[TeamId, float]] = {}
         self._instances: Sequence[Instance] = ()
         self._weight_by_team: dict[TeamId, float] = {}
         self._versions: tuple = ()
@@ -142,22 +140,23 @@
         return self._ledger.contended_use(self._clock.now())
 
     def add_remote_use(
-        self, data_centre_id: DataCentreId, use: dict[TeamId, float]
+        self, scheduler_id: EntryId, use: dict[TeamId, float]
     ) -> None:
-        """Charges the use reported by the scheduler of a data centre.
+        """Charges the use counted by a scheduler of another data centre.
+
+        The same counters may arrive by several ways and out of order.
 
         Args:
-            data_centre_id: where the slots are.
-            use: cumulative slot-seconds; a smaller number than before means
-                that a new scheduler counts from zero.
+            scheduler_id: the entry that counts.
+            use: cumulative slot-seconds of teams.
         """
-        seen = self._seen_use_by_data_centre.get(data_centre_id)
-        if seen is not None:
-            for team_id, total in use.items():
-                before = seen.get(team_id, 0.0)
-                grown = total - before if total >= before else total
-                self._ledger.add_use(team_id, grown)
-        self._seen_use_by_data_centre[data_centre_id] = dict(use)
+        seen = self._seen_use_by_scheduler.setdefault(scheduler_id, {})
+        for team_id, total in use.items():
+            before = seen.get(team_id)
+            if before is not None and total > before:
+                self._ledger.add_use(team_id, total - before)
+            if before is None or total > before:
+                seen[team_id] = total
 
     def has_endpoint(self) -> bool:
         """Tells whether the pool has a usable minion here."""
--- a/standins/capacityruns.py
+++ b/standins/capacityruns.py
@@ -258,7 +258,9 @@
     """Measures an exchange by teams with a use, in one pool."""
     use = {f"team-{each:04d}": 1234.5678 + each for each in range(size)}
     spare = dict.fromkeys(use, 12)
-    exchange = _exchange(contended_use={"pool0": use}, spare_by_team=spare)
+    exchange = _exchange(
+        contended_use={"entry0": {"pool0": use}}, spare_by_team=spare
+    )
     return _codec(exchange)
 
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -382,13 +382,19 @@
         self.assertTrue(blue.done())
 
     async def test_remote_use_is_counted_once(self):
-        """Guards against cumulative counters added again and again."""
+        """Guards against counters added again when they arrive twice.
+
+        A smaller number of the same scheduler is an older copy that came by
+        another way; a new scheduler has an id of its own.
+        """
         scheduler = self.make(minions=1, slots=1)
         added = []
         scheduler._ledger.add_use = lambda team, use: added.append(use)
-        for total in (5.0, 8.0, 8.0, 2.0):
-            scheduler.add_remote_use("dc2", {"red": total})
-        self.assertEqual(added, [3.0, 0.0, 2.0])
+        for total in (5.0, 8.0, 8.0, 6.0, 8.0, 9.0):
+            scheduler.add_remote_use("dc2-e1", {"red": total})
+        for total in (1.0, 3.0):
+            scheduler.add_remote_use("dc2-e2", {"red": total})
+        self.assertEqual(added, [3.0, 1.0, 2.0])
 
     async def test_adopted_grant_of_another_pool_is_ignored(self):
         """Guards against counting slots of another pool."""
