Feed the metrics and the time line from the request path and the state

Cause: refusals, retries, unknown outcomes, membership, moves, waves and jobs did not reach the time line, and request metrics stayed at zero. Change: the dispatcher and the callers' application tell an observer; the state watcher runs; /metrics also shows the counters that modules keep. Ruled out: a second counter per outcome beside the refusals by reason.

--- a/sardinedrift/assembly.py
+++ b/sardinedrift/assembly.py
@@ -28,12 +28,14 @@
 from sardinedrift.observations import Observer
 from sardinedrift.peers import Peers, Timing
 from sardinedrift.publisher import Publisher
+from sardinedrift.recorder import Recorder
 from sardinedrift.runtime import SystemClock
 from sardinedrift.scheduler import Scheduler
 from sardinedrift.settings import Settings
 from sardinedrift.slots import Slots
 from sardinedrift.snapshotter import Snapshotter
 from sardinedrift.usage import UseTable
+from sardinedrift.watcher import StateWatcher
 from sardinedrift.waves import Waves
 from sardinedrift.workers import HttpWorkers
 
@@ -94,6 +96,9 @@
         self.clock = SystemClock()
         self.metrics = Metrics()
         self.events = timeline.Timeline(identity, self.clock)
+        self.recorder = Recorder(
+            self.metrics, self.events, lambda: self.follower.state.offset
+        )
         self._make_platform()
         self._make_agreement()
         self._make_decisions()
@@ -223,10 +228,14 @@
             self.minions,
             self.view,
             clock,
+            observer=self.recorder,
         )
         self.drain_acks = DrainAcks(
             identity, follower, self.publisher, self.slots, clock
         )
+        self.watcher = StateWatcher(
+            follower, self.events, self.not_ready_reason
+        )
         self.observer = Observer(
             identity, follower, self.publisher, self.peers, self.view, clock
         )
@@ -252,7 +261,11 @@
 
     def _make_applications(self) -> None:
         self.callers = Callers(
-            self.identity, self.follower, self.dispatcher, self.clock
+            self.identity,
+            self.follower,
+            self.dispatcher,
+            self.clock,
+            self.recorder,
         )
         self.admin = Admin(
             self.identity,
--- a/sardinedrift/callers.py
+++ b/sardinedrift/callers.py
@@ -20,6 +20,7 @@
 from sardinedrift.identifiers import Identity, RequestId
 from sardinedrift.messages import RelayedRequest
 from sardinedrift.ports import Answer, Clock
+from sardinedrift.recorder import RequestObserver
 from sardinedrift.relays import (
     ATTEMPT_HEADER,
     OUTCOME_HEADER,
@@ -43,16 +44,23 @@
         follower: holds the folded state.
         dispatcher: handles admitted requests.
         clock: source of the time.
+        observer: is told of requests that are not admitted.
     """
 
     def __init__(
-        self, identity: Identity, follower: Any, dispatcher: Any, clock: Clock
+        self,
+        identity: Identity,
+        follower: Any,
+        dispatcher: Any,
+        clock: Clock,
+        observer: RequestObserver | None = None,
     ):
         self._identity = identity
         self._follower = follower
         self._dispatcher = dispatcher
         self._clock = clock
         self._admission = Admission(identity.data_centre_id)
+        self._observer = observer or RequestObserver()
         self._leaving = False
         self._stopping = False
         self._in_progress = 0
@@ -222,6 +230,9 @@
         try:
             request_id, answer = await work
         except AdmissionError as error:
+            # With an id, the dispatcher has noted it.
+            if not error.request_id:
+                self._observer.turned_away(error)
             known = error.request_id or request_id
             return self._refusal(error, known)
         headers = self._headers(request_id, "answered")
--- a/sardinedrift/dispatch.py
+++ b/sardinedrift/dispatch.py
@@ -32,6 +32,7 @@
     RequestId,
 )
 from sardinedrift.ports import Answer, Clock, MinionPort
+from sardinedrift.recorder import RequestObserver
 from sardinedrift.relays import RelayNotRun, Relays
 
 # Short enough that a peer with spare units is asked before the wait is felt.
@@ -41,11 +42,6 @@
 # Bounds the relays of one choice; more would only repeat the same refusal.
 MOST_CHOICES = 4
 
-_requests = prometheus_client.Counter(
-    "sardinedrift_requests",
-    "Ended requests by outcome and code.",
-    ["outcome", "code"],
-)
 _relays = prometheus_client.Counter(
     "sardinedrift_relays", "Relayed requests by result.", ["result"]
 )
@@ -103,6 +99,7 @@
         view: the instance list as last seen.
         clock: source of the time.
         random: jitter of retries.
+        observer: is told how requests end.
     """
 
     def __init__(
@@ -117,6 +114,7 @@
         view: Any,
         clock: Clock,
         random: random_module.Random | None = None,
+        observer: RequestObserver | None = None,
     ):
         self._identity = identity
         self._follower = follower
@@ -124,6 +122,7 @@
         self._view = view
         self._clock = clock
         self._random = random or random_module.Random()
+        self._observer = observer or RequestObserver()
         self._slots = slots
         self._asker = ClaimAsker(identity, follower, peers, claims, clock)
         self._relays = Relays(identity, follower, peers)
@@ -142,15 +141,13 @@
         """
         flight = Flight()
         try:
-            answer = await self._handle(admitted, flight)
+            return await self._handle(admitted, flight)
         except AdmissionError as error:
-            _requests.labels(error.outcome.value, error.code).inc()
+            self._observer.refused(admitted, error)
             raise
         except asyncio.CancelledError:
             _abandoned.labels(_outcome(flight).value).inc()
             raise
-        _requests.labels(Outcome.ANSWERED.value, "").inc()
-        return answer
 
     def can_claim(self, request_id: RequestId) -> bool:
         """Tells whether the owner of an id is live."""
@@ -291,6 +288,7 @@
         busy = isinstance(error, RefusedBeforeStart) and not error.draining
         if flight.attempt and flight.attempt.instance_id and not busy:
             flight.avoid.append(flight.attempt.instance_id)
+        self._observer.retried(admitted, _reason(error))
         await asyncio.sleep(retries.delay(flight.failures, self._random))
 
     async def _relay(
--- a/sardinedrift/entry.py
+++ b/sardinedrift/entry.py
@@ -141,6 +141,8 @@
         yield parts.snapshotter.run()
         yield parts.drain_acks.run()
         yield parts.observer.run()
+        yield parts.watcher.run()
+        yield parts.watcher.run_readiness()
         yield parts.jobs.run()
         yield parts.waves.run()
         yield self._refresh_on_records()
--- a/sardinedrift/metrics.py
+++ b/sardinedrift/metrics.py
@@ -107,8 +107,13 @@
         _set_states(self.moves, tables.move_by_id, MoveState)
 
     def render(self) -> bytes:
-        """Returns all metrics in the Prometheus text format."""
-        return prometheus.generate_latest(self.registry)
+        """Returns all metrics in the Prometheus text format.
+
+        Modules keep counters of their own in the default registry.
+        """
+        return prometheus.generate_latest(
+            self.registry
+        ) + prometheus.generate_latest(prometheus.REGISTRY)
 
     def _set_limits(self, state: State) -> None:
         # Cleared, so that a deleted team does not keep its last limit.
--- a/sardinedrift/recorder.py
+++ b/sardinedrift/recorder.py
@@ -10,14 +10,34 @@
 from sardinedrift.timeline import EventKind, Timeline
 
 
-class Recorder:
+class RequestObserver:
+    """Is told what happens to requests; this one ignores it."""
+
+    def refused(self, admitted: Admitted, error: AdmissionError) -> None:
+        """Notes a request that ends without an answer."""
+
+    def turned_away(self, error: AdmissionError) -> None:
+        """Notes a request that was not admitted."""
+
+    def retried(self, admitted: Admitted, reason: str) -> None:
+        """Notes a send that is repeated."""
+
+    def waited(self, work_class: WorkClass, seconds: float) -> None:
+        """Notes how long a request waited for its slot."""
+
+    @contextlib.contextmanager
+    def running(self, team_id: TeamId) -> Iterator[None]:
+        """Spans the time in which a request runs at a minion."""
+        yield
+
+
+class Recorder(RequestObserver):
     """Metrics and events of the request path.
 
     Args:
         metrics: gets the counts.
         events: gets refusals, retries and unknown outcomes.
         offset: returns the offset of the folded state.
-        now: returns unix seconds.
     """
 
     def __init__(
@@ -25,12 +45,10 @@
         metrics: Metrics,
         events: Timeline,
         offset: Callable[[], Offset],
-        now: Callable[[], float],
     ):
         self._metrics = metrics
         self._events = events
         self._offset = offset
-        self._now = now
 
     def refused(self, admitted: Admitted, error: AdmissionError) -> None:
         """Notes a request that ends without an answer."""
@@ -50,12 +68,9 @@
         self._metrics.retried.inc()
         self._record(EventKind.REQUEST_RETRIED, admitted, reason)
 
-    @contextlib.contextmanager
-    def waiting(self, work_class: WorkClass) -> Iterator[None]:
-        """Measures the wait for a slot."""
-        began = self._now()
-        yield
-        self._metrics.observe_wait(work_class, self._now() - began)
+    def waited(self, work_class: WorkClass, seconds: float) -> None:
+        """Notes how long a request waited for its slot."""
+        self._metrics.observe_wait(work_class, seconds)
 
     @contextlib.contextmanager
     def running(self, team_id: TeamId) -> Iterator[None]:
