Type the collaborators of the request path

Cause: Attempts, Claiming, Relays, Slots and Claims took collaborators as Any or without a type, so a reader had to search for their classes.

Change: the parameters name Follower, Peers, Claims, Slots, Limits and Scheduler. Annotations and imports only; no behaviour changes.

Ruled out: Protocols, since each role has one implementation and the imports form no cycle (each module was imported on its own).

--- a/sardinedrift/attempts.py
+++ b/sardinedrift/attempts.py
@@ -4,7 +4,6 @@
 import contextlib
 import uuid
 from collections.abc import Iterator, Sequence
-from typing import Any
 
 from sardinedrift.admission import Admitted
 from sardinedrift.exceptions import (
@@ -14,6 +13,7 @@
     OutcomeUnknown,
     SardinedriftError,
 )
+from sardinedrift.follower import Follower
 from sardinedrift.identifiers import (
     EntryState,
     Identity,
@@ -22,9 +22,11 @@
     Outcome,
     TeamId,
 )
+from sardinedrift.limits import Limits
 from sardinedrift.membership import CLOCK_ERROR_SECONDS
 from sardinedrift.messages import HeldGrant, SlotReply
 from sardinedrift.ports import Answer, Clock, Dispatch, MinionPort
+from sardinedrift.slots import Slots
 
 # Time for an answer that the minion gives at its run deadline to arrive.
 ANSWER_GRACE_SECONDS = 2.0
@@ -67,9 +69,9 @@
     def __init__(
         self,
         identity: Identity,
-        follower: Any,
-        slots: Any,
-        limits: Any,
+        follower: Follower,
+        slots: Slots,
+        limits: Limits,
         minions: MinionPort,
         clock: Clock,
     ):
--- a/sardinedrift/claiming.py
+++ b/sardinedrift/claiming.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import uuid
-from typing import Any
 
 from sardinedrift import membership
 from sardinedrift.admission import Admitted
+from sardinedrift.claims import Claims
 from sardinedrift.exceptions import AdmissionError, PeerError
+from sardinedrift.follower import Follower
 from sardinedrift.identifiers import (
     EntryId,
     Identity,
@@ -20,6 +21,7 @@
     ClaimEnd,
     ClaimReply,
 )
+from sardinedrift.peers import Peers
 from sardinedrift.ports import Clock
 
 CLAIM_CALL_SECONDS = 2.0
@@ -62,9 +64,9 @@
     def __init__(
         self,
         identity: Identity,
-        follower: Any,
-        peers: Any,
-        claims: Any,
+        follower: Follower,
+        peers: Peers,
+        claims: Claims,
         clock: Clock,
     ):
         self.entry_id = identity.entry_id
--- a/sardinedrift/claims.py
+++ b/sardinedrift/claims.py
@@ -4,6 +4,7 @@
 import heapq
 
 from sardinedrift import membership
+from sardinedrift.follower import Follower
 from sardinedrift.identifiers import (
     DataCentreId,
     EntryId,
@@ -56,7 +57,7 @@
     def __init__(
         self,
         identity: Identity,
-        follower,
+        follower: Follower,
         clock: Clock,
         most: int = MOST_CLAIMS,
     ):
--- a/sardinedrift/relays.py
+++ b/sardinedrift/relays.py
@@ -1,13 +1,13 @@
 """Hands whole requests to other entries and reads what they answer."""
 
 import http
-from collections.abc import Iterable, Iterator
-from typing import Any
+from collections.abc import Iterable, Iterator, Mapping
 
 import msgspec
 
 from sardinedrift.admission import Admitted
 from sardinedrift.exceptions import AdmissionError, PeerError
+from sardinedrift.follower import Follower
 from sardinedrift.identifiers import (
     DataCentreId,
     EntryId,
@@ -15,6 +15,7 @@
     Outcome,
 )
 from sardinedrift.messages import RelayedRequest
+from sardinedrift.peers import Peers
 from sardinedrift.ports import Answer
 
 MAX_HOPS = 2
@@ -56,7 +57,7 @@
         peers: liveness, exchanges and calls.
     """
 
-    def __init__(self, identity: Identity, follower: Any, peers: Any):
+    def __init__(self, identity: Identity, follower: Follower, peers: Peers):
         self._identity = identity
         self._follower = follower
         self._peers = peers
@@ -137,7 +138,7 @@
     )
 
 
-def _lower(headers: Any) -> dict[str, str]:
+def _lower(headers: Mapping[str, str]) -> dict[str, str]:
     return {name.lower(): value for name, value in headers.items()}
 
 
--- a/sardinedrift/slots.py
+++ b/sardinedrift/slots.py
@@ -4,8 +4,7 @@
 import collections
 import contextlib
 import uuid
-from collections.abc import AsyncIterator, Mapping, Sequence
-from typing import Any
+from collections.abc import AsyncIterator, Coroutine, Mapping, Sequence
 
 import msgspec
 
@@ -32,7 +31,9 @@
     SlotRelease,
     SlotReply,
 )
+from sardinedrift.peers import Peers
 from sardinedrift.ports import Clock
+from sardinedrift.scheduler import Scheduler
 
 # Pauses before the same scheduler is asked again after an error. They grow,
 # as all waiting requests ask again while a dead scheduler is still listed.
@@ -60,8 +61,8 @@
     def __init__(
         self,
         identity: Identity,
-        peers: Any,
-        schedulers: Mapping[PoolId, Any],
+        peers: Peers,
+        schedulers: Mapping[PoolId, Scheduler],
         clock: Clock,
     ):
         self._identity = identity
@@ -291,7 +292,7 @@
             async with asyncio.timeout(min(left, seconds)):
                 await self._peers.changed()
 
-    def _spawn(self, work: Any) -> asyncio.Task:
+    def _spawn(self, work: Coroutine) -> asyncio.Task:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
