Record waits for slots and running requests

Cause: the queue wait histogram and the running gauge stayed empty. Change: attempts tell the request observer. Ruled out: measuring in the dispatcher, which would count the run as wait.

--- a/sardinedrift/attempts.py
+++ b/sardinedrift/attempts.py
@@ -26,6 +26,7 @@
 from sardinedrift.membership import CLOCK_ERROR_SECONDS
 from sardinedrift.messages import HeldGrant, SlotReply
 from sardinedrift.ports import Answer, Clock, Dispatch, MinionPort
+from sardinedrift.recorder import RequestObserver
 from sardinedrift.slots import Slots
 
 # Time for an answer that the minion gives at its run deadline to arrive.
@@ -74,6 +75,7 @@
         limits: Limits,
         minions: MinionPort,
         clock: Clock,
+        observer: RequestObserver,
     ):
         self._identity = identity
         self._follower = follower
@@ -81,6 +83,7 @@
         self._limits = limits
         self._minions = minions
         self._clock = clock
+        self._observer = observer
         self._tasks: set[asyncio.Task] = set()
 
     @property
@@ -143,6 +146,7 @@
         avoid: Sequence[InstanceId],
     ) -> None:
         queue = admitted.queue
+        began = self._clock.now()
         async with self._slots.acquire(
             queue.pool_id,
             admitted.team_id,
@@ -152,7 +156,12 @@
         ) as reply:
             grant = self._check_grant(reply)
             attempt.instance_id = grant.instance_id
-            with self._unit(attempt, admitted.team_id):
+            waited = self._clock.now() - began
+            self._observer.waited(queue.work_class, waited)
+            with (
+                self._unit(attempt, admitted.team_id),
+                self._observer.running(admitted.team_id),
+            ):
                 await self._send(attempt, admitted, reply.address)
 
     def _check_grant(self, reply: SlotReply) -> HeldGrant:
--- a/sardinedrift/dispatch.py
+++ b/sardinedrift/dispatch.py
@@ -127,7 +127,13 @@
         self._asker = ClaimAsker(identity, follower, peers, claims, clock)
         self._relays = Relays(identity, follower, peers)
         self._attempts = Attempts(
-            identity, follower, slots, limits, minions, clock
+            identity,
+            follower,
+            slots,
+            limits,
+            minions,
+            clock,
+            self._observer,
         )
         self._budget_by_pool: dict[PoolId, retries.RetryBudget] = (
             collections.defaultdict(retries.RetryBudget)
