Repair the return of idle units for waiting jobs; name users of objects apart

A pool and a team of one name blocked each other's deletion. A counter of used slot-time whose exchange was lost was not sent again while it stood still. Change: the call follows the signature; rules are matched by their own field; every counter is sent again each minute. Ruled out: acknowledging counters, a second protocol for figures that may lag.

--- a/sardinedrift/configuration.py
+++ b/sardinedrift/configuration.py
@@ -266,7 +266,9 @@
     for instance in state.lent_instances():
         if instance.lent_from == pool_id:
             yield f"lent instance {instance.instance_id}"
-    yield from _rules_of(state, pool_id)
+    for rule in tables.rule_by_id.values():
+        if rule.pool_id == pool_id:
+            yield f"rule {rule.rule_id}"
     for job in tables.job_by_id.values():
         if job.pool_id == pool_id and job.state is JobState.WAITING:
             yield f"job {job.job_id}"
@@ -274,7 +276,9 @@
 
 def _team_users(state: State, team_id: str) -> Iterator[str]:
     tables = state.tables
-    yield from _rules_of(state, team_id)
+    for rule in tables.rule_by_id.values():
+        if rule.team_id == team_id:
+            yield f"rule {rule.rule_id}"
     for key in tables.key_by_id.values():
         if key.team_id == team_id and key.state is KeyState.GRANTED:
             yield f"key {key.key_id}"
@@ -287,12 +291,6 @@
         yield "running work; set its limit to 0 first"
 
 
-def _rules_of(state: State, object_id: str) -> Iterator[str]:
-    for rule in state.tables.rule_by_id.values():
-        if object_id in (rule.pool_id, rule.team_id):
-            yield f"rule {rule.rule_id}"
-
-
 def _instance_users(state: State, instance_id: str) -> Iterator[str]:
     instance = state.tables.instance_by_id[instance_id]
     if instance.drain:
--- a/sardinedrift/limits.py
+++ b/sardinedrift/limits.py
@@ -292,7 +292,7 @@
             if units > 0:
                 returned[team_id] = units
         if returned:
-            self._transfers.give_back(returned, self._clock.now())
+            self._transfers.give_back(returned)
 
     def _missing(self) -> Iterator[tuple[TeamId, int, int]]:
         """Yields teams with units missing, the units, and the unallocated."""
--- a/sardinedrift/observations.py
+++ b/sardinedrift/observations.py
@@ -56,7 +56,7 @@
             if not self._view.reachable:
                 self._different_since_by_id.clear()
                 continue
-            changes = tuple(self._settled(self._patience()))
+            changes = tuple(self._settled(self._report_delay()))
             if not changes:
                 continue
             try:
@@ -66,7 +66,7 @@
             except SardinedriftError as error:
                 logger.debug("instance observations not published: {}", error)
 
-    def _patience(self) -> float:
+    def _report_delay(self) -> float:
         """Returns for how long a difference is left to the reporter."""
         data_centre_id = self._identity.data_centre_id
         members = self._peers.live_members(data_centre_id)
@@ -75,7 +75,7 @@
             return SETTLE_SECONDS
         return TAKE_OVER_SECONDS
 
-    def _settled(self, patience: float) -> Iterator[ch.InstanceObserved]:
+    def _settled(self, delay: float) -> Iterator[ch.InstanceObserved]:
         """Yields a change for each difference that has lasted."""
         now = self._clock.now()
         for instance in self._follower.state.instances_in(
@@ -87,7 +87,7 @@
                 self._different_since_by_id.pop(instance_id, None)
                 continue
             since = self._different_since_by_id.setdefault(instance_id, now)
-            if now >= since + patience:
+            if now >= since + delay:
                 yield ch.InstanceObserved(
                     change_id=ChangeId(str(uuid.uuid4())),
                     instance_id=instance_id,
--- a/sardinedrift/usage.py
+++ b/sardinedrift/usage.py
@@ -19,6 +19,8 @@
 
 NEAR_SECONDS = 1.0
 FAR_SECONDS = 5.0
+# A lost exchange is made up for by sending every counter this often.
+WHOLE_SECONDS = 60.0
 # A scheduler whose counter has stood still for so long has ended or idles.
 FORGET_SECONDS = 600.0
 
@@ -32,10 +34,16 @@
 
 
 class _Sent(NamedTuple):
-    """What a receiver was last told; `time` in unix seconds."""
+    """What a receiver was last told.
+
+    Attributes:
+        time: unix seconds.
+        whole_due: unix seconds at which every counter is sent again.
+    """
 
     time: float
     version: int
+    whole_due: float
 
 
 class UseTable:
@@ -73,16 +81,19 @@
                 entry's schedulers only, others of those of all entries here.
         """
         now = self._clock.now()
-        sent = self._sent_by_receiver.get(receiver, _Sent(0.0, 0))
+        sent = self._sent_by_receiver.get(receiver, _Sent(0.0, 0, 0.0))
         if now < sent.time + (NEAR_SECONDS if near else FAR_SECONDS):
             return {}
         self._note_own(now)
-        self._sent_by_receiver[receiver] = _Sent(now, self._version)
+        since, whole_due = sent.version, sent.whole_due
+        if now >= whole_due:
+            since, whole_due = 0, now + WHOLE_SECONDS
+        self._sent_by_receiver[receiver] = _Sent(now, self._version, whole_due)
         only = self._entry_id if near else None
         use: UseByScheduler = collections.defaultdict(
             lambda: collections.defaultdict(dict)
         )
-        for scheduler_id, pool_id, team_id, total in self._since(sent.version):
+        for scheduler_id, pool_id, team_id, total in self._since(since):
             if only in (None, scheduler_id):
                 use[scheduler_id][pool_id][team_id] = total
         return use
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from sardinedrift.usage import FAR_SECONDS, UseTable
+from sardinedrift.usage import FAR_SECONDS, WHOLE_SECONDS, UseTable
 from tests.fakes import ManualClock
 
 
@@ -36,3 +36,9 @@
             self.table.outgoing("far", near=False),
             {"e1": {"pairing": {"blue": 4.0}}},
         )
+
+    def test_lost_counters_are_sent_again(self):
+        """Guards against a counter that stands still after a lost exchange."""
+        first = self.table.outgoing("far", near=False)
+        self.clock.time += WHOLE_SECONDS + 0.1
+        self.assertEqual(self.table.outgoing("far", near=False), first)
