Share the sessions to platform services; type the request path

Cause: two adapters opened the same session, one without its idle limit, and the collaborators of the request path had no types. Two relay steps of the dispatcher repeated each other. Change: sessions.py; types in dispatch, callers, drains and liveness; one step relays or raises. Ruled out: a base class of adapters, since only the session is common.

--- a/sardinedrift/callers.py
+++ b/sardinedrift/callers.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable, Iterator
-from typing import Any
 
 import msgspec
 from aiohttp import web
@@ -16,7 +15,9 @@
     new_request_id,
     outcome_unclaimed,
 )
+from sardinedrift.dispatch import Dispatcher
 from sardinedrift.exceptions import AdmissionError
+from sardinedrift.follower import Follower
 from sardinedrift.identifiers import Identity, RequestId
 from sardinedrift.messages import RelayedRequest
 from sardinedrift.ports import Answer, Clock
@@ -50,8 +51,8 @@
     def __init__(
         self,
         identity: Identity,
-        follower: Any,
-        dispatcher: Any,
+        follower: Follower,
+        dispatcher: Dispatcher,
         clock: Clock,
         observer: RequestObserver | None = None,
     ):
--- a/sardinedrift/dispatch.py
+++ b/sardinedrift/dispatch.py
@@ -6,7 +6,6 @@
 import itertools
 import random as random_module
 from collections.abc import AsyncIterator, Iterable
-from typing import Any
 
 import prometheus_client
 
@@ -14,12 +13,14 @@
 from sardinedrift.admission import Admitted
 from sardinedrift.attempts import Attempt, Attempts, GrantDeclinedError
 from sardinedrift.claiming import ClaimAsker
+from sardinedrift.claims import Claims
 from sardinedrift.exceptions import (
     AdmissionError,
     DialFailed,
     MinionError,
     RefusedBeforeStart,
 )
+from sardinedrift.follower import Follower
 from sardinedrift.identifiers import (
     EntryId,
     EntryState,
@@ -31,9 +32,13 @@
     PoolId,
     RequestId,
 )
+from sardinedrift.instancelist import InstanceView
+from sardinedrift.limits import Limits
+from sardinedrift.peers import Peers
 from sardinedrift.ports import Answer, Clock, MinionPort
 from sardinedrift.recorder import RequestObserver
 from sardinedrift.relays import RelayNotRun, Relays
+from sardinedrift.slots import Slots
 
 # Short enough that a peer with spare units is asked before the wait is felt.
 FIRST_UNIT_WAIT_SECONDS = 0.02
@@ -105,13 +110,13 @@
     def __init__(
         self,
         identity: Identity,
-        follower: Any,
-        peers: Any,
-        slots: Any,
-        limits: Any,
-        claims: Any,
+        follower: Follower,
+        peers: Peers,
+        slots: Slots,
+        limits: Limits,
+        claims: Claims,
         minions: MinionPort,
-        view: Any,
+        view: InstanceView,
         clock: Clock,
         random: random_module.Random | None = None,
         observer: RequestObserver | None = None,
@@ -214,27 +219,35 @@
         self, admitted: Admitted, flight: Flight
     ) -> Answer:
         choices = self._relays.members(admitted)
-        answer = await self._relay(choices, admitted, flight)
-        if answer is not None:
-            return answer
-        raise flight.refusal or AdmissionError(
+        refusal = AdmissionError(
             "no_member",
             "this entry is not ready and reaches none that is; send later",
             503,
         )
+        return await self._relay_or_raise(choices, admitted, flight, refusal)
 
     async def _relay_to_endpoint(
         self, admitted: Admitted, flight: Flight
     ) -> Answer:
         choices = self._relays.with_endpoints(admitted)
-        answer = await self._relay(choices, admitted, flight)
-        if answer is not None:
-            return answer
-        raise flight.refusal or AdmissionError(
+        refusal = AdmissionError(
             "no_endpoint",
             "no reachable data centre has endpoints of the pool; send later",
             503,
         )
+        return await self._relay_or_raise(choices, admitted, flight, refusal)
+
+    async def _relay_or_raise(
+        self,
+        choices: Iterable[EntryId],
+        admitted: Admitted,
+        flight: Flight,
+        refusal: AdmissionError,
+    ) -> Answer:
+        answer = await self._relay(choices, admitted, flight)
+        if answer is None:
+            raise flight.refusal or refusal
+        return answer
 
     async def _wait_for_unit(
         self, admitted: Admitted, flight: Flight
--- a/sardinedrift/drains.py
+++ b/sardinedrift/drains.py
@@ -2,15 +2,19 @@
 
 import asyncio
 from collections.abc import Iterator
-from typing import Any
 
 from loguru import logger
 
 from sardinedrift import objects
+from sardinedrift.callers import Callers
 from sardinedrift.changes import DrainAck
+from sardinedrift.dispatch import Dispatcher
 from sardinedrift.exceptions import LogServiceError, PublishUnknown
+from sardinedrift.follower import Follower
 from sardinedrift.identifiers import ChangeId, Identity
 from sardinedrift.ports import Clock
+from sardinedrift.publisher import Publisher
+from sardinedrift.slots import Slots
 
 _POLL_SECONDS = 0.1
 _PUBLISH_SECONDS = 10.0
@@ -36,9 +40,9 @@
     def __init__(
         self,
         identity: Identity,
-        follower: Any,
-        publisher: Any,
-        slots: Any,
+        follower: Follower,
+        publisher: Publisher,
+        slots: Slots,
         clock: Clock,
     ):
         self._identity = identity
@@ -108,7 +112,7 @@
 
 
 async def drain_entry(
-    callers: Any, dispatcher: Any, deadline: float, clock: Clock
+    callers: Callers, dispatcher: Dispatcher, deadline: float, clock: Clock
 ) -> bool:
     """Stops accepting requests and waits until none is in progress.
 
--- a/sardinedrift/instancelist.py
+++ b/sardinedrift/instancelist.py
@@ -9,10 +9,9 @@
 
 from sardinedrift.exceptions import InstanceListError
 from sardinedrift.identifiers import DataCentreId, Identity, InstanceId
-from sardinedrift.logservice import source_of
 from sardinedrift.ports import Clock, InstanceList, ListedInstance
+from sardinedrift.sessions import call_timeout, platform_session
 
-CONNECT_SECONDS = 1.0
 POLL_SECONDS = 10.0
 RETRY_SECONDS = 0.5
 # The service ends a long poll at the deadline; its answer needs time to
@@ -55,11 +54,7 @@
     def __init__(self, address: str, identity: Identity, clock: Clock):
         self._url = f"http://{address}"
         self._clock = clock
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
-            headers={"Source": source_of(identity)},
-            trust_env=False,
-        )
+        self._session = platform_session(identity)
 
     async def read(
         self, data_centre_id: DataCentreId, since: int, deadline: float
@@ -102,12 +97,11 @@
     async def _call(
         self, method: str, path: str, seconds: float, **arguments
     ) -> bytes:
-        timeout = aiohttp.ClientTimeout(total=seconds, connect=CONNECT_SECONDS)
         try:
             async with self._session.request(
                 method,
                 self._url + path,
-                timeout=timeout,
+                timeout=call_timeout(seconds),
                 allow_redirects=False,
                 **arguments,
             ) as response:
--- a/sardinedrift/liveness.py
+++ b/sardinedrift/liveness.py
@@ -6,8 +6,9 @@
 """
 
 from collections.abc import Callable, Iterator
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
+from sardinedrift.follower import Follower
 from sardinedrift.identifiers import (
     DataCentreId,
     EntryId,
@@ -41,7 +42,7 @@
     def __init__(
         self,
         identity: Identity,
-        follower: Any,
+        follower: Follower,
         links: LinkTable,
         clock: Clock,
         standing: Callable[[], Standing],
--- a/sardinedrift/logservice.py
+++ b/sardinedrift/logservice.py
@@ -10,12 +10,11 @@
 )
 from sardinedrift.identifiers import Identity, Offset
 from sardinedrift.ports import Clock, LogPage, LogService
+from sardinedrift.sessions import call_timeout, platform_session
 
-CONNECT_SECONDS = 1.0
 # The service ends a long poll at the deadline; its answer needs time to
 # arrive.
 READ_MARGIN_SECONDS = 1.0
-KEEPALIVE_SECONDS = 15.0
 _NOT_SENT = (
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
@@ -48,13 +47,7 @@
     def __init__(self, address: str, identity: Identity, clock: Clock):
         self._url = f"http://{address}"
         self._clock = clock
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=KEEPALIVE_SECONDS
-            ),
-            headers={"Source": source_of(identity)},
-            trust_env=False,
-        )
+        self._session = platform_session(identity)
 
     async def append(self, data: bytes, deadline: float) -> Offset:
         """Appends one record and returns its offset; see `LogService`."""
@@ -102,7 +95,7 @@
         async with self._session.post(
             f"{self._url}/append",
             data=data,
-            timeout=_timeout(left),
+            timeout=call_timeout(left),
             allow_redirects=False,
         ) as response:
             return response.status, await response.read()
@@ -113,16 +106,7 @@
         async with self._session.get(
             f"{self._url}/records",
             params={"from": start, "limit": limit, "wait": f"{wait:.3f}"},
-            timeout=_timeout(wait + READ_MARGIN_SECONDS),
+            timeout=call_timeout(wait + READ_MARGIN_SECONDS),
             allow_redirects=False,
         ) as response:
             return response.status, await response.read()
-
-
-def source_of(identity: Identity) -> str:
-    """Returns the `Source` header that names a caller of the platform."""
-    return f"{identity.entry_id},{identity.data_centre_id}"
-
-
-def _timeout(seconds: float) -> aiohttp.ClientTimeout:
-    return aiohttp.ClientTimeout(total=seconds, connect=CONNECT_SECONDS)
