Let a planned stop wait for the longest requests

Cause: a stop gave up after 120 s, so a request that may run for hours was cut off by a planned stop. Ruled out: the longest run time in the state, which changes after the process has fixed its limit. Measured: tests of settings and of an entry process pass.

--- a/sardinedrift/entry.py
+++ b/sardinedrift/entry.py
@@ -18,11 +18,9 @@
 from sardinedrift.settings import Address, Settings
 from sardinedrift.timeline import EventKind
 
-# Time that a planned stop may take after the grace period: the longest run
-# time of common queues. Work that runs longer is cut off by the platform's
-# own limit anyway.
-DRAIN_SECONDS = 120.0
 _LEAVE_SECONDS = 10.0
+# Seconds to leave, linger and close after the drain.
+_STOP_MARGIN = 30.0
 # Time for answers to reach callers that read slowly.
 SHUTDOWN_SECONDS = 5.0
 # Peers that have not folded the leave yet still ask this entry.
@@ -93,7 +91,7 @@
         await asyncio.sleep(self._settings.timings.grace_seconds)
         # A refused connection sends its caller to another entry at once.
         await self._site_by_name["callers"].stop()
-        deadline = parts.clock.now() + DRAIN_SECONDS
+        deadline = parts.clock.now() + self._settings.timings.drain_seconds
         if not await drain_entry(
             parts.callers, parts.dispatcher, deadline, parts.clock
         ):
@@ -190,7 +188,8 @@
 
 def run(settings: Settings) -> None:
     """Runs an entry until SIGTERM or SIGINT, then stops it gracefully."""
-    seconds = settings.timings.grace_seconds + DRAIN_SECONDS + 30.0
+    timings = settings.timings
+    seconds = timings.grace_seconds + timings.drain_seconds + _STOP_MARGIN
     with aiomisc.entrypoint(
         EntryService(settings),
         loop_factory=runtime.new_event_loop,
--- a/sardinedrift/settings.py
+++ b/sardinedrift/settings.py
@@ -76,6 +76,13 @@
         le=300,
         description="0 to 300; from not ready until listeners close",
     )
+    # A day, the longest run time that a queue may allow.
+    drain_seconds: float = Field(
+        86_400.0,
+        ge=1,
+        le=86_400,
+        description="1 to 86400; how long a stop waits for requests",
+    )
     snapshot_interval_seconds: float = Field(
         1800.0, ge=1, le=86_400, description="1 to 86400"
     )
