Keep units usable while the log takes no transfer

Cause: an entry that was asked for units locked them at once and kept them locked until the transfer was folded. In an outage of the log that is its whole length, so the units of a team ended up locked for transfers that could not be written and its requests were refused until the log was back. Seen as a timeout of test_limits_hold_when_a_data_centre_is_replaced on a busy machine: 3 of 10 runs, four at a time, failed, with 1 to 4 units held by a live entry and no request of the team answered for 30 s.

Change: a transfer of which nothing was appended is cancelled, an entry whose log is down locks nothing, and after a failed publish it locks nothing for two publish timeouts. Meanwhile it offers all idle units to relayed requests, not only those beyond recent use. Transfers that may be in the log stay locked.

Ruled out: the owner of the request ids (the refusals were deadline_passed after admission) and the links between data centres (both new entries were live at the holder).

--- a/sardinedrift/follower.py
+++ b/sardinedrift/follower.py
@@ -65,6 +65,7 @@
             end of the log; 0.0 before the first time.
         ready: whether the entry may serve; once True it stays True.
         not_ready_reason: why it is not ready, else "".
+        log_up: whether the last read of the log succeeded.
     """
 
     def __init__(
@@ -89,7 +90,7 @@
         self._watchers: list[Callable[[list[ch.Result]], None]] = []
         self._from_peer = False
         self._gap = False
-        self._log_up = True
+        self.log_up = True
         self._random = random.Random()
 
     def attach(self, peers: PeerSource) -> None:
@@ -351,8 +352,8 @@
             self.not_ready_reason = reason
 
     def _set_log_up(self, up: bool, reason: str) -> None:
-        if up != self._log_up:
-            self._log_up = up
+        if up != self.log_up:
+            self.log_up = up
             logger.info("log is {}: {}", "up" if up else "down", reason)
 
     def _notify(self) -> None:
--- a/sardinedrift/limits.py
+++ b/sardinedrift/limits.py
@@ -35,6 +35,9 @@
 _PAUSE_SECONDS = 0.05
 _PUBLISH_SECONDS = 3.0
 _ASK_SECONDS = 2.0
+# Units are locked while their transfer is published, so a log that takes no
+# appends keeps them from use for a third of the time at most.
+_FAILED_PUBLISH_SECONDS = 2 * _PUBLISH_SECONDS
 
 
 class Limits:
@@ -42,7 +45,7 @@
 
     Args:
         identity: this entry.
-        follower: `.state`, `result_of` and `changed`.
+        follower: `.state`, `.log_up`, `result_of` and `changed`.
         publisher: `publish(changes, deadline)`.
         peers: `exchange_of` and `call`.
         clock: gives the current time.
@@ -68,6 +71,7 @@
         self._remembered_at = clock.now()
         self._stopped = False
         self._published = True
+        self._no_transfers_until = 0.0
         self._takes_by_peer: dict[EntryId, dict[TeamId, int]] = {}
 
     def try_acquire(self, team_id: TeamId) -> bool:
@@ -109,8 +113,13 @@
             use.remove_waiter(waiter)
 
     def spare(self) -> dict[TeamId, int]:
-        """Returns idle units that peers may ask for, by team."""
-        spare = {team: self._surplus(team) for team in self._use_by_team}
+        """Returns idle units that peers may ask for, by team.
+
+        While no units can be transferred, these are all that are idle now:
+        peers can use them only by relaying requests.
+        """
+        count = self._surplus if self._may_transfer() else self._available
+        spare = {team: count(team) for team in self._use_by_team}
         return {team: units for team, units in spare.items() if units > 0}
 
     def wanted(self) -> dict[TeamId, int]:
@@ -133,6 +142,8 @@
         """
         if self._stopped or ask.entry_id == self._identity.entry_id:
             return {}
+        if not self._may_transfer():
+            return {}
         if not self._view.is_member(ask.entry_id):
             return {}
         promised = {}
@@ -233,11 +244,23 @@
             return 0
         return self._idle(team_id) - self._use(team_id).reserved
 
+    def _may_transfer(self) -> bool:
+        """Tells whether a transfer can be published.
+
+        Units whose transfer waits for the log would be of use to nobody.
+        """
+        failed_lately = self._clock.now() < self._no_transfers_until
+        return self._follower.log_up and not failed_lately
+
+    def _available(self, team_id: TeamId) -> int:
+        """Returns the units that neither running nor waiting work needs."""
+        use = self._use(team_id)
+        return max(0, self._free(team_id) - len(use.waiters) - use.admitted)
+
     def _surplus(self, team_id: TeamId) -> int:
-        if self._view.units(team_id).unallocated < 0:
-            return 0
+        """Returns the available units beyond what was used lately."""
         use = self._use(team_id)
-        idle = self._free(team_id) - len(use.waiters) - use.admitted
+        idle = self._available(team_id)
         # Keeping what was used lately stops units from going back and forth.
         return max(0, min(idle, use.running + idle - use.target()))
 
@@ -261,7 +284,7 @@
                 continue
             peer, units = use.end_reservation()
             units = min(units, self._idle(team_id))
-            if units > 0 and peer:
+            if units > 0 and peer and self._may_transfer():
                 self._transfers.give(peer, {team_id: units})
 
     def _return_debts(self) -> None:
@@ -283,6 +306,8 @@
 
     def _return_for_jobs(self) -> None:
         """Returns surplus units of teams whose jobs wait for units."""
+        if not self._may_transfer():
+            return
         returned = {}
         rows = self._follower.state.tables.allowances_by_team
         for team_id in self._view.teams():
@@ -336,12 +361,14 @@
             self._transfers.drop_refused(results)
             self._published = True
         except LogUnavailable:
-            # Gives stay locked and are published again when the log is back.
-            pass
+            # Nothing was appended, so the units can be used here meanwhile.
+            self._transfers.cancel(batch)
+            self._no_transfers_until = now + _FAILED_PUBLISH_SECONDS
         except (LogServiceError, PublishUnknown):
             # Nothing is assumed: gives stay locked and are published again
             # with the same ids; takes count only once they are folded.
             self._transfers.note_unknown(batch, now)
+            self._no_transfers_until = now + _FAILED_PUBLISH_SECONDS
         self._transfers.settle()
         return True
 
--- a/sardinedrift/transfers.py
+++ b/sardinedrift/transfers.py
@@ -82,6 +82,16 @@
                 transfer = _Transfer(known.change, until)
                 self._transfer_by_id[change.change_id] = transfer
 
+    def cancel(self, batch: Iterable[ch.AnyChange]) -> None:
+        """Unlocks the changes of a batch that were never appended.
+
+        Those that an earlier append may have put into the log stay locked.
+        """
+        for change in batch:
+            transfer = self._transfer_by_id.get(change.change_id)
+            if transfer and transfer.publish_until == math.inf:
+                self._unlock(transfer)
+
     def settle(self) -> None:
         """Unlocks what the fold has given away or refused to give."""
         for change_id, transfer in list(self._transfer_by_id.items()):
--- a/tests/decision_fakes.py
+++ b/tests/decision_fakes.py
@@ -48,6 +48,7 @@
     def __init__(self, log):
         self.log = log
         self.state = State()
+        self.log_up = True
         self.folded = asyncio.Event()
 
     async def changed(self, after):
