Start the faults of the limit test once the other entries hold units

Cause: test_limits_hold_under_failure kills one entry and freezes another as soon as ten requests were answered. On a busy machine these two sometimes hold all ten units of the team by then: one run of three modules at a time, and two of four at once, timed out with "5 units returning, 5 at the frozen entry". Units of a frozen process must not be given to others, so nothing may run.

Change: the test waits until one of the entries that go on holds units before it freezes the holder; the check of the limit and its bounds are as before.

Ruled out: a fault in the transfers (no transfer was pending in the trace).

--- a/tests/test_promise_limits.py
+++ b/tests/test_promise_limits.py
@@ -53,17 +53,19 @@
         for team in teams or TEAMS:
             self.load.wait_answers(10, team, now)
 
-    def wait_units(self, entry):
-        """Waits until the data centre of an entry holds medium units."""
-
-        def holds():
-            row = promises.row(entry, "allowances/medium")
-            return any(
-                holder.startswith(f"{entry.data_centre}-") and units > 0
-                for holder, units in row["units_by_entry"].items()
-            )
+    def wait_units(self, *entries):
+        """Waits until one of the entries holds units of the medium team.
+
+        Units of an entry that is dead or frozen come back only when its end
+        is shown, so work goes on only if another one holds some before.
+        """
+        ids = {self.fleet.status(entry)["entry_id"] for entry in entries}
+
+        def hold():
+            row = promises.row(entries[0], "allowances/medium")
+            return ids & row["units_by_entry"].keys()
 
-        wait_until(holds, f"units held in {entry.data_centre}")
+        wait_until(hold, "units of the entries that go on")
 
     def passed(self):
         """Returns the starts above the limits, from all journals."""
@@ -82,6 +84,7 @@
             self.go_on()
             self.fleet.kill(killed.name)
             self.go_on("medium")
+            self.wait_units(first, other)
             frozen.process.send_signal(signal.SIGSTOP)
             self.go_on("medium")
             time.sleep(1.0)
@@ -116,9 +119,7 @@
         old = self.start()[:2]
         with self.load.at(*self.entries):
             self.go_on()
-            # Units of entries that end in an outage stay locked until its
-            # end, so the other data centre has to hold some before.
-            self.wait_units(self.entries[2])
+            self.wait_units(*self.entries[2:])
         self.fleet.control(self.fleet.log, outage=True)
         for entry in old:
             self.fleet.kill(entry.name)
