Share what the commands of the command line repeat

Ruled out: one generic command for all groups, because the options differ and are what a reader looks for.

The help of every command is as before, except that 'a instance' now reads 'an instance'. tests.test_cli and tests.test_admin: 29 passed.

--- a/sardinedrift/commands.py
+++ b/sardinedrift/commands.py
@@ -2,13 +2,22 @@
 
 import hashlib
 import secrets
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
 
 import click
 import msgspec
 
 from sardinedrift import changes as ch
 from sardinedrift import desired
-from sardinedrift.context import Context, example, pass_context, revision_option
+from sardinedrift.context import (
+    Context,
+    Target,
+    example,
+    pass_context,
+    revision_option,
+)
 from sardinedrift.exceptions import AdminUnknown
 from sardinedrift.identifiers import SECRET_PREFIX, InstanceKind, WorkClass
 from sardinedrift.output import (
@@ -57,51 +66,71 @@
     name: str, collection: str, kind: str, noun: str
 ) -> click.Command:
     @example(f"sardinedrift {name} remove NAME")
-    @click.command("remove", help=f"Removes a {noun} that nothing uses.")
+    @click.command("remove", help=f"Removes {_a(noun)} that nothing uses.")
     @click.argument("object_id", metavar="ID")
     @revision_option
     @pass_context
     def command(context: Context, object_id: str, revision: int | None) -> None:
-        change = ch.Delete(
-            change_id=context.change_id,
-            expected_revision=context.revision(collection, object_id, revision),
+        context.publish_edit(
+            ch.Delete,
+            Target(collection, object_id, revision),
             kind=kind,
             object_id=object_id,
         )
-        context.publish([change])
 
     return command
 
 
-def put(
-    context: Context,
-    change_type: type[ch.OperatorChange],
+def _add_put(
+    group: click.Group,
     collection: str,
-    object_id: str,
-    revision: int | None,
-    fields: dict,
+    example_text: str,
+    *options: Callable,
 ) -> None:
-    """Creates an object, or edits the fields that are given.
+    """Adds a command that creates an object or edits some of its fields.
 
     Args:
-        context: options of the program.
-        change_type: the change that creates and edits the object.
-        collection: where the object is read.
-        object_id: its id.
-        revision: expected revision, or None to read it.
-        fields: all fields but the id; None: unchanged, or the default.
+        group: gets the command.
+        collection: where the object is read; it names the change as well.
+        example_text: shown in the help.
+        *options: one for each other field than the id, named like the field.
     """
-    current = context.client.find(collection, object_id) or {}
-    names = [
-        name
-        for name in change_type.__struct_fields__
-        if name not in ("change_id", "expected_revision")
-    ]
+    section = desired.SECTION_BY_COLLECTION[collection]
+    noun = section.id_field.removesuffix("_id")
+
+    @pass_context
+    def command(
+        context: Context, object_id: str, revision: int | None, **fields: Any
+    ) -> None:
+        _put(context, section, object_id, revision, fields)
+
+    argument = click.argument("object_id", metavar=noun.upper())
+    for parameter in reversed((argument, *options, revision_option)):
+        command = parameter(command)
+    what = _a(noun.replace("_", " "))
+    text = f"Creates {what} or edits the fields that are given."
+    example(example_text)(group.command("put", help=text)(command))
+
+
+def _a(noun: str) -> str:
+    return f"an {noun}" if noun[0] in "aeiou" else f"a {noun}"
+
+
+def _put(
+    context: Context,
+    section: desired.Section,
+    object_id: str,
+    revision: int | None,
+    fields: dict[str, Any],
+) -> None:
+    """Creates an object, or edits the fields that are not None."""
+    current = context.client.find(section.collection, object_id) or {}
+    names = desired.field_names(section.change_type)
     row = {name: current[name] for name in names if name in current}
     row.update({k: v for k, v in fields.items() if v is not None})
-    row[names[0]] = object_id
+    row[section.id_field] = object_id
     try:
-        change = desired.read_row(change_type, row)
+        change = desired.read_row(section.change_type, row)
     except ValueError as error:
         raise click.UsageError(str(error)) from error
     # The current fields and the revision come from one reading, so that an
@@ -114,6 +143,17 @@
     context.publish([change])
 
 
+def _values(enum: type[Enum]) -> click.Choice:
+    return click.Choice([each.value for each in enum])
+
+
+def _list_or_none(
+    ctx: click.Context, parameter: click.Parameter, values: tuple[str, ...]
+) -> list[str] | None:
+    del ctx, parameter
+    return list(values) or None
+
+
 team = make_group("team", "teams", "team")
 key = make_group("key", "keys", "")
 pool = make_group("pool", "pools", "pool")
@@ -122,116 +162,86 @@
 instance = make_group("instance", "instances", "instance")
 data_centre = make_group("data-centre", "data-centres", "data_centre")
 
-
-@example("sardinedrift team put pairing --share 2 --limit 80")
-@team.command("put")
-@click.argument("team_id", metavar="TEAM")
-@click.option("--share", type=float, help="Weight when the fleet is full.")
-@click.option("--limit", type=int, help="Most requests running at once.")
-@click.option(
-    "--max-configuration-age",
-    type=float,
-    help="Seconds; older configuration refuses the team.",
+_add_put(
+    team,
+    "teams",
+    "sardinedrift team put pairing --share 2 --limit 80",
+    click.option("--share", type=float, help="Weight when the fleet is full."),
+    click.option("--limit", type=int, help="Most requests running at once."),
+    click.option(
+        "--max-configuration-age",
+        type=float,
+        help="Seconds; older configuration refuses the team.",
+    ),
 )
-@revision_option
-@pass_context
-def put_team(context: Context, team_id: str, revision, **fields) -> None:
-    """Creates a team or edits the fields that are given."""
-    put(context, ch.PutTeam, "teams", team_id, revision, fields)
-
-
-@example("sardinedrift data-centre put jj1 --region north")
-@data_centre.command("put")
-@click.argument("data_centre_id", metavar="DATA_CENTRE")
-@click.option("--region", help="Region the data centre is in.")
-@revision_option
-@pass_context
-def put_data_centre(
-    context: Context, data_centre_id: str, revision, **fields
-) -> None:
-    """Creates a data centre or edits the fields that are given."""
-    put(
-        context,
-        ch.PutDataCentre,
-        "data-centres",
-        data_centre_id,
-        revision,
-        fields,
-    )
-
-
-@example("sardinedrift pool put pairing --max-unavailable 2")
-@pool.command("put")
-@click.argument("pool_id", metavar="POOL")
-@click.option("--quick-reserve", type=float, help="Slots without long work.")
-@click.option("--long-floor", type=float, help="Slots where long goes first.")
-@click.option("--max-unavailable", type=int, help="Budget of the pool.")
-@click.option("--max-unavailable-per-rack", type=int, help="Budget of a rack.")
-@click.option("--spare/--no-spare", default=None, help="Waves may borrow.")
-@revision_option
-@pass_context
-def put_pool(context: Context, pool_id: str, revision, **fields) -> None:
-    """Creates a pool or edits the fields that are given."""
-    put(context, ch.PutPool, "pools", pool_id, revision, fields)
-
 
-@example("sardinedrift queue put pairing-quick --pool-id pairing")
-@queue.command("put")
-@click.argument("queue_id", metavar="QUEUE")
-@click.option("--pool-id", help="Pool that serves the queue.")
-@click.option(
-    "--work-class", type=click.Choice([each.value for each in WorkClass])
+_add_put(
+    data_centre,
+    "data-centres",
+    "sardinedrift data-centre put jj1 --region north",
+    click.option("--region", help="Region the data centre is in."),
 )
-@click.option("--idempotent/--not-idempotent", default=None)
-@click.option("--open-team", help="Team that keyless requests count for.")
-@click.option("--team", "team_ids", multiple=True, help="May use it; repeat.")
-@click.option("--max-body-bytes", type=int)
-@click.option("--max-run-seconds", type=float)
-@revision_option
-@pass_context
-def put_queue(
-    context: Context, queue_id: str, revision, team_ids, **fields
-) -> None:
-    """Creates a queue or edits the fields that are given."""
-    fields["team_ids"] = list(team_ids) or None
-    put(context, ch.PutQueue, "queues", queue_id, revision, fields)
 
+_add_put(
+    pool,
+    "pools",
+    "sardinedrift pool put pairing --max-unavailable 2",
+    click.option(
+        "--quick-reserve", type=float, help="Slots without long work."
+    ),
+    click.option(
+        "--long-floor", type=float, help="Slots where long goes first."
+    ),
+    click.option("--max-unavailable", type=int, help="Budget of the pool."),
+    click.option(
+        "--max-unavailable-per-rack", type=int, help="Budget of a rack."
+    ),
+    click.option("--spare/--no-spare", default=None, help="Waves may borrow."),
+)
 
-@example("sardinedrift rule put red-pairing --pool-id pairing --team-id red")
-@rule.command("put")
-@click.argument("rule_id", metavar="RULE")
-@click.option("--pool-id")
-@click.option("--team-id")
-@click.option("--share", type=float, help="Weight of the team in the pool.")
-@revision_option
-@pass_context
-def put_rule(context: Context, rule_id: str, revision, **fields) -> None:
-    """Creates a rule or edits the fields that are given."""
-    put(context, ch.PutRule, "rules", rule_id, revision, fields)
+_add_put(
+    queue,
+    "queues",
+    "sardinedrift queue put pairing-quick --pool-id pairing",
+    click.option("--pool-id", help="Pool that serves the queue."),
+    click.option("--work-class", type=_values(WorkClass)),
+    click.option("--idempotent/--not-idempotent", default=None),
+    click.option("--open-team", help="Team that keyless requests count for."),
+    click.option(
+        "--team",
+        "team_ids",
+        multiple=True,
+        callback=_list_or_none,
+        help="May use it; repeat.",
+    ),
+    click.option("--max-body-bytes", type=int),
+    click.option("--max-run-seconds", type=float),
+)
 
+_add_put(
+    rule,
+    "rules",
+    "sardinedrift rule put red-pairing --pool-id pairing --team-id red",
+    click.option("--pool-id"),
+    click.option("--team-id"),
+    click.option("--share", type=float, help="Weight of the team in the pool."),
+)
 
-@example("sardinedrift instance put m1 --address 127.0.0.1:9001 --rack r1")
-@instance.command("put")
-@click.argument("instance_id", metavar="INSTANCE")
-@click.option(
-    "--kind", type=click.Choice([each.value for each in InstanceKind])
+_add_put(
+    instance,
+    "instances",
+    "sardinedrift instance put m1 --address 127.0.0.1:9001 --rack r1",
+    click.option("--kind", type=_values(InstanceKind)),
+    click.option("--data-centre-id"),
+    click.option("--pool-id", help="Set at creation; later only by a move."),
+    click.option("--rack"),
+    click.option("--address", help="IP number and port."),
+    click.option("--slots", type=int),
+    click.option("--connections", type=int),
+    click.option("--cores", type=float),
+    click.option("--memory-gb", type=float),
+    click.option("--accelerators", type=int),
 )
-@click.option("--data-centre-id")
-@click.option("--pool-id", help="Set at creation; later only by a move.")
-@click.option("--rack")
-@click.option("--address", help="IP number and port.")
-@click.option("--slots", type=int)
-@click.option("--connections", type=int)
-@click.option("--cores", type=float)
-@click.option("--memory-gb", type=float)
-@click.option("--accelerators", type=int)
-@revision_option
-@pass_context
-def put_instance(
-    context: Context, instance_id: str, revision, **fields
-) -> None:
-    """Creates an instance or edits the fields that are given."""
-    put(context, ch.PutInstance, "instances", instance_id, revision, fields)
 
 
 @example("sardinedrift instance import instances.yaml")
@@ -249,14 +259,11 @@
     """Publishes what a file changes, as one atomic batch."""
     wanted = desired.load(path, only)
     rows_by_collection = {}
-    for collection in desired.collections(wanted):
-        rows = context.client.rows(collection)
-        id_field = next(
-            section.id_field
-            for section in desired.SECTIONS
-            if section.collection == collection
-        )
-        rows_by_collection[collection] = {row[id_field]: row for row in rows}
+    for section in desired.sections(wanted):
+        rows = context.client.rows(section.collection)
+        rows_by_collection[section.collection] = {
+            row[section.id_field]: row for row in rows
+        }
     plan = desired.plan(wanted, rows_by_collection, context.change_id)
     for remark in plan.remarks:
         click.echo(f"note: {remark}", err=True)
@@ -306,11 +313,8 @@
 @click.argument("key_id", metavar="KEY")
 @revision_option
 @pass_context
-def withdraw_key(context: Context, key_id: str, revision) -> None:
+def withdraw_key(context: Context, key_id: str, revision: int | None) -> None:
     """Withdraws a key for good."""
-    change = ch.WithdrawKey(
-        change_id=context.change_id,
-        expected_revision=context.revision("keys", key_id, revision),
-        key_id=key_id,
+    context.publish_edit(
+        ch.WithdrawKey, Target("keys", key_id, revision), key_id=key_id
     )
-    context.publish([change])
--- a/sardinedrift/context.py
+++ b/sardinedrift/context.py
@@ -2,6 +2,7 @@
 
 import uuid
 from collections.abc import Callable
+from typing import Any, NamedTuple
 
 import click
 
@@ -11,6 +12,18 @@
 from sardinedrift.output import UNREACHABLE, CommandError, print_rows
 
 
+class Target(NamedTuple):
+    """The object that a command edits.
+
+    Attributes:
+        revision: given by the user; None: the current one is read.
+    """
+
+    collection: str
+    object_id: str
+    revision: int | None
+
+
 class Context:
     """Options given before the command.
 
@@ -27,15 +40,43 @@
         self.repeated = change_id is not None
         self.change_id = change_id or uuid.uuid4().hex
 
-    def revision(
-        self, collection: str, object_id: str, given: int | None
-    ) -> int:
+    def revision(self, target: Target) -> int:
         """Returns the revision a change expects; 0 for a new object."""
-        if given is not None:
-            return given
-        row = self.client.find(collection, object_id)
+        if target.revision is not None:
+            return target.revision
+        row = self.client.find(target.collection, target.object_id)
         return row["revision"] if row else 0
 
+    def name(self, noun: str, given: str | None) -> str:
+        """Returns the name given to a new object, or one made up."""
+        # Follows from the change id, so that a repeated command names the same.
+        made_up = uuid.uuid5(uuid.NAMESPACE_OID, self.change_id).hex
+        return given or f"{noun}-{made_up}"
+
+    def print_name(self, noun: str, name: str) -> None:
+        """Prints the name of a new object; beside JSON, as a note."""
+        click.echo(f"{noun} {name}", err=self.form == "json")
+
+    def publish_edit(
+        self,
+        change_type: type[ch.OperatorChange],
+        target: Target,
+        **fields: Any,
+    ) -> None:
+        """Publishes a change of an object that exists.
+
+        Args:
+            change_type: the change.
+            target: the object whose revision is expected.
+            **fields: all fields of the change but its id and revision.
+        """
+        change = change_type(
+            change_id=self.change_id,
+            expected_revision=self.revision(target),
+            **fields,
+        )
+        self.publish([change])
+
     def publish(
         self, changes: list[ch.AnyChange], atomic: bool = False
     ) -> None:
--- a/sardinedrift/desired.py
+++ b/sardinedrift/desired.py
@@ -36,6 +36,7 @@
     Section("rules", "rules", "rule_id", ch.PutRule),
     Section("instances", "instances", "instance_id", ch.PutInstance),
 )
+SECTION_BY_COLLECTION = {section.collection: section for section in SECTIONS}
 
 _SET_BY_ADMIN = ("change_id", "expected_revision")
 
@@ -67,15 +68,15 @@
             values.
     """
     data = read_mapping(path)
-    sections = [each for each in SECTIONS if not only or each.name in only]
-    known = [section.name for section in sections]
+    allowed = [each for each in SECTIONS if not only or each.name in only]
+    known = [section.name for section in allowed]
     errors = [
         f"{name}: unknown key; allowed: {', '.join(known)}"
         for name in data
         if name not in known
     ]
     changes_by_section = {}
-    for section in sections:
+    for section in allowed:
         rows = data.get(section.name) or []
         if not isinstance(rows, list):
             errors.append(f"{section.name}: must be a list")
@@ -118,11 +119,7 @@
     """
     if not isinstance(row, dict):
         raise ValueError("must be a mapping")
-    known = [
-        name
-        for name in change_type.__struct_fields__
-        if name not in _SET_BY_ADMIN
-    ]
+    known = field_names(change_type)
     for name in row:
         if name not in known:
             raise ValueError(
@@ -137,6 +134,15 @@
         raise ValueError(f"{place}: {text}") from error
 
 
+def field_names(change_type: type[ch.OperatorChange]) -> list[str]:
+    """Returns the fields of a change that a row may give, its id first."""
+    return [
+        name
+        for name in change_type.__struct_fields__
+        if name not in _SET_BY_ADMIN
+    ]
+
+
 def plan(
     desired: Desired,
     rows_by_collection: dict[str, dict[str, Row]],
@@ -186,11 +192,11 @@
         raise SettingsError("\n".join(errors))
 
 
-def collections(desired: Desired) -> Iterator[str]:
-    """Yields the collections that a file edits."""
+def sections(desired: Desired) -> Iterator[Section]:
+    """Yields the sections that a file has objects in."""
     for section in SECTIONS:
         if desired.changes_by_section.get(section.name):
-            yield section.collection
+            yield section
 
 
 def _at_current_place(
--- a/sardinedrift/jobcommands.py
+++ b/sardinedrift/jobcommands.py
@@ -1,15 +1,22 @@
 """Commands for jobs on guarded workers."""
 
 import time
+from typing import Any
 
 import click
 
 from sardinedrift import changes as ch
 from sardinedrift.commands import make_group
 from sardinedrift.context import Context, example, pass_context
-from sardinedrift.workcommands import name_of, timeout_option, watch
+from sardinedrift.progress import add_watch
 
 job = make_group("job", "jobs", "")
+add_watch(
+    job,
+    "jobs",
+    ("waiting", "placed", "running", "cancelling"),
+    "Shows a job until it ends; status 1 unless it is done.",
+)
 
 
 @example("sardinedrift job submit --team-id red --pool-id pairing --cores 4")
@@ -35,15 +42,20 @@
 )
 @click.option("--job-id", help="Name of the job; made up when not given.")
 @pass_context
-def submit_job(context: Context, start_within, job_id, **fields) -> None:
+def submit_job(
+    context: Context,
+    start_within: float | None,
+    job_id: str | None,
+    **fields: Any,
+) -> None:
     """Submits a job; one that fits no worker of the pool is refused."""
-    job_id = job_id or name_of("job", context)
+    job_id = context.name("job", job_id)
     deadline = time.time() + start_within if start_within else None
     change = ch.SubmitJob(
         change_id=context.change_id, job_id=job_id, deadline=deadline, **fields
     )
     context.publish([change])
-    click.echo(f"job {job_id}", err=context.form == "json")
+    context.print_name("job", job_id)
 
 
 @example("sardinedrift job cancel job-4f1c2d3e")
@@ -61,14 +73,3 @@
         change_id=context.change_id, job_id=job_id, evidence=evidence
     )
     context.publish([change])
-
-
-@example("sardinedrift job watch job-4f1c2d3e")
-@job.command("watch")
-@click.argument("job_id", metavar="JOB")
-@timeout_option
-@pass_context
-def watch_job(context: Context, job_id: str, timeout: float) -> None:
-    """Shows a job until it ends; status 1 unless it is done."""
-    running = ("waiting", "placed", "running", "cancelling")
-    watch(context, "jobs", job_id, timeout, running)
--- /dev/null
+++ b/sardinedrift/progress.py
@@ -0,0 +1,102 @@
+"""Commands that show an object until it has ended."""
+
+import time
+from collections.abc import Iterator
+
+import click
+
+from sardinedrift.context import Context, example, pass_context
+from sardinedrift.exceptions import AdminUnreachable
+from sardinedrift.output import (
+    REFUSED,
+    UNREACHABLE,
+    CommandError,
+    print_object,
+)
+
+POLL_SECONDS = 0.5
+
+
+def add_watch(
+    group: click.Group,
+    collection: str,
+    running: tuple[str, ...],
+    help_text: str,
+) -> None:
+    """Adds the command `watch` to the group of a collection.
+
+    Args:
+        group: named by the noun of its objects.
+        collection: where the object is read.
+        running: states in which the object has not ended.
+        help_text: what the command shows.
+    """
+    noun = group.name
+
+    @example(f"sardinedrift {noun} watch {noun}-4f1c2d3e")
+    @group.command("watch", help=help_text)
+    @click.argument("object_id", metavar=noun.upper())
+    @click.option(
+        "--timeout",
+        type=click.FloatRange(min=0),
+        default=3600.0,
+        show_default=True,
+        help="Seconds after which watching ends.",
+    )
+    @pass_context
+    def command(context: Context, object_id: str, timeout: float) -> None:
+        _watch(context, collection, object_id, timeout, running)
+
+
+def _watch(
+    context: Context,
+    collection: str,
+    object_id: str,
+    timeout: float,
+    running: tuple[str, ...],
+) -> None:
+    """Shows an object until its state is none of those given.
+
+    Raises:
+        CommandError: it ended in a state other than "done", or not in time.
+    """
+    last = None
+    for row in _poll(context, collection, object_id, timeout):
+        if row != last:
+            _print_progress(context, row)
+        last = row
+        if row["state"] == "done":
+            return
+        if row["state"] not in running:
+            raise CommandError(f"{object_id} was {row['state']}", REFUSED)
+    raise CommandError(f"{object_id} has not ended", UNREACHABLE)
+
+
+def _poll(
+    context: Context, collection: str, object_id: str, timeout: float
+) -> Iterator[dict]:
+    deadline = time.time() + timeout
+    yield context.client.item(collection, object_id)
+    while time.time() < deadline:
+        time.sleep(POLL_SECONDS)
+        try:
+            yield context.client.item(collection, object_id)
+        except AdminUnreachable as error:
+            # Entries are replaced at any time; what is watched goes on.
+            click.echo(f"note: {error}; trying again", err=True)
+
+
+def _print_progress(context: Context, row: dict) -> None:
+    if context.form == "json":
+        print_object("json", row)
+        return
+    parts = [row["state"]]
+    parts += filter(None, (row.get("instance_id"), row.get("reason")))
+    steps = list(row.get("step_by_instance", {}).values())
+    for step in dict.fromkeys(steps):
+        parts.append(f"{step} {steps.count(step)}")
+    if row.get("lent"):
+        parts.append("lent " + ", ".join(row["lent"]))
+    if row.get("waiting"):
+        parts.append("waiting for " + ", ".join(row["waiting"]))
+    click.echo("; ".join(parts))
