Annotate what public functions take and return

Constructors took the follower, the publisher, the peers and the view of the instance list without a type, so a reader had to search for what they are. Views of which only one method is used get a protocol, as members has one.

Ruled out: '-> None' on constructors, which the rest of the package leaves out.

tests.test_scheduler, fold, admin, logs, settings, slots, entry and cli pass.

--- a/sardinedrift/admin.py
+++ b/sardinedrift/admin.py
@@ -19,9 +19,12 @@
     PublishUnknown,
     StateError,
 )
+from sardinedrift.follower import Follower
 from sardinedrift.identifiers import EntryId, EntryState, Identity
 from sardinedrift.metrics import CONTENT_TYPE, Metrics
+from sardinedrift.peers import Peers
 from sardinedrift.ports import Clock
+from sardinedrift.publisher import Publisher
 
 MAX_BODY_BYTES = 8 << 20
 DEFAULT_PUBLISH_SECONDS = 10.0
@@ -50,9 +53,9 @@
     def __init__(
         self,
         identity: Identity,
-        follower,
-        publisher,
-        peers,
+        follower: Follower,
+        publisher: Publisher,
+        peers: Peers,
         clock: Clock,
         events: timeline.Timeline,
         metrics: Metrics,
--- a/sardinedrift/cli.py
+++ b/sardinedrift/cli.py
@@ -4,6 +4,8 @@
 or outcome unknown.
 """
 
+from typing import Any
+
 import click
 
 from sardinedrift import changes as ch
@@ -16,12 +18,15 @@
 class _Program(click.Group):
     """Turns the errors of every command into exit statuses."""
 
-    def invoke(self, ctx: click.Context):
+    def invoke(self, ctx: click.Context) -> Any:
         with exit_statuses():
             return super().invoke(ctx)
 
 
-def _check_addresses(ctx, parameter, values: tuple[str, ...]) -> list[str]:
+def _check_addresses(
+    ctx: click.Context, parameter: click.Parameter, values: tuple[str, ...]
+) -> list[str]:
+    del ctx, parameter
     addresses = [part for value in values for part in value.split(",") if part]
     for address in addresses:
         try:
@@ -150,7 +155,7 @@
 @click.option("--wave-id")
 @click.option("--limit", type=click.IntRange(min=1), default=100)
 @pass_context
-def show_timeline(context: Context, merged: bool, **selection) -> None:
+def show_timeline(context: Context, merged: bool, **selection: Any) -> None:
     """Shows recent events, ordered by log offset and then by time."""
     query = {k: str(v) for k, v in selection.items() if v is not None}
     if merged:
--- a/sardinedrift/configuration.py
+++ b/sardinedrift/configuration.py
@@ -3,6 +3,7 @@
 import math
 import re
 from collections.abc import Iterator
+from typing import Protocol
 
 from sardinedrift import changes as ch
 from sardinedrift import objects
@@ -16,7 +17,12 @@
 ALL_TEAMS = "*"
 
 
-def check_revision(change: ch.OperatorChange, current) -> int:
+class _Revised(Protocol):
+    @property
+    def revision(self) -> int: ...
+
+
+def check_revision(change: ch.OperatorChange, current: _Revised | None) -> int:
     """Returns the next revision of an object.
 
     Raises:
--- a/sardinedrift/endpoints.py
+++ b/sardinedrift/endpoints.py
@@ -1,17 +1,31 @@
 """Which minions may receive work now."""
 
+from typing import Protocol
+
+from sardinedrift.follower import Follower
 from sardinedrift.identifiers import (
     DataCentreId,
     InstanceKind,
     InstanceState,
     PoolId,
 )
+from sardinedrift.instancelist import InstanceView
 from sardinedrift.objects import Instance
 from sardinedrift.state import State
 
 
+class LeavingView(Protocol):
+    """The part of the view of the instance list that is used here."""
+
+    def leaving(self, instance_id: str) -> bool:
+        """Tells whether the list shows an instance as leaving."""
+
+
 def usable_instances(
-    state: State, data_centre_id: DataCentreId, pool_id: PoolId, view
+    state: State,
+    data_centre_id: DataCentreId,
+    pool_id: PoolId,
+    view: LeavingView,
 ) -> list[Instance]:
     """Returns the minions of a pool that may receive work now."""
     return [
@@ -22,7 +36,7 @@
 
 
 def usable_pools(
-    state: State, data_centre_id: DataCentreId, view
+    state: State, data_centre_id: DataCentreId, view: LeavingView
 ) -> list[PoolId]:
     """Returns the pools with a usable minion in a data centre."""
     return [
@@ -32,7 +46,7 @@
     ]
 
 
-def usable(instance: Instance, view) -> bool:
+def usable(instance: Instance, view: LeavingView) -> bool:
     """Tells whether an instance is a minion that may receive work now."""
     return (
         instance.kind is InstanceKind.MINION
@@ -52,7 +66,12 @@
         view: the instance list, with a `version`.
     """
 
-    def __init__(self, data_centre_id: DataCentreId, follower, view):
+    def __init__(
+        self,
+        data_centre_id: DataCentreId,
+        follower: Follower,
+        view: InstanceView,
+    ):
         self._data_centre_id = data_centre_id
         self._follower = follower
         self._view = view
--- a/sardinedrift/guards.py
+++ b/sardinedrift/guards.py
@@ -2,13 +2,14 @@
 
 import contextlib
 import uuid
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from prometheus_client import Counter
 
 from sardinedrift import changes as ch
 from sardinedrift import objects
 from sardinedrift.exceptions import WorkerRefused, WorkerUnknown
+from sardinedrift.follower import Follower
 from sardinedrift.identifiers import (
     ChangeId,
     EntryId,
@@ -72,10 +73,10 @@
         self,
         entry_id: EntryId,
         instance_id: InstanceId,
-        follower,
+        follower: Follower,
         workers: WorkerPort,
         clock: Clock,
-        is_live,
+        is_live: Callable[[EntryId], bool],
     ):
         self.pending: list[ch.AnyChange] = []
         self._entry_id = entry_id
--- a/sardinedrift/jobs.py
+++ b/sardinedrift/jobs.py
@@ -15,9 +15,11 @@
 from sardinedrift import changes as ch
 from sardinedrift import objects
 from sardinedrift.exceptions import LogServiceError, PublishUnknown
+from sardinedrift.follower import Follower
 from sardinedrift.guards import Guard
 from sardinedrift.identifiers import (
     ChangeId,
+    EntryId,
     Identity,
     InstanceId,
     InstanceKind,
@@ -25,8 +27,10 @@
     PoolId,
 )
 from sardinedrift.packing import Packing
+from sardinedrift.peers import Peers
 from sardinedrift.placement import PLACED_STATES
 from sardinedrift.ports import Clock, WorkerPort
+from sardinedrift.publisher import Publisher
 
 # One record at most in this time, however many jobs come and go.
 BATCH_SECONDS = 0.5
@@ -54,9 +58,9 @@
     def __init__(
         self,
         identity: Identity,
-        follower,
-        publisher,
-        peers,
+        follower: Follower,
+        publisher: Publisher,
+        peers: Peers,
         workers: WorkerPort,
         clock: Clock,
     ):
@@ -120,7 +124,7 @@
             if scheduler_by_pool[pool_id] == self._identity.entry_id:
                 yield instance.instance_id
 
-    def _is_live(self, entry_id) -> bool:
+    def _is_live(self, entry_id: EntryId) -> bool:
         return entry_id in self._peers.live(self._identity.data_centre_id)
 
     def _jobs(self) -> list[objects.Job]:
--- a/sardinedrift/logs.py
+++ b/sardinedrift/logs.py
@@ -2,7 +2,7 @@
 
 import re
 import sys
-from typing import TextIO
+from typing import TYPE_CHECKING, TextIO
 
 import msgspec
 from loguru import logger
@@ -10,6 +10,9 @@
 from sardinedrift.identifiers import SECRET_PREFIX, Identity
 from sardinedrift.settings import Logs
 
+if TYPE_CHECKING:
+    from loguru import Message
+
 _SECRET = re.compile(
     rf"{SECRET_PREFIX}[A-Za-z0-9_-]{{8,}}"
     r"|(?<=sardinedrift-key)([\"']?\s*[:=,]\s*(?:b?[\"'])?)[^\s\"',}\])]+",
@@ -32,7 +35,7 @@
     """Sends the log lines of this process to a stream (standard error)."""
     target = stream or sys.stderr
 
-    def write(message) -> None:
+    def write(message: "Message") -> None:
         # A secret may also stand in a bound field or in the text of an
         # exception, so what is written is checked, not only the message.
         if settings.format == "json":
@@ -59,7 +62,7 @@
     )
 
 
-def _json_line(message) -> str:
+def _json_line(message: "Message") -> str:
     record = message.record
     line = {
         "time": record["time"].timestamp(),
--- a/sardinedrift/scheduler.py
+++ b/sardinedrift/scheduler.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import random as random_module
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from sardinedrift import health
-from sardinedrift.endpoints import usable
+from sardinedrift.endpoints import LeavingView, usable
 from sardinedrift.grants import Grants
 from sardinedrift.identifiers import (
     DataCentreId,
@@ -19,6 +19,7 @@
 from sardinedrift.objects import Instance
 from sardinedrift.ports import Clock
 from sardinedrift.shares import ShareLedger
+from sardinedrift.state import State
 from sardinedrift.waiting import AskQueues, WaitingAsk
 
 # About twelve seconds of work of a pool of 64 slots at 0.1 s per request.
@@ -44,8 +45,8 @@
         self,
         pool_id: PoolId,
         data_centre_id: DataCentreId,
-        state,
-        view,
+        state: State | Callable[[], State],
+        view: LeavingView,
         clock: Clock,
         random: random_module.Random | None = None,
         most_waiting: int = MOST_WAITING_PER_TEAM,
--- a/sardinedrift/testcontrols.py
+++ b/sardinedrift/testcontrols.py
@@ -2,8 +2,10 @@
 
 from aiohttp import web
 
+from sardinedrift.assembly import Parts
 
-def add_routes(application: web.Application, parts) -> None:
+
+def add_routes(application: web.Application, parts: Parts) -> None:
     """Adds the routes to the application for operators."""
 
     async def cut(request: web.Request) -> web.Response:
--- a/sardinedrift/yamlfiles.py
+++ b/sardinedrift/yamlfiles.py
@@ -11,7 +11,9 @@
 class _Loader(yaml.SafeLoader):
     """PyYAML keeps the last of two equal keys and says nothing."""
 
-    def construct_mapping(self, node, deep=False):
+    def construct_mapping(
+        self, node: yaml.MappingNode, deep: bool = False
+    ) -> dict:
         seen = set()
         for key_node, _ in node.value:
             key = (key_node.tag, str(key_node.value))
--- a/standins/capacityrecords.py
+++ b/standins/capacityrecords.py
@@ -1,7 +1,7 @@
 """Bytes and fold time of one record of each kind."""
 
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from sardinedrift import changes as ch
 from standins.capacityruns import (
@@ -66,7 +66,11 @@
     )
 
 
-def _record_cost(folding: Folding, kind: str, make) -> dict:
+def _record_cost(
+    folding: Folding,
+    kind: str,
+    make: Callable[[int], ch.AnyChange | list[ch.AnyChange]],
+) -> dict:
     rounds = 200
     made = [make(number) for number in range(rounds)]
     batches = [each if isinstance(each, list) else [each] for each in made]
--- a/standins/capacityruns.py
+++ b/standins/capacityruns.py
@@ -34,7 +34,7 @@
 
 
 class _NoneLeaving:
-    def leaving(self, instance_id) -> bool:
+    def leaving(self, instance_id: str) -> bool:
         del instance_id
         return False
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -14,7 +14,7 @@
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
 import yaml
@@ -74,7 +74,9 @@
         return body
 
 
-def wait_until(condition, what: str, seconds: float = START_SECONDS) -> Any:
+def wait_until(
+    condition: Callable[[], Any], what: str, seconds: float = START_SECONDS
+) -> Any:
     """Waits until a condition returns a true value, and returns it.
 
     Raises:
--- a/standins/instancelist.py
+++ b/standins/instancelist.py
@@ -133,7 +133,9 @@
             if i.data_centre_id == data_centre_id
         ]
 
-    async def wait(self, data_centre_id: str, since: int, seconds: float):
+    async def wait(
+        self, data_centre_id: str, since: int, seconds: float
+    ) -> None:
         """Waits for a version other than `since`, or for an outage."""
         try:
             async with asyncio.timeout(seconds):
--- a/standins/promises.py
+++ b/standins/promises.py
@@ -7,19 +7,24 @@
 import heapq
 import json
 import threading
-from collections.abc import Iterable, Iterator
-from typing import NamedTuple
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Any, NamedTuple
 
 from standins.caller import Caller
 from standins.demo import SECRET, instances, main_configuration
-from standins.fleet import Fleet, call, wait_until
+from standins.fleet import Entry, Fleet, call, wait_until
 from standins.history import Attempt, Execution
 
 POOL = "pairing"
 DATA_CENTRES = ("dc1", "dc2")
 
 
-def start_fleet(fleet: Fleet, teams: dict, data_centres=DATA_CENTRES, **more):
+def start_fleet(
+    fleet: Fleet,
+    teams: dict[str, tuple[float, int]],
+    data_centres: Sequence[str] = DATA_CENTRES,
+    **more: Any,
+) -> list[Entry]:
     """Starts two entries and a minion in each data centre, and publishes."""
     fleet.start_platform()
     # Started together, entries find each other through the log.
@@ -41,12 +46,12 @@
     return entries
 
 
-def row(entry, path: str) -> dict:
+def row(entry: Entry, path: str) -> dict:
     """Returns one object as an entry has it."""
     return call(entry.admin, f"/v1/{path}")["item"]
 
 
-def log_lines(fleet: Fleet, entry) -> str:
+def log_lines(fleet: Fleet, entry: Entry) -> str:
     """Returns the log output of an entry."""
     return (fleet.directory / f"{entry.name}.log").read_text()
 
@@ -71,7 +76,7 @@
     samples: list[tuple[str, int]] = []
     done = threading.Event()
 
-    def sample():
+    def sample() -> None:
         while not done.wait(0.05):
             for name, entry in list(fleet.entry_by_name.items()):
                 with contextlib.suppress(OSError, ValueError):
@@ -107,10 +112,10 @@
     ]
 
 
-def code_of_one(entry, team: str) -> str:
+def code_of_one(entry: Entry, team: str) -> str:
     """Sends one request of a team and returns the code of its refusal."""
 
-    async def send():
+    async def send() -> Attempt:
         async with Caller(team, f"{team}.{SECRET}", [], 0, []) as caller:
             return await caller.send(
                 f"{POOL}-lookup",
@@ -150,7 +155,9 @@
             yield f"{len(ends)} of {each.team} run; the limit is {limit}"
 
 
-def _in_force(changes, now: float, grace: float) -> Iterator[int]:
+def _in_force(
+    changes: list[LimitChange], now: float, grace: float
+) -> Iterator[int]:
     for change, following in zip(changes, [*changes[1:], None], strict=True):
         replaced = following and following.accepted + grace <= now
         if change.sent <= now and not replaced:
@@ -172,7 +179,7 @@
         self._stop = threading.Event()
 
     @contextlib.contextmanager
-    def at(self, *entries) -> Iterator["Load"]:
+    def at(self, *entries: Entry) -> Iterator["Load"]:
         """Sends from the start of the block to its end."""
         self._stop.clear()
         thread = threading.Thread(
@@ -199,14 +206,14 @@
             for each in self.history
         )
 
-    async def _run(self, entries) -> None:
+    async def _run(self, entries: Iterable[Entry]) -> None:
         async with asyncio.TaskGroup() as group:
             for entry in entries:
                 for team, width in self._width_by_team.items():
                     for number in range(width):
                         group.create_task(self._send(entry, team, number))
 
-    async def _send(self, entry, team: str, number: int) -> None:
+    async def _send(self, entry: Entry, team: str, number: int) -> None:
         key = f"{team}.{SECRET}"
         async with Caller(team, key, [], number, self.history) as caller:
             while not self._stop.is_set():
--- a/standins/wavebench.py
+++ b/standins/wavebench.py
@@ -9,7 +9,7 @@
 import json
 import sys
 from collections.abc import Iterator
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import click
 
@@ -68,7 +68,9 @@
         yield state, results
 
 
-def pool_change(pool: str, most: int, per_rack: int, spare=False) -> dict:
+def pool_change(
+    pool: str, most: int, per_rack: int, spare: bool = False
+) -> dict:
     """Returns the change that creates a pool with budgets."""
     return {
         "type": "PutPool",
@@ -88,7 +90,7 @@
         fleet.start_minion(f"s{number}", SPARE, data_centre, f"q{number}")
 
 
-def start_wave(fleet: Fleet, wave_id: str, **fields) -> None:
+def start_wave(fleet: Fleet, wave_id: str, **fields: Any) -> None:
     """Starts a wave over the pool."""
     change = {"type": "StartWave", "wave_id": wave_id, "pool_id": POOL}
     fleet.publish({**change, **fields})
@@ -103,7 +105,7 @@
 def wait_wave(fleet: Fleet, wave_id: str) -> dict:
     """Waits until a wave has ended and nothing is lent to it."""
 
-    def ended():
+    def ended() -> dict | None:
         wave = wave_of(fleet, wave_id)
         over = wave["state"] != "running" and not wave["lent"]
         return wave if over else None
