Store configuration objects by the fields of their change

Each put of the fold copied the fields of its change one by one, in the order of the object's constructor. put_object takes the fields that both have, and an edited instance keeps the rest. The checks of a wave's pool stand apart.

--- a/sardinedrift/configuration.py
+++ b/sardinedrift/configuration.py
@@ -1,9 +1,12 @@
 """Fold of teams, keys, pools, queues, rules and data centres."""
 
+import functools
 import math
 import re
 from collections.abc import Iterator
-from typing import Protocol
+from typing import Any, Protocol
+
+import msgspec
 
 from sardinedrift import changes as ch
 from sardinedrift import objects
@@ -66,6 +69,22 @@
         raise StateError("not_found", f"{key!r} does not exist", field)
 
 
+def common_fields(
+    change: ch.OperatorChange, object_type: type[msgspec.Struct]
+) -> dict[str, Any]:
+    """Returns the fields of a change that its object has as well."""
+    names = _common_names(type(change), object_type)
+    return {name: getattr(change, name) for name in names}
+
+
+@functools.cache
+def _common_names(
+    change_type: type[ch.OperatorChange], object_type: type[msgspec.Struct]
+) -> tuple[str, ...]:
+    names = change_type.__struct_fields__
+    return tuple(e for e in names if e in object_type.__struct_fields__)
+
+
 def _check_share(share: float) -> None:
     if not (share > 0 and math.isfinite(share)):
         raise StateError(
@@ -73,16 +92,30 @@
         )
 
 
+def _put_object(
+    state: State,
+    change: ch.OperatorChange,
+    table: str,
+    object_id: str,
+    object_type: type[msgspec.Struct],
+) -> int:
+    """Stores an object that is as its change says; returns its revision."""
+    current = getattr(state.tables, table).get(object_id)
+    revision = check_revision(change, current)
+    fields = common_fields(change, object_type)
+    state.put(table, object_id, object_type(**fields, revision=revision))
+    return revision
+
+
 def _put_data_centre(state: State, change: ch.PutDataCentre) -> int:
     check_name("data_centre_id", change.data_centre_id)
-    current = state.tables.data_centre_by_id.get(change.data_centre_id)
-    revision = check_revision(change, current)
-    state.put(
+    return _put_object(
+        state,
+        change,
         "data_centre_by_id",
         change.data_centre_id,
-        objects.DataCentre(change.data_centre_id, change.region, revision),
+        objects.DataCentre,
     )
-    return revision
 
 
 def _put_team(state: State, change: ch.PutTeam) -> int:
@@ -91,16 +124,9 @@
     check_range("limit", change.limit, 0)
     if change.max_configuration_age is not None:
         check_range("max_configuration_age", change.max_configuration_age, 1)
-    current = state.tables.team_by_id.get(change.team_id)
-    revision = check_revision(change, current)
-    team = objects.Team(
-        change.team_id,
-        change.share,
-        change.limit,
-        change.max_configuration_age,
-        revision,
+    revision = _put_object(
+        state, change, "team_by_id", change.team_id, objects.Team
     )
-    state.put("team_by_id", change.team_id, team)
     if change.team_id not in state.tables.allowances_by_team:
         state.put("allowances_by_team", change.team_id, objects.Allowances({}))
     return revision
@@ -133,14 +159,10 @@
     check_exists(state, "key_by_id", "key_id", change.key_id)
     current = state.tables.key_by_id[change.key_id]
     revision = check_revision(change, current)
-    key = objects.Key(
-        current.key_id,
-        current.team_id,
-        current.digest,
-        KeyState.WITHDRAWN,
-        revision,
+    withdrawn = msgspec.structs.replace(
+        current, state=KeyState.WITHDRAWN, revision=revision
     )
-    state.put("key_by_id", change.key_id, key)
+    state.put("key_by_id", change.key_id, withdrawn)
     return revision
 
 
@@ -156,19 +178,9 @@
         )
     check_range("max_unavailable", change.max_unavailable, 0)
     check_range("max_unavailable_per_rack", change.max_unavailable_per_rack, 0)
-    current = state.tables.pool_by_id.get(change.pool_id)
-    revision = check_revision(change, current)
-    pool = objects.Pool(
-        change.pool_id,
-        change.quick_reserve,
-        change.long_floor,
-        change.max_unavailable,
-        change.max_unavailable_per_rack,
-        change.spare,
-        revision,
+    return _put_object(
+        state, change, "pool_by_id", change.pool_id, objects.Pool
     )
-    state.put("pool_by_id", change.pool_id, pool)
-    return revision
 
 
 def _put_queue(state: State, change: ch.PutQueue) -> int:
@@ -180,20 +192,9 @@
         check_exists(state, "team_by_id", "team_ids", team_id)
     check_range("max_body_bytes", change.max_body_bytes, 0, 64 << 20)
     check_range("max_run_seconds", change.max_run_seconds, 0.05, 86_400)
-    current = state.tables.queue_by_id.get(change.queue_id)
-    revision = check_revision(change, current)
-    queue = objects.Queue(
-        change.queue_id,
-        change.pool_id,
-        change.work_class,
-        change.idempotent,
-        change.open_team,
-        change.team_ids,
-        change.max_body_bytes,
-        change.max_run_seconds,
-        revision,
+    revision = _put_object(
+        state, change, "queue_by_id", change.queue_id, objects.Queue
     )
-    state.put("queue_by_id", change.queue_id, queue)
     for team_id in change.team_ids or (ALL_TEAMS,):
         longest = state.tables.longest_run_by_team.get(team_id, 0.0)
         if change.max_run_seconds > longest:
@@ -214,13 +215,9 @@
                 f"rule {rule.rule_id!r} sets the share of this team and pool",
                 "team_id",
             )
-    current = state.tables.rule_by_id.get(change.rule_id)
-    revision = check_revision(change, current)
-    rule = objects.Rule(
-        change.rule_id, change.pool_id, change.team_id, change.share, revision
+    return _put_object(
+        state, change, "rule_by_id", change.rule_id, objects.Rule
     )
-    state.put("rule_by_id", change.rule_id, rule)
-    return revision
 
 
 _TABLE_BY_KIND = {
--- a/sardinedrift/inventory.py
+++ b/sardinedrift/inventory.py
@@ -9,6 +9,7 @@
     check_name,
     check_range,
     check_revision,
+    common_fields,
 )
 from sardinedrift.exceptions import StateError
 from sardinedrift.identifiers import (
@@ -23,6 +24,7 @@
 from sardinedrift.state import State
 
 _replace = msgspec.structs.replace
+_SIZES = ("slots", "connections", "cores", "memory_gb", "accelerators")
 
 
 def forget_entry(state: State, entry_id: EntryId) -> None:
@@ -38,36 +40,25 @@
         state, "data_centre_by_id", "data_centre_id", change.data_centre_id
     )
     check_exists(state, "pool_by_id", "pool_id", change.pool_id)
-    check_range("slots", change.slots, 0)
-    check_range("connections", change.connections, 0)
-    check_range("cores", change.cores, 0)
-    check_range("memory_gb", change.memory_gb, 0)
-    check_range("accelerators", change.accelerators, 0)
+    for name in _SIZES:
+        check_range(name, getattr(change, name), 0)
     current = state.tables.instance_by_id.get(change.instance_id)
     revision = check_revision(change, current)
     if current:
         _check_place(change, current)
         _check_jobs(state, change)
     _check_address(state, change)
-    instance = objects.Instance(
-        instance_id=change.instance_id,
-        kind=change.kind,
-        data_centre_id=change.data_centre_id,
-        pool_id=change.pool_id,
-        rack=change.rack,
-        address=change.address,
-        slots=change.slots,
-        connections=change.connections,
-        cores=change.cores,
-        memory_gb=change.memory_gb,
-        accelerators=change.accelerators,
-        state=current.state if current else InstanceState.ACTIVE,
-        up=current.up if current else True,
-        drain=current.drain if current else None,
-        revision=revision,
-        lent_from=current.lent_from if current else None,
-        lent_wave_id=current.lent_wave_id if current else None,
-    )
+    fields = common_fields(change, objects.Instance)
+    if current:
+        instance = _replace(current, **fields, revision=revision)
+    else:
+        instance = objects.Instance(
+            **fields,
+            state=InstanceState.ACTIVE,
+            up=True,
+            drain=None,
+            revision=revision,
+        )
     state.put("instance_by_id", change.instance_id, instance)
     return revision
 
--- a/sardinedrift/maintenance.py
+++ b/sardinedrift/maintenance.py
@@ -17,6 +17,7 @@
 from sardinedrift.identifiers import (
     InstanceId,
     InstanceState,
+    PoolId,
     WaveId,
     WaveState,
     WaveStep,
@@ -40,18 +41,7 @@
     if change.wave_id in state.tables.wave_by_id:
         raise StateError("exists", "a wave id is used only once", "wave_id")
     check_revision(change, None)
-    if has_running_wave(state, change.pool_id):
-        raise StateError(
-            "wave_running", "the pool has a running wave", "pool_id"
-        )
-    pool = state.tables.pool_by_id[change.pool_id]
-    if min(pool.max_unavailable, pool.max_unavailable_per_rack) < 1:
-        raise StateError(
-            "budget_never_met",
-            f"the budgets of pool {pool.pool_id} permit no drained instance; "
-            "set max_unavailable and max_unavailable_per_rack to at least 1",
-            "pool_id",
-        )
+    _check_pool(state, change.pool_id)
     wave = objects.Wave(
         change.wave_id,
         change.pool_id,
@@ -68,6 +58,22 @@
     return 1
 
 
+def _check_pool(state: State, pool_id: PoolId) -> None:
+    """Refuses a pool in which no wave can begin."""
+    if has_running_wave(state, pool_id):
+        raise StateError(
+            "wave_running", "the pool has a running wave", "pool_id"
+        )
+    pool = state.tables.pool_by_id[pool_id]
+    if min(pool.max_unavailable, pool.max_unavailable_per_rack) < 1:
+        raise StateError(
+            "budget_never_met",
+            f"the budgets of pool {pool_id} permit no drained instance; "
+            "set max_unavailable and max_unavailable_per_rack to at least 1",
+            "pool_id",
+        )
+
+
 def _wave_instances(state: State, change: ch.StartWave) -> Iterator[InstanceId]:
     in_pool = {
         each.instance_id
