Publish batches of drains and jobs in one place

DrainAcks and Jobs each held the same code: publish by a deadline, log the first of several failures, leave the rest to the next step. BatchPublisher holds it; the log line now names the module batches. publish of the publisher and start of the entry lose the lines that had a name of their own.

Ruled out: the observer and the waves, which log each failure at debug level, and the wave driver needs the results.

tests.test_jobs, publisher, entry and callers: 35 passed.

--- a/sardinedrift/drains.py
+++ b/sardinedrift/drains.py
@@ -3,13 +3,11 @@
 import asyncio
 from collections.abc import Iterator
 
-from loguru import logger
-
 from sardinedrift import objects
+from sardinedrift.batches import BatchPublisher
 from sardinedrift.callers import Callers
 from sardinedrift.changes import DrainAck
 from sardinedrift.dispatch import Dispatcher
-from sardinedrift.exceptions import LogServiceError, PublishUnknown
 from sardinedrift.follower import Follower
 from sardinedrift.identifiers import ChangeId, Identity
 from sardinedrift.ports import Clock
@@ -17,7 +15,6 @@
 from sardinedrift.slots import Slots
 
 _POLL_SECONDS = 0.1
-_PUBLISH_SECONDS = 10.0
 # Keeps one record well below the size of a snapshot chunk.
 _MOST_PER_BATCH = 200
 
@@ -47,10 +44,10 @@
     ):
         self._identity = identity
         self._follower = follower
-        self._publisher = publisher
         self._slots = slots
-        self._clock = clock
-        self._failing = False
+        self._batches = BatchPublisher(
+            publisher, clock, "drain acknowledgements"
+        )
         self._version: tuple[int, int] | None = None
         self._waiting: list[objects.Instance] = []
 
@@ -59,7 +56,7 @@
         while True:
             acks = self.due()
             if acks:
-                await self._publish(acks)
+                await self._batches.publish(acks)
             await asyncio.sleep(_POLL_SECONDS)
 
     def due(self) -> list[DrainAck]:
@@ -99,17 +96,6 @@
             drain=offset,
         )
 
-    async def _publish(self, acks: list[DrainAck]) -> None:
-        deadline = self._clock.now() + _PUBLISH_SECONDS
-        try:
-            await self._publisher.publish(acks, deadline)
-        except (LogServiceError, PublishUnknown) as error:
-            if not self._failing:
-                logger.warning("drain acknowledgements wait: {}", error)
-            self._failing = True
-        else:
-            self._failing = False
-
 
 async def drain_entry(
     callers: Callers, dispatcher: Dispatcher, deadline: float, clock: Clock
--- a/sardinedrift/entry.py
+++ b/sardinedrift/entry.py
@@ -53,15 +53,7 @@
         logs.configure(settings.logs, identity)
         self._parts = parts = Parts(settings, identity)
         await self._stack.enter_async_context(parts.open())
-        admin = parts.admin.application()
-        if settings.test_controls:
-            testcontrols.add_routes(admin, parts)
-        applications = {
-            "peers": parts.peer_application(),
-            "admin": admin,
-            "callers": parts.callers.application(),
-        }
-        for name, application in applications.items():
+        for name, application in self._applications().items():
             served = _served(application, sockets[name])
             self._site_by_name[name] = await self._stack.enter_async_context(
                 served
@@ -74,6 +66,17 @@
         addresses = {name: _address_of(each) for name, each in sockets.items()}
         logger.bind(**addresses).info("entry has started")
 
+    def _applications(self) -> dict[str, web.Application]:
+        """Returns the application of each listener, in order of opening."""
+        admin = self._parts.admin.application()
+        if self._settings.test_controls:
+            testcontrols.add_routes(admin, self._parts)
+        return {
+            "peers": self._parts.peer_application(),
+            "admin": admin,
+            "callers": self._parts.callers.application(),
+        }
+
     async def stop(self, exception: Exception | None = None) -> None:
         """Stops gracefully: no request in progress is cut off."""
         if self._stopped:
--- a/sardinedrift/jobs.py
+++ b/sardinedrift/jobs.py
@@ -10,11 +10,9 @@
 import uuid
 from collections.abc import Iterator
 
-from loguru import logger
-
 from sardinedrift import changes as ch
 from sardinedrift import objects
-from sardinedrift.exceptions import LogServiceError, PublishUnknown
+from sardinedrift.batches import BatchPublisher
 from sardinedrift.follower import Follower
 from sardinedrift.guards import Guard
 from sardinedrift.identifiers import (
@@ -40,7 +38,6 @@
 # A worker without orders is visited once in this many intervals; the time
 # must stay below that in which a lease is renewed.
 REST_VISITS = 6
-_PUBLISH_SECONDS = 10.0
 
 
 class Jobs:
@@ -66,7 +63,6 @@
     ):
         self._identity = identity
         self._follower = follower
-        self._publisher = publisher
         self._peers = peers
         self._workers = workers
         self._clock = clock
@@ -74,7 +70,7 @@
         self._task_by_id: dict[InstanceId, asyncio.Task] = {}
         self._jobs_key: tuple[int, int] | None = None
         self._open_jobs: list[objects.Job] = []
-        self._failing = False
+        self._batches = BatchPublisher(publisher, clock, "changes of jobs")
 
     async def run(self) -> None:
         """Drives jobs until cancelled."""
@@ -83,7 +79,7 @@
                 self._update_guards(tasks)
                 batch = list(itertools.islice(self.due(), MOST_PER_BATCH))
                 if batch:
-                    await self._publish(batch)
+                    await self._batches.publish(batch)
                 await asyncio.sleep(BATCH_SECONDS)
 
     def due(self) -> Iterator[ch.AnyChange]:
@@ -185,18 +181,6 @@
                 worker_lease=guard.lease,
             )
 
-    async def _publish(self, batch: list[ch.AnyChange]) -> None:
-        """Publishes a batch; what fails is found again by the next step."""
-        deadline = self._clock.now() + _PUBLISH_SECONDS
-        try:
-            await self._publisher.publish(batch, deadline)
-        except (LogServiceError, PublishUnknown) as error:
-            if not self._failing:
-                logger.warning("changes of jobs wait: {}", error)
-            self._failing = True
-        else:
-            self._failing = False
-
 
 async def _attend(guard: Guard) -> None:
     """Visits a worker often while it has orders, else now and then."""
--- a/sardinedrift/publisher.py
+++ b/sardinedrift/publisher.py
@@ -92,15 +92,10 @@
         refused = await self._refused(ch.Batch(changes, atomic), deadline)
         if refused and atomic:
             return refused
-        refused_by_id = {each.change_id: each for each in refused}
-        batch = ch.Batch(
-            tuple(
-                each for each in changes if each.change_id not in refused_by_id
-            ),
-            atomic,
-        )
-        result_by_id = dict(refused_by_id)
-        if batch.changes:
+        result_by_id = {each.change_id: each for each in refused}
+        rest = tuple(e for e in changes if e.change_id not in result_by_id)
+        if rest:
+            batch = ch.Batch(rest, atomic)
             for result in await self._append_until_folded(batch, deadline):
                 result_by_id[result.change_id] = result
         return [result_by_id[each.change_id] for each in changes]
