Give the tests one set of sample changes

put_team, put_pool, join and the like stood in test_fold, test_placement, test_packing and decision_fakes, and single changes were spelled out in nine more files; test modules imported them from one another. They stand in tests/sample_changes.py now.

--- a/tests/adminserver.py
+++ b/tests/adminserver.py
@@ -11,17 +11,12 @@
 from sardinedrift import changes as ch
 from sardinedrift.exceptions import PeerError
 from sardinedrift.identifiers import Identity
-from sardinedrift.ports import Clock
 from sardinedrift.state import State
+from tests.fakes import SystemClock
 
 IDENTITY = Identity("e1", "dc1", "127.0.0.1:7101")
 
 
-class SystemClock(Clock):
-    def now(self):
-        return time.time()
-
-
 class Follower:
     """Folds what the publisher appends."""
 
--- a/tests/decision_fakes.py
+++ b/tests/decision_fakes.py
@@ -1,7 +1,6 @@
 """An in-memory log with lagging readers, and a clock set by the test."""
 
 import asyncio
-import itertools
 import random
 
 from sardinedrift import changes as ch
@@ -10,12 +9,23 @@
 from sardinedrift.identifiers import Identity
 from sardinedrift.ports import Clock
 from sardinedrift.state import State
-
-_ids = itertools.count()
-
-
-def cid():
-    return f"fake{next(_ids)}"
+from tests.sample_changes import cid, gone, join, put_team
+from tests.sample_changes import join_ack as ack
+
+__all__ = [
+    "FakeClock",
+    "FakeFollower",
+    "FakeLog",
+    "FakePeers",
+    "FakePublisher",
+    "ack",
+    "cid",
+    "gone",
+    "identity",
+    "join",
+    "put_team",
+    "request_id",
+]
 
 
 class FakeClock(Clock):
@@ -115,35 +125,6 @@
     return Identity(entry_id, "dc1", "127.0.0.1:1")
 
 
-def join(entry_id):
-    return ch.EntryJoin(
-        change_id=cid(),
-        entry_id=entry_id,
-        data_centre_id="dc1",
-        address="127.0.0.1:1",
-    )
-
-
-def ack(entry_id, joiner_id):
-    return ch.EntryJoinAck(
-        change_id=cid(), entry_id=entry_id, joiner_id=joiner_id
-    )
-
-
-def gone(entry_id):
-    return ch.EntryGone(change_id=cid(), entry_id=entry_id, evidence="test")
-
-
-def put_team(team_id="red", revision=0, limit=4, share=1.0):
-    return ch.PutTeam(
-        change_id=cid(),
-        expected_revision=revision,
-        team_id=team_id,
-        share=share,
-        limit=limit,
-    )
-
-
 def request_id(made, number):
     """Returns a UUIDv7 made at a time."""
     bits = random.Random(number).getrandbits(74)
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -14,14 +14,16 @@
     HeldGrant,
     SlotReply,
 )
-from sardinedrift.ports import Answer, Clock
-from tests.test_fold import (
+from sardinedrift.ports import Answer
+from tests.sample_changes import (
     Log,
     cid,
     join,
+    join_ack,
     put_data_centre,
     put_instance,
     put_pool,
+    put_queue,
     put_team,
 )
 
@@ -33,16 +35,6 @@
     return hashlib.sha256(secret.encode()).hexdigest()
 
 
-def put_queue(queue_id, **fields):
-    return ch.PutQueue(
-        change_id=cid(),
-        expected_revision=0,
-        queue_id=queue_id,
-        pool_id="pairing",
-        **fields,
-    )
-
-
 def grant_key(key_id, team_id, secret):
     return ch.GrantKey(
         change_id=cid(),
@@ -70,19 +62,10 @@
     for entry_id in entries:
         log.append(join(entry_id))
         for other in entries:
-            log.append(
-                ch.EntryJoinAck(
-                    change_id=cid(), entry_id=other, joiner_id=entry_id
-                )
-            )
+            log.append(join_ack(other, entry_id))
     return log
 
 
-class RealClock(Clock):
-    def now(self):
-        return time.time()
-
-
 class FakeFollower:
     def __init__(self, log):
         self.log = log
@@ -277,13 +260,4 @@
         return instance_id in self.gone
 
 
-async def until(condition, cap=10.0):
-    """Waits for a condition; fails after a generous cap."""
-    end = time.monotonic() + cap
-    while not condition():
-        if time.monotonic() > end:
-            raise AssertionError("condition not reached")
-        await asyncio.sleep(0.002)
-
-
 ACKNOWLEDGED = Acknowledged()
--- a/tests/servers.py
+++ b/tests/servers.py
@@ -2,19 +2,16 @@
 
 import asyncio
 import contextlib
-import time
 
 import aiohttp
 
 from sardinedrift.identifiers import Identity
-from sardinedrift.ports import Clock
 from standins.serving import serve
 
 IDENTITY = Identity("e1", "dc1", "127.0.0.1:0")
 
 __all__ = [
     "IDENTITY",
-    "SystemClock",
     "control",
     "get",
     "raw_server",
@@ -23,14 +20,6 @@
 ]
 
 
-class SystemClock(Clock):
-    """The time of the machine."""
-
-    def now(self) -> float:
-        """Returns unix seconds."""
-        return time.time()
-
-
 async def control(address: str, **message) -> dict:
     """Sends a control message to a stand-in; returns its answer."""
     async with (
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -11,7 +11,9 @@
 from sardinedrift.identifiers import Identity
 from sardinedrift.messages import Exchange
 from sardinedrift.timeline import EventKind, Timeline
-from tests.adminserver import Parts, SystemClock
+from tests.adminserver import Parts
+from tests.fakes import SystemClock
+from tests.sample_changes import put_data_centre
 
 
 def team(change_id="c1", revision=0, **fields):
@@ -177,16 +179,7 @@
         """Guards against a view that looks whole and is not."""
         for name in ("e2", "e3"):
             self.parts.peers.live_by_data_centre["dc1"].append(name)
-        self.parts.follower.append(
-            [
-                ch.PutDataCentre(
-                    change_id="c1",
-                    expected_revision=0,
-                    data_centre_id="dc1",
-                    region="north",
-                )
-            ]
-        )
+        self.parts.follower.append([put_data_centre()])
         other = Timeline(Identity("e2", "dc1", "127.0.0.1:2"), SystemClock())
         other.record(EventKind.ENTRY_READY, 0)
         self.parts.peers.timeline_by_entry["e2"] = other
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -11,7 +11,7 @@
 from sardinedrift.exceptions import AdmissionError
 from sardinedrift.identifiers import Outcome
 from tests import path_fakes
-from tests.test_fold import cid
+from tests.sample_changes import cid
 
 
 class AdmissionTest(unittest.TestCase):
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -7,16 +7,16 @@
 import uuid6
 from aiohttp.test_utils import TestClient, TestServer
 
-from sardinedrift import changes as ch
 from sardinedrift import membership
 from sardinedrift.callers import Callers
 from sardinedrift.drains import DrainAcks, drain_entry
 from sardinedrift.exceptions import LogUnavailable, OutcomeUnknown
 from sardinedrift.identifiers import Outcome
 from tests import path_fakes
-from tests.path_fakes import OWN, until
+from tests.fakes import SystemClock, until
+from tests.path_fakes import OWN
+from tests.sample_changes import put_pool, start_move
 from tests.test_dispatch import Path
-from tests.test_fold import cid
 
 KEY = {"Sardinedrift-Key": "k1.s1"}
 
@@ -24,9 +24,7 @@
 class CallersTest(unittest.IsolatedAsyncioTestCase):
     async def serve(self, path):
         self.follower = path_fakes.FakeFollower(path.log)
-        callers = Callers(
-            OWN, self.follower, path.dispatcher, path_fakes.RealClock()
-        )
+        callers = Callers(OWN, self.follower, path.dispatcher, SystemClock())
         application = callers.application()
         application.add_routes(callers.peer_routes())
         server = TestServer(application, host="127.0.0.1")
@@ -96,7 +94,7 @@
         path.minions.gate.clear()
         task = asyncio.create_task(self.post(client))
         await until(lambda: path.minions.sent)
-        clock = path_fakes.RealClock()
+        clock = SystemClock()
         stop = asyncio.create_task(
             drain_entry(callers, path.dispatcher, time.time() + 10, clock)
         )
@@ -183,22 +181,14 @@
             path_fakes.FakeFollower(path.log),
             publisher,
             path.slots,
-            path_fakes.RealClock(),
+            SystemClock(),
         )
         self.assertEqual(acks.due(), [])
         path.minions.gate.clear()
         request = asyncio.create_task(path.outcome())
         await until(lambda: path.minions.sent)
-        path.log.append(path_fakes.put_pool("other"))
-        path.log.append(
-            ch.StartMove(
-                change_id=cid(),
-                expected_revision=1,
-                move_id="v1",
-                instance_id="m1",
-                pool_id="other",
-            )
-        )
+        path.log.append(put_pool("other"))
+        path.log.append(start_move("m1", "other"))
         self.assertEqual(acks.due(), [])
         path.minions.gate.set()
         await request
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,11 +11,10 @@
 import click
 from click.testing import CliRunner
 
-from sardinedrift import changes as ch
 from sardinedrift import cli
 from sardinedrift.exceptions import LogUnavailable, PublishUnknown
 from tests.adminserver import Parts, serving
-from tests.test_placement import put_worker
+from tests.sample_changes import join, put_worker
 
 EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
 
@@ -217,16 +216,7 @@
         self.run_program("timeline", "--all")
 
     def test_entry_retire_needs_evidence(self):
-        self.parts.follower.append(
-            [
-                ch.EntryJoin(
-                    change_id="j",
-                    entry_id="e9",
-                    data_centre_id="dc1",
-                    address="127.0.0.1:9",
-                )
-            ]
-        )
+        self.parts.follower.append([join("e9")])
         self.run_program("entry", "retire", "e9", status=2)
         self.run_program("entry", "retire", "e9", "--evidence", "removed")
         rows = self.read("entry", "list")["items"]
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -11,7 +11,6 @@
 from hypothesis import strategies
 
 from sardinedrift import attempts, claiming
-from sardinedrift import changes as ch
 from sardinedrift.admission import Admitted
 from sardinedrift.dispatch import Dispatcher
 from sardinedrift.exceptions import (
@@ -26,8 +25,9 @@
 from sardinedrift.relays import ErrorBody
 from sardinedrift.slots import Slots
 from tests import path_fakes
-from tests.path_fakes import ACKNOWLEDGED, ANSWER, OWN, until
-from tests.test_fold import cid
+from tests.fakes import SystemClock, until
+from tests.path_fakes import ACKNOWLEDGED, ANSWER, OWN
+from tests.sample_changes import put_pool, start_move
 
 NOT_RUN = Outcome.NOT_RUN
 UNKNOWN = Outcome.UNKNOWN
@@ -52,7 +52,7 @@
         self.minions = path_fakes.FakeMinions(*script)
         self.claims = path_fakes.FakeClaims(code)
         self.view = path_fakes.FakeView()
-        clock = path_fakes.RealClock()
+        clock = SystemClock()
         self.slots = Slots(OWN, self.peers, {"pairing": self.scheduler}, clock)
         self.dispatcher = Dispatcher(
             OWN,
@@ -322,15 +322,9 @@
         path.scheduler.gate.clear()
         task = asyncio.create_task(path.outcome())
         await until(lambda: path.scheduler.asks)
-        path.log.append(path_fakes.put_pool("other"))
-        move = ch.StartMove(
-            change_id=cid(),
-            expected_revision=1,
-            move_id="v1",
-            instance_id="m1",
-            pool_id="other",
-        )
-        self.assertTrue(path.log.append(move)[0].accepted)
+        path.log.append(put_pool("other"))
+        (moved,) = path.log.append(start_move("m1", "other"))
+        self.assertTrue(moved.accepted)
         path.scheduler.gate.set()
         self.assertEqual(await task, ("", ANSWERED))
         await path.settled()
--- a/tests/test_fold.py
+++ b/tests/test_fold.py
@@ -1,82 +1,24 @@
 """Fold: the same records give the same state, races have one winner."""
 
-import itertools
 import unittest
 
 from sardinedrift import changes as ch
 from sardinedrift import fold, snapshots
-from sardinedrift.identifiers import InstanceKind, InstanceState
-from sardinedrift.state import State
-
-_ids = itertools.count()
-
-
-def cid():
-    return f"c{next(_ids)}"
-
-
-class Log:
-    """A log in memory that folds each record into one state."""
-
-    def __init__(self):
-        self.records = []
-        self.state = State()
-
-    def append(self, *changes, time=None, atomic=False):
-        time = float(len(self.records)) if time is None else time
-        data = ch.encode_batch(ch.Batch(tuple(changes), atomic))
-        self.records.append((time, data))
-        offset = len(self.records) - 1
-        return fold.apply_record(self.state, offset, time, data)
-
-
-def put_team(team_id="red", revision=0, limit=4, **fields):
-    return ch.PutTeam(
-        change_id=cid(),
-        expected_revision=revision,
-        team_id=team_id,
-        share=1.0,
-        limit=limit,
-        **fields,
-    )
-
-
-def put_pool(pool_id="pairing", **fields):
-    return ch.PutPool(
-        change_id=cid(), expected_revision=0, pool_id=pool_id, **fields
-    )
-
-
-def put_instance(instance_id, pool_id="pairing", rack="r1", **fields):
-    return ch.PutInstance(
-        change_id=cid(),
-        expected_revision=0,
-        instance_id=instance_id,
-        kind=InstanceKind.MINION,
-        data_centre_id="dc1",
-        pool_id=pool_id,
-        rack=rack,
-        address=f"127.0.0.1:{instance_id}",
-        **fields,
-    )
-
-
-def put_data_centre(data_centre_id="dc1"):
-    return ch.PutDataCentre(
-        change_id=cid(),
-        expected_revision=0,
-        data_centre_id=data_centre_id,
-        region="north",
-    )
-
-
-def join(entry_id, data_centre_id="dc1"):
-    return ch.EntryJoin(
-        change_id=cid(),
-        entry_id=entry_id,
-        data_centre_id=data_centre_id,
-        address="127.0.0.1:1",
-    )
+from sardinedrift.identifiers import InstanceState
+from tests.sample_changes import (
+    Log,
+    cid,
+    drain_ack,
+    gone,
+    join,
+    join_ack,
+    put_data_centre,
+    put_instance,
+    put_pool,
+    put_queue,
+    put_team,
+    start_move,
+)
 
 
 class FoldTest(unittest.TestCase):
@@ -151,18 +93,9 @@
         """Guards against a limit passed by work of an entry that ended."""
         log = Log()
         log.append(put_team(limit=4), put_pool(), join("e1"))
-        log.append(
-            ch.PutQueue(
-                change_id=cid(),
-                expected_revision=0,
-                queue_id="q",
-                pool_id="pairing",
-                max_run_seconds=100.0,
-            )
-        )
+        log.append(put_queue("q", max_run_seconds=100.0))
         self._take(log, "e1", 4)
-        gone = ch.EntryGone(change_id=cid(), entry_id="e1", evidence="test")
-        log.append(gone, join("e2"), time=10.0)
+        log.append(gone("e1"), join("e2"), time=10.0)
         log.append(time=169.0)
         self.assertEqual(log.state.unallocated("red"), 0)
         log.append(time=170.0)
@@ -177,46 +110,26 @@
             log.append(put_instance(f"m{number}", rack=f"r{number % 2}"))
         log.append(join("e1"))
         log.append(join("e2"))
-        log.append(
-            ch.EntryJoinAck(change_id=cid(), entry_id="e1", joiner_id="e2")
-        )
+        log.append(join_ack("e1", "e2"))
         return log
 
-    def _move(self, move_id, pool_id="spare", revision=1):
-        return ch.StartMove(
-            change_id=cid(),
-            expected_revision=revision,
-            move_id=move_id,
-            instance_id="m0",
-            pool_id=pool_id,
-        )
-
-    def _ack(self, log, entry_id):
-        drain = log.state.tables.instance_by_id["m0"].drain.offset
-        log.append(
-            ch.DrainAck(
-                change_id=cid(),
-                entry_id=entry_id,
-                instance_id="m0",
-                drain=drain,
-            )
-        )
-
     def test_move_waits_for_every_member(self):
         """Guards against an instance used by two pools at once."""
         log = self._log()
-        log.append(self._move("v1"))
-        self._ack(log, "e1")
+        log.append(start_move("m0", "spare"))
+        log.append(drain_ack(log.state, "m0", "e1"))
         self.assertEqual(
             log.state.tables.instance_by_id["m0"].pool_id, "pairing"
         )
-        self._ack(log, "e2")
+        log.append(drain_ack(log.state, "m0", "e2"))
         self.assertEqual(log.state.tables.instance_by_id["m0"].pool_id, "spare")
 
     def test_second_move_of_an_instance_is_rejected(self):
         """Guards against two operators moving one instance."""
         log = self._log()
-        first, second = log.append(self._move("v1"), self._move("v2"))
+        first, second = log.append(
+            start_move("m0", "spare", "v1"), start_move("m0", "spare", "v2")
+        )
         self.assertTrue(first.accepted)
         self.assertEqual(second.code, "revision_conflict")
 
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -13,7 +13,7 @@
 from sardinedrift.ring import RecordRing
 from sardinedrift.state import State
 from tests.fakes import FakeLog, SystemClock, running, until
-from tests.test_fold import put_team
+from tests.sample_changes import put_team
 
 
 class FakePeers(PeerSource):
--- a/tests/test_instancelist.py
+++ b/tests/test_instancelist.py
@@ -9,6 +9,7 @@
 from sardinedrift.instancelist import HttpInstanceList, InstanceView
 from standins import instancelist, minion
 from tests import servers
+from tests.fakes import SystemClock
 
 
 def instance(instance_id, kind="minion", **fields):
@@ -27,7 +28,7 @@
         self.address = await stack.enter_async_context(
             servers.serve(instancelist.make_app(reboot_seconds=0.05))
         )
-        clock = servers.SystemClock()
+        clock = SystemClock()
         self.list = HttpInstanceList(self.address, servers.IDENTITY, clock)
         stack.push_async_callback(self.list.aclose)
         self.view = InstanceView(self.list, "dc1", clock)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -7,155 +7,15 @@
 import unittest
 from unittest import mock
 
-from sardinedrift import changes as ch
-from sardinedrift import guards, jobs, probation
-from sardinedrift.exceptions import WorkerRefused, WorkerUnknown
-from sardinedrift.follower import Follower
-from sardinedrift.identifiers import Identity, JobState, MoveState
-from sardinedrift.publisher import Publisher
+from sardinedrift.exceptions import WorkerRefused
+from sardinedrift.identifiers import JobState, MoveState
 from sardinedrift.reports import task_id
 from sardinedrift.workers import HttpWorkers
 from standins import worker
 from standins.fleet import call, running_fleet, wait_until
-from standins.serving import serve
-from tests.fakes import FakeLog, SystemClock, running, until
-from tests.test_fold import cid, join, put_data_centre, put_pool, put_team
-from tests.test_placement import put_worker, submit
-
-
-class OneScheduler:
-    """Peers of which one is live and schedules every pool."""
-
-    def __init__(self, entry_id):
-        self.entry_id = entry_id
-
-    def scheduler(self, pool_id):
-        return self.entry_id
-
-    def live(self, data_centre_id):
-        return [self.entry_id]
-
-
-class PausedStart(HttpWorkers):
-    """Workers whose starts reach the network only after a pause."""
-
-    def __init__(self, clock):
-        super().__init__(clock)
-        self.pausing = asyncio.Event()
-        self.resume = asyncio.Event()
-        self.results = []
-
-    async def start(self, address, task, deadline):
-        self.pausing.set()
-        await self.resume.wait()
-        try:
-            state = await super().start(address, task, time.time() + 5)
-        except Exception as error:
-            self.results.append(str(error))
-            raise
-        self.results.append(state)
-        return state
-
-
-class Entry:
-    """The parts of one entry that drive jobs."""
-
-    def __init__(self, log, entry_id, peers, workers=HttpWorkers):
-        clock = SystemClock()
-        self.follower = Follower(log, clock, poll_seconds=0.05)
-        self.publisher = Publisher(log, self.follower, clock)
-        self.workers = workers(clock)
-        self.jobs = jobs.Jobs(
-            Identity(entry_id, "dc1", "127.0.0.1:0"),
-            self.follower,
-            self.publisher,
-            peers,
-            self.workers,
-            clock,
-        )
-
-    @property
-    def tables(self):
-        return self.follower.state.tables
-
-    def states(self):
-        return [job.state for job in self.tables.job_by_id.values()]
-
-    def job(self, job_id="j0"):
-        return self.tables.job_by_id.get(job_id)
-
-    async def publish(self, *changes):
-        deadline = time.time() + 20
-        results = await self.publisher.publish(changes, deadline)
-        assert all(each.accepted for each in results), results
-
-
-def running_tasks(workers):
-    """Returns the ids of the tasks that run on worker stand-ins."""
-    now = time.time()
-    found = []
-    for each in workers.values():
-        for name, task in each.task_by_id.items():
-            task.advance(now)
-            if task.state == "running":
-                found.append(name)
-    return found
-
-
-class FleetCase(unittest.IsolatedAsyncioTestCase):
-    """Workers over loopback with short leases."""
-
-    def setUp(self):
-        for module, fields in (
-            (jobs, {"BATCH_SECONDS": 0.05, "VISIT_SECONDS": 0.02}),
-            (
-                guards,
-                {
-                    "LEASE_SECONDS": 1.0,
-                    "RENEW_SECONDS": 0.8,
-                    "START_MARGIN_SECONDS": 0.2,
-                },
-            ),
-            (probation, {"FIRST_SECONDS": 0.1}),
-        ):
-            patch = mock.patch.multiple(module, **fields)
-            patch.start()
-            self.addCleanup(patch.stop)
-
-    @contextlib.asynccontextmanager
-    async def fleet(self, limit=100, entries=("e1",), ports=(), **options):
-        """Yields the workers by id and an entry for each given id."""
-        log = FakeLog()
-        peers_by_id = {each: OneScheduler("e1") for each in entries}
-        async with contextlib.AsyncExitStack() as stack:
-            workers, changes = {}, []
-            for instance_id, fields in options.items():
-                app = worker.make_app(**fields)
-                address = await stack.enter_async_context(serve(app))
-                workers[instance_id] = app[worker.WORKER]
-                size = {"cores": 32, "memory_gb": 64}
-                changes.append(put_worker(instance_id, address=address, **size))
-            log.put_changes(
-                put_team(limit=limit), put_data_centre(), put_pool()
-            )
-            log.put_changes(put_pool("spare"), *changes)
-            made = []
-            for entry_id in entries:
-                log.put_changes(join(entry_id))
-                port = dict(ports).get(entry_id, HttpWorkers)
-                entry = Entry(log, entry_id, peers_by_id[entry_id], port)
-                stack.push_async_callback(entry.workers.aclose)
-                made.append(entry)
-            acks = [
-                ch.EntryJoinAck(change_id=cid(), entry_id="e1", joiner_id=each)
-                for each in entries[1:]
-            ]
-            if acks:
-                log.put_changes(*acks)
-            for entry in made:
-                parts = running(entry.follower, entry.jobs)
-                await stack.enter_async_context(parts)
-            yield log, peers_by_id, workers, made
+from tests.fakes import until
+from tests.job_fakes import FleetCase, LostStart, PausedStart, running_tasks
+from tests.sample_changes import cancel, drain_ack, start_move, submit
 
 
 class JobsTest(FleetCase):
@@ -195,12 +55,7 @@
             )
             await until(lambda: entry.states().count(JobState.RUNNING) == limit)
             self.assertEqual(len(running_tasks(workers)), limit)
-            await entry.publish(
-                *(
-                    ch.CancelJob(change_id=cid(), job_id=f"j{n}")
-                    for n in range(count)
-                )
-            )
+            await entry.publish(*(cancel(f"j{n}") for n in range(count)))
             await until(
                 lambda: entry.states().count(JobState.CANCELLED) == count
             )
@@ -227,20 +82,8 @@
             await until(lambda: entry.job().state is JobState.RUNNING)
             old = entry.job().instance_id
             revision = entry.tables.instance_by_id[old].revision
-            move = ch.StartMove(
-                change_id=cid(),
-                expected_revision=revision,
-                move_id="v",
-                instance_id=old,
-                pool_id="spare",
-            )
-            await entry.publish(move)
-            drain = entry.tables.instance_by_id[old].drain.offset
-            await entry.publish(
-                ch.DrainAck(
-                    change_id=cid(), entry_id="e1", instance_id=old, drain=drain
-                )
-            )
+            await entry.publish(start_move(old, "spare", "v", revision))
+            await entry.publish(drain_ack(entry.follower.state, old))
             await until(
                 lambda: (
                     entry.tables.move_by_id["v"].state is MoveState.DONE
@@ -260,7 +103,7 @@
             await new.publish(submit("j0"))
             async with asyncio.timeout(20):
                 await old.workers.pausing.wait()
-            await new.publish(ch.CancelJob(change_id=cid(), job_id="j0"))
+            await new.publish(cancel("j0"))
             peers_by_id["e2"].entry_id = "e2"
             await until(lambda: new.job().state is JobState.CANCELLED)
             old.workers.resume.set()
@@ -286,55 +129,48 @@
         self.assertEqual((results, len(tasks)), (["running"], 1))
 
 
-class LostStart(HttpWorkers):
-    """Workers whose starts are delivered late and never answered."""
-
-    def __init__(self, clock):
-        super().__init__(clock)
-        self.late = []
-
-    async def start(self, address, task, deadline):
-        self.late.append((address, task))
-        raise WorkerUnknown("no answer")
-
-
 class LostStartTest(FleetCase):
     """A start whose answer is lost."""
 
-    async def test_late_start_of_a_cancelled_job_is_refused(self):
-        """Guards against a task that outlives the place of its job."""
+    @contextlib.asynccontextmanager
+    async def late_start(self):
+        """Yields peers, workers and an entry whose start is on its way."""
         async with self.fleet(
             ports={"e1": LostStart}, w0={"run_seconds": 3600}
-        ) as (_, _, workers, (entry,)):
+        ) as (_, peers_by_id, workers, (entry,)):
             await entry.publish(submit("j0"))
             await until(lambda: entry.workers.late)
-            await entry.publish(ch.CancelJob(change_id=cid(), job_id="j0"))
-            await until(lambda: entry.job().state is JobState.CANCELLED)
-            address, task = entry.workers.late[-1]
-            with self.assertRaises(WorkerRefused):
-                await HttpWorkers.start(
-                    entry.workers, address, task, time.time() + 5
-                )
-            self.assertEqual(running_tasks(workers), [])
+            yield peers_by_id, workers, entry
+
+    async def cancel_job(self, entry):
+        await entry.publish(cancel("j0"))
+        await until(lambda: entry.job().state is JobState.CANCELLED)
+
+    async def check_refused(self, workers, entry, late):
+        """Delivers a late start, which the worker must refuse."""
+        address, task = late
+        with self.assertRaises(WorkerRefused):
+            await HttpWorkers.start(
+                entry.workers, address, task, time.time() + 5
+            )
+        self.assertEqual(running_tasks(workers), [])
+
+    async def test_late_start_of_a_cancelled_job_is_refused(self):
+        """Guards against a task that outlives the place of its job."""
+        async with self.late_start() as (_, workers, entry):
+            await self.cancel_job(entry)
+            late = entry.workers.late[-1]
+            await self.check_refused(workers, entry, late)
 
     async def test_returning_scheduler_takes_a_newer_lease(self):
         """Guards against a late start under a lease that is used again."""
-        async with self.fleet(
-            ports={"e1": LostStart}, w0={"run_seconds": 3600}
-        ) as (_, peers_by_id, workers, (entry,)):
-            await entry.publish(submit("j0"))
-            await until(lambda: entry.workers.late)
+        async with self.late_start() as (peers_by_id, workers, entry):
             peers_by_id["e1"].entry_id = "e2"
             await until(lambda: not entry.jobs._guard_by_id)
-            address, task = entry.workers.late[-1]
+            late = entry.workers.late[-1]
             peers_by_id["e1"].entry_id = "e1"
-            await entry.publish(ch.CancelJob(change_id=cid(), job_id="j0"))
-            await until(lambda: entry.job().state is JobState.CANCELLED)
-            with self.assertRaises(WorkerRefused):
-                await HttpWorkers.start(
-                    entry.workers, address, task, time.time() + 5
-                )
-            self.assertEqual(running_tasks(workers), [])
+            await self.cancel_job(entry)
+            await self.check_refused(workers, entry, late)
 
 
 class ProcessTest(unittest.TestCase):
--- a/tests/test_logservice.py
+++ b/tests/test_logservice.py
@@ -13,6 +13,7 @@
 from sardinedrift.logservice import HttpLogService
 from standins import logservice
 from tests import servers
+from tests.fakes import SystemClock
 
 
 def soon():
@@ -29,7 +30,7 @@
         stack.push_async_callback(self.log.aclose)
 
     def client(self, address):
-        return HttpLogService(address, servers.IDENTITY, servers.SystemClock())
+        return HttpLogService(address, servers.IDENTITY, SystemClock())
 
     async def was_read(self):
         return (await servers.get(self.address, "/stats"))["reads"]
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -7,7 +7,6 @@
 
 from aiohttp import web
 
-from sardinedrift import changes as ch
 from sardinedrift import peerapi
 from sardinedrift.exceptions import PeerError
 from sardinedrift.follower import Follower
@@ -18,6 +17,7 @@
 from sardinedrift.peers import Peers
 from sardinedrift.publisher import Publisher
 from tests.fakes import FakeLog, SystemClock, running, until
+from tests.sample_changes import gone
 
 NEAR = Timing(0.02, 0.3)
 
@@ -165,8 +165,7 @@
         a = Entry("a", self.log, self.view)
         async with a.serving():
             await until(lambda: a.members.active)
-            gone = peer_gone("a")
-            self.log.put_changes(gone)
+            self.log.put_changes(gone("a"))
             await until(a.members.retired.is_set)
 
     async def test_relays_records_and_snapshots_in_an_outage(self):
@@ -179,7 +178,7 @@
             await until(lambda: a.members.active)
             async with b.serving():
                 await until(lambda: b.follower.ready)
-                offset = self.log.put_changes(peer_gone("nobody"))
+                offset = self.log.put_changes(gone("nobody"))
                 await until(lambda: b.follower.state.offset >= offset)
                 await until(lambda: b.follower.current_at > 0)
 
@@ -197,10 +196,3 @@
             self.assertFalse(caught.exception.sent)
             with self.assertRaises(PeerError):
                 b.peers.receive(a.fill(None))
-
-
-def peer_gone(entry_id):
-
-    return ch.EntryGone(
-        change_id=f"gone-{entry_id}", entry_id=entry_id, evidence="test"
-    )
--- a/tests/test_minions.py
+++ b/tests/test_minions.py
@@ -15,6 +15,7 @@
 from sardinedrift.ports import Dispatch
 from standins import minion
 from tests import servers
+from tests.fakes import SystemClock
 
 
 def dispatch(name, idempotent=False, seconds=20.0, **work):
@@ -41,7 +42,7 @@
         self.address = await stack.enter_async_context(
             servers.serve(minion.make_app(slots=1))
         )
-        self.minions = HttpMinions(servers.SystemClock())
+        self.minions = HttpMinions(SystemClock())
         stack.push_async_callback(self.minions.aclose)
 
     async def send(self, *arguments, address=None, **keywords):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -15,75 +15,32 @@
 from sardinedrift import changes as ch
 from sardinedrift import placement, snapshots
 from sardinedrift.identifiers import (
-    InstanceKind,
     InstanceState,
     JobState,
     JobStep,
     MoveState,
 )
-from tests.test_fold import Log, cid, join, put_data_centre, put_pool, put_team
+from tests.sample_changes import (
+    Log,
+    cancel,
+    cid,
+    drain_ack,
+    join,
+    place,
+    progress,
+    put_data_centre,
+    put_pool,
+    put_team,
+    put_worker,
+    start_move,
+    submit,
+    take_lease,
+)
 
 WORKERS = ("w0", "w1")
 LIMIT = 3
 
 
-def put_worker(instance_id, pool_id="pairing", cores=8, memory_gb=16, **fields):
-    fields = {"revision": 0, "address": f"127.0.0.1:{instance_id}", **fields}
-    return ch.PutInstance(
-        change_id=cid(),
-        expected_revision=fields.pop("revision"),
-        instance_id=instance_id,
-        kind=InstanceKind.WORKER,
-        data_centre_id="dc1",
-        pool_id=pool_id,
-        rack=instance_id,
-        cores=cores,
-        memory_gb=memory_gb,
-        **fields,
-    )
-
-
-def submit(job_id, cores=4, memory_gb=4, **fields):
-    return ch.SubmitJob(
-        change_id=cid(),
-        job_id=job_id,
-        team_id="red",
-        pool_id="pairing",
-        cores=cores,
-        memory_gb=memory_gb,
-        **fields,
-    )
-
-
-def take_lease(instance_id, entry_id="e1"):
-    return ch.TakeWorkerLease(
-        change_id=cid(), instance_id=instance_id, entry_id=entry_id
-    )
-
-
-def place(log, job_id, instance_id, lease=None):
-    if lease is None:
-        lease = log.state.tables.worker_use_by_instance[instance_id].lease
-    return ch.PlaceJob(
-        change_id=cid(),
-        job_id=job_id,
-        instance_id=instance_id,
-        worker_lease=lease,
-    )
-
-
-def progress(log, job_id, step, **fields):
-    job = log.state.tables.job_by_id[job_id]
-    use = log.state.tables.worker_use_by_instance[job.instance_id]
-    report = {
-        "instance_id": job.instance_id,
-        "place": job.place,
-        "worker_lease": use.lease,
-        **fields,
-    }
-    return ch.JobProgress(change_id=cid(), job_id=job_id, step=step, **report)
-
-
 def fleet():
     log = Log()
     log.append(put_team(limit=LIMIT), put_data_centre())
@@ -173,7 +130,7 @@
     def cancel(self, index):
         job = self._pick(index, *JobState)
         if job:
-            self.log.append(ch.CancelJob(change_id=cid(), job_id=job))
+            self.log.append(cancel(job))
 
     @rule(units=st.integers(1, 3), back=st.booleans())
     def request_units(self, units, back):
@@ -200,27 +157,18 @@
         current = self.tables.instance_by_id[worker]
         self.number += 1
         self.log.append(
-            ch.StartMove(
-                change_id=cid(),
-                expected_revision=current.revision,
-                move_id=f"v{self.number}",
-                instance_id=worker,
-                pool_id="pairing" if current.pool_id == pool else pool,
+            start_move(
+                worker,
+                "pairing" if current.pool_id == pool else pool,
+                f"v{self.number}",
+                current.revision,
             )
         )
 
     @rule(worker=st.sampled_from(WORKERS))
     def acknowledge(self, worker):
-        drain = self.tables.instance_by_id[worker].drain
-        if drain:
-            self.log.append(
-                ch.DrainAck(
-                    change_id=cid(),
-                    entry_id="e1",
-                    instance_id=worker,
-                    drain=drain.offset,
-                )
-            )
+        if self.tables.instance_by_id[worker].drain:
+            self.log.append(drain_ack(self.log.state, worker))
 
     @invariant()
     def sizes_hold(self):
@@ -324,20 +272,8 @@
         """Guards against a worker that moves while a job runs on it."""
         log = self._placed()
         revision = log.state.tables.instance_by_id["w0"].revision
-        log.append(
-            ch.StartMove(
-                change_id=cid(),
-                expected_revision=revision,
-                move_id="v",
-                instance_id="w0",
-                pool_id="spare",
-            )
-        )
-        drain = log.state.tables.instance_by_id["w0"].drain.offset
-        ack = ch.DrainAck(
-            change_id=cid(), entry_id="e1", instance_id="w0", drain=drain
-        )
-        log.append(ack, submit("j1"))
+        log.append(start_move("w0", "spare", "v", revision))
+        log.append(drain_ack(log.state, "w0"), submit("j1"))
         self.assertEqual(
             log.append(place(log, "j1", "w0"))[0].code, "not_active"
         )
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -4,12 +4,11 @@
 import time
 import unittest
 
-from sardinedrift import changes as ch
 from sardinedrift.exceptions import LogUnavailable, PublishUnknown
 from sardinedrift.follower import Follower
 from sardinedrift.publisher import Publisher
 from tests.fakes import FakeLog, ManualClock, SystemClock, running, until
-from tests.test_fold import put_pool, put_team
+from tests.sample_changes import put_pool, put_team, start_move
 
 
 def soon(seconds=20.0):
@@ -62,13 +61,7 @@
 
     async def test_a_change_that_cannot_apply_is_not_appended(self):
         """Guards against records of changes that every reader rejects."""
-        move = ch.StartMove(
-            change_id="move",
-            expected_revision=1,
-            move_id="m1",
-            instance_id="absent",
-            pool_id="pairing",
-        )
+        move = start_move("absent", "pairing")
         async with running(self.follower):
             [result] = await self.publisher.publish([move], soon())
         self.assertEqual(
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -10,10 +10,17 @@
 from sardinedrift import changes as ch
 from sardinedrift import health
 from sardinedrift.endpoints import usable_pools
-from sardinedrift.identifiers import InstanceKind, WorkClass
+from sardinedrift.identifiers import WorkClass
 from sardinedrift.messages import HeldGrant, SlotAsk, SlotRelease
 from sardinedrift.scheduler import Scheduler
-from tests.decision_fakes import FakeClock, FakeLog, cid, put_team
+from tests.decision_fakes import FakeClock, FakeLog
+from tests.sample_changes import (
+    cid,
+    put_data_centre,
+    put_instance,
+    put_pool,
+    put_team,
+)
 
 QUICK, LONG = WorkClass.QUICK, WorkClass.LONG
 
@@ -34,41 +41,15 @@
         self.log.append(
             put_team("red"),
             put_team("blue"),
-            ch.PutDataCentre(
-                change_id=cid(),
-                expected_revision=0,
-                data_centre_id="dc1",
-                region="north",
-            ),
-            ch.PutPool(
-                change_id=cid(),
-                expected_revision=0,
-                pool_id="pairing",
-                max_unavailable=99,
-                max_unavailable_per_rack=99,
-            ),
+            put_data_centre(),
+            put_pool(max_unavailable=99, max_unavailable_per_rack=99),
         )
         for number in range(minions):
-            self.put_minion(number, slots)
+            self.log.append(put_instance(f"m{number}", slots=slots))
         self.ids = itertools.count()
         self.tasks = []
         return self.scheduler(**options)
 
-    def put_minion(self, number, slots, revision=0):
-        self.log.append(
-            ch.PutInstance(
-                change_id=cid(),
-                expected_revision=revision,
-                instance_id=f"m{number}",
-                kind=InstanceKind.MINION,
-                data_centre_id="dc1",
-                pool_id="pairing",
-                rack="r1",
-                address=f"127.0.0.1:{9000 + number}",
-                slots=slots,
-            )
-        )
-
     def scheduler(self, **options):
         return Scheduler(
             "pairing",
@@ -161,14 +142,7 @@
 
     async def test_without_reserve_long_work_holds_every_slot(self):
         scheduler = self.make()
-        self.log.append(
-            ch.PutPool(
-                change_id=cid(),
-                expected_revision=1,
-                pool_id="pairing",
-                quick_reserve=0.0,
-            )
-        )
+        self.log.append(put_pool(revision=1, quick_reserve=0.0))
         await self.fill(scheduler, 50, work_class=LONG)
         self.assertEqual(await self.fill(scheduler, 1), [])
 
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -9,7 +9,8 @@
 from sardinedrift.messages import SlotReply
 from sardinedrift.slots import Slots
 from tests import path_fakes
-from tests.path_fakes import ACKNOWLEDGED, OWN, reply_for, until
+from tests.fakes import SystemClock, until
+from tests.path_fakes import ACKNOWLEDGED, OWN, reply_for
 
 
 class SlotsTest(unittest.IsolatedAsyncioTestCase):
@@ -17,7 +18,7 @@
         self.peers = path_fakes.FakePeers()
         self.scheduler = path_fakes.FakeScheduler()
         self.slots = Slots(
-            OWN, self.peers, {"pairing": self.scheduler}, path_fakes.RealClock()
+            OWN, self.peers, {"pairing": self.scheduler}, SystemClock()
         )
 
     def acquire(self, seconds=10.0):
