Split the long functions of the stand-ins and the load tool

start_entry wrote settings, started a process and listed the entry in 62 lines; the settings and the process stand in _start_program.

Ruled out: splitting functions of 33 and 34 lines further, which have no part with a name of its own.

--- a/standins/capacityrecords.py
+++ b/standins/capacityrecords.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 
 from sardinedrift import changes as ch
+from sardinedrift.identifiers import EntryId
 from standins.capacityruns import (
     Folding,
     change,
@@ -13,6 +14,8 @@
     team_changes,
 )
 
+Make = Callable[[int], ch.AnyChange | list[ch.AnyChange]]
+
 
 def record_costs() -> Iterator[dict]:
     """Yields bytes and fold time of a record of each kind, in a full state."""
@@ -24,20 +27,15 @@
     for number in range(20_000):
         folding.put(instance_change(number))
     entry_id = next(iter(folding.state.tables.entry_by_id))
+    for kind, make in _kinds(entry_id):
+        yield _record_cost(folding, kind, make)
+
+
+def _kinds(entry_id: EntryId) -> Iterator[tuple[str, Make]]:
+    """Yields the name of each kind of record, and what makes the nth."""
     for count in (1, 20, 600):
-        units = {f"team-{each:04d}": 1 for each in range(count)}
-        yield _record_cost(
-            folding,
-            f"AllowanceTake of {count} teams",
-            lambda number, units=units: change(
-                ch.AllowanceTake,
-                6_000_000 + number,
-                entry_id=entry_id,
-                units_by_team=units,
-            ),
-        )
-    yield _record_cost(
-        folding,
+        yield f"AllowanceTake of {count} teams", _take(entry_id, count)
+    yield (
         "InstanceObserved",
         lambda number: change(
             ch.InstanceObserved,
@@ -46,16 +44,9 @@
             up=False,
         ),
     )
-    yield _record_cost(
-        folding, "PutInstance", lambda number: instance_change(20_000 + number)
-    )
-    yield _record_cost(
-        folding,
-        "PutTeam and GrantKey",
-        lambda number: team_changes(600 + number),
-    )
-    yield _record_cost(
-        folding,
+    yield "PutInstance", lambda number: instance_change(20_000 + number)
+    yield "PutTeam and GrantKey", lambda number: team_changes(600 + number)
+    yield (
         "WithdrawKey",
         lambda number: change(
             ch.WithdrawKey,
@@ -66,11 +57,17 @@
     )
 
 
-def _record_cost(
-    folding: Folding,
-    kind: str,
-    make: Callable[[int], ch.AnyChange | list[ch.AnyChange]],
-) -> dict:
+def _take(entry_id: EntryId, count: int) -> Make:
+    units = {f"team-{each:04d}": 1 for each in range(count)}
+    return lambda number: change(
+        ch.AllowanceTake,
+        6_000_000 + number,
+        entry_id=entry_id,
+        units_by_team=units,
+    )
+
+
+def _record_cost(folding: Folding, kind: str, make: Make) -> dict:
     rounds = 200
     made = [make(number) for number in range(rounds)]
     batches = [each if isinstance(each, list) else [each] for each in made]
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -15,6 +15,7 @@
 import sys
 import time
 from collections.abc import Iterable, Iterator
+from typing import NamedTuple
 
 import click
 import yaml
@@ -64,12 +65,17 @@
             "share": share,
             "limit": limit,
         }
-        yield {
-            "type": "GrantKey",
-            "key_id": team,
-            "team_id": team,
-            "digest": hashlib.sha256(SECRET.encode()).hexdigest(),
-        }
+        yield grant_key(team, team)
+
+
+def grant_key(key_id: str, team: str) -> dict:
+    """Returns the change that grants a key with the secret of the run."""
+    return {
+        "type": "GrantKey",
+        "key_id": key_id,
+        "team_id": team,
+        "digest": hashlib.sha256(SECRET.encode()).hexdigest(),
+    }
 
 
 def _queue(queue: str, pool: str, idempotent: bool) -> dict:
@@ -152,52 +158,67 @@
 
 
 async def send_load(
-    shape: dict, entries: list[Entry], history: list[Attempt], stop
+    shape: dict,
+    entries: list[Entry],
+    history: list[Attempt],
+    stop: asyncio.Event,
 ) -> None:
     """Sends requests of every team in turns until `stop` is set."""
-    choices = random.Random(SEED)
+    load = _Load(shape, entries, history, stop, random.Random(SEED))
     async with asyncio.TaskGroup() as group:
         for number, team in enumerate(shape["teams"]):
-            group.create_task(
-                _send_as(team, number, shape, entries, history, stop, choices)
+            group.create_task(load.send_as(team, number))
+
+
+class _Load(NamedTuple):
+    """What the callers of all teams have in common."""
+
+    shape: dict
+    entries: list[Entry]
+    history: list[Attempt]
+    stop: asyncio.Event
+    choices: random.Random
+
+    async def send_as(self, team: str, number: int) -> None:
+        """Sends requests of one team; its peaks are every nth turn."""
+        addresses = [entry.callers for entry in self.entries]
+        key = f"{team}.{SECRET}"
+        caller = Caller(team, key, addresses, number, self.history)
+        async with caller, asyncio.TaskGroup() as group:
+            turn = 0
+            while not self.stop.is_set():
+                peak = turn % len(self.shape["teams"]) == number
+                slots = asyncio.Semaphore(PEAK_CALLS if peak else QUIET_CALLS)
+                turn += 1
+                await self._send_turn(caller, slots, group)
+
+    async def _send_turn(
+        self,
+        caller: Caller,
+        slots: asyncio.Semaphore,
+        group: asyncio.TaskGroup,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        end = loop.time() + TURN_SECONDS
+        while loop.time() < end and not self.stop.is_set():
+            await slots.acquire()
+            pool = self.choices.choice(self.shape["pools"])
+            idempotent = self.choices.random() < 0.25
+            queue = f"{pool}-lookup" if idempotent else f"{pool}-quick"
+            work = caller.send(
+                queue,
+                self.choices.choice(self.shape["data_centres"]),
+                run_seconds=self.choices.expovariate(20.0),
+                size=self.choices.randrange(1, 4096),
+                idempotent=idempotent,
             )
+            task = group.create_task(work)
+            task.add_done_callback(lambda _: slots.release())
 
 
-async def _send_as(
-    team, number, shape, entries, history, stop, choices
-) -> None:
-    addresses = [entry.callers for entry in entries]
-    caller = Caller(team, f"{team}.{SECRET}", addresses, number, history)
-    async with caller, asyncio.TaskGroup() as group:
-        slots = asyncio.Semaphore(QUIET_CALLS)
-        turn = 0
-        while not stop.is_set():
-            peak = turn % len(shape["teams"]) == number
-            slots = asyncio.Semaphore(PEAK_CALLS if peak else QUIET_CALLS)
-            turn += 1
-            await _send_turn(caller, shape, slots, stop, choices, group)
-
-
-async def _send_turn(caller, shape, slots, stop, choices, group) -> None:
-    loop = asyncio.get_running_loop()
-    end = loop.time() + TURN_SECONDS
-    while loop.time() < end and not stop.is_set():
-        await slots.acquire()
-        pool = choices.choice(shape["pools"])
-        idempotent = choices.random() < 0.25
-        queue = f"{pool}-lookup" if idempotent else f"{pool}-quick"
-        work = caller.send(
-            queue,
-            choices.choice(shape["data_centres"]),
-            run_seconds=choices.expovariate(20.0),
-            size=choices.randrange(1, 4096),
-            idempotent=idempotent,
-        )
-        task = group.create_task(work)
-        task.add_done_callback(lambda _, slots=slots: slots.release())
-
-
-async def _run(fleet: Fleet, shape: dict, entries: list[Entry]):
+async def _run(
+    fleet: Fleet, shape: dict, entries: list[Entry]
+) -> list[Attempt]:
     history: list[Attempt] = []
     stop = asyncio.Event()
     load = asyncio.create_task(send_load(shape, entries, history, stop))
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -204,40 +204,11 @@
                 runs a variant.
             **settings: settings that differ from the defaults.
         """
-        path = self.directory / f"{name}.yaml"
         if seeds is None:
             seeds = [each.peers for each in self.entry_by_name.values()]
-        path.write_text(
-            yaml.safe_dump(
-                {
-                    "data_centre": data_centre,
-                    "callers": "127.0.0.1:0",
-                    "peers": "127.0.0.1:0",
-                    "admin": "127.0.0.1:0",
-                    "seeds": seeds,
-                    "log_service": self.log,
-                    "instance_list": self.instance_list,
-                    "test_controls": True,
-                    "timings": {"grace_seconds": 1.0},
-                    "logs": {"format": "json", "level": "INFO"},
-                    **settings,
-                }
-            )
-        )
+        settings = {"data_centre": data_centre, "seeds": seeds, **settings}
+        process = self._start_program(name, program, settings)
         output = self.directory / f"{name}.log"
-        with output.open("wb") as stream:
-            process = subprocess.Popen(
-                [
-                    sys.executable,
-                    *program,
-                    *("entry", "run"),
-                    *("--config", str(path)),
-                ],
-                stdout=stream,
-                stderr=stream,
-                env=self._environment(),
-            )
-        self._processes.append(process)
         addresses = wait_until(
             lambda: _announced_addresses(output), f"{name} starts"
         )
@@ -249,6 +220,32 @@
         )
         return entry
 
+    def _start_program(
+        self, name: str, program: tuple[str, ...], settings: dict[str, Any]
+    ) -> subprocess.Popen:
+        """Starts an entry with its settings and its log in files."""
+        path = self.directory / f"{name}.yaml"
+        settings = {
+            **dict.fromkeys(LISTENERS, "127.0.0.1:0"),
+            "log_service": self.log,
+            "instance_list": self.instance_list,
+            "test_controls": True,
+            "timings": {"grace_seconds": 1.0},
+            "logs": {"format": "json", "level": "INFO"},
+            **settings,
+        }
+        path.write_text(yaml.safe_dump(settings))
+        arguments = [*program, "entry", "run", "--config", str(path)]
+        with (self.directory / f"{name}.log").open("wb") as stream:
+            process = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=stream,
+                stderr=stream,
+                env=self._environment(),
+            )
+        self._processes.append(process)
+        return process
+
     def wait_ready(self, *entries: Entry) -> None:
         """Waits until entries are ready and members."""
         for entry in entries:
--- a/standins/instancelist.py
+++ b/standins/instancelist.py
@@ -263,8 +263,7 @@
 
 
 @click.command()
-@click.option("--host", default="127.0.0.1")
-@click.option("--port", default=0, help="0 binds any free port.")
+@serving.listen_options
 @click.option("--lag-seconds", default=0.0)
 @click.option("--reboot-seconds", default=5.0)
 def main(host: str, port: int, **options) -> None:
--- a/standins/logservice.py
+++ b/standins/logservice.py
@@ -219,8 +219,7 @@
 
 
 @click.command()
-@click.option("--host", default="127.0.0.1")
-@click.option("--port", default=0, help="0 binds any free port.")
+@serving.listen_options
 @click.option("--retention-records", default=100_000)
 @click.option("--retention-seconds", default=7200.0)
 @click.option("--appends-per-second", default=500)
--- a/standins/minion.py
+++ b/standins/minion.py
@@ -354,8 +354,7 @@
 
 
 @click.command()
-@click.option("--host", default="127.0.0.1")
-@click.option("--port", default=0, help="0 binds any free port.")
+@serving.listen_options
 @click.option("--name", default="", help="Written to the journal.")
 @click.option("--slots", default=8)
 @click.option("--connections", default=64)
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -6,6 +6,7 @@
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable
 
+import click
 import msgspec
 from aiohttp import web
 
@@ -75,6 +76,16 @@
         await server.stop()
 
 
+def listen_options(command: Callable) -> Callable:
+    """Adds the options for the address that a stand-in listens on."""
+    for option in (
+        click.option("--port", default=0, help="0 binds any free port."),
+        click.option("--host", default="127.0.0.1"),
+    ):
+        command = option(command)
+    return command
+
+
 def run(app: web.Application, host: str, port: int) -> None:
     """Serves until SIGTERM or SIGINT; prints the bound address first."""
     asyncio.run(_run(app, host, port))
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -306,8 +306,7 @@
 
 
 @click.command()
-@click.option("--host", default="127.0.0.1")
-@click.option("--port", default=0, help="0 binds any free port.")
+@serving.listen_options
 @click.option("--cores", default=32.0)
 @click.option("--memory-gb", default=64.0)
 @click.option("--accelerators", default=0)
