--- a/sardinedrift/jobs.py
+++ b/sardinedrift/jobs.py
@@ -12,14 +12,14 @@
 import uuid
 from collections.abc import Iterator
 
-from loguru import logger
-
 from sardinedrift import changes as ch
 from sardinedrift import objects
-from sardinedrift.exceptions import LogServiceError, PublishUnknown
+from sardinedrift.batches import BatchPublisher
+from sardinedrift.follower import Follower
 from sardinedrift.guards import Guard
 from sardinedrift.identifiers import (
     ChangeId,
+    EntryId,
     Identity,
     InstanceId,
     InstanceKind,
@@ -27,8 +27,10 @@
     PoolId,
 )
 from sardinedrift.packing import Packing
+from sardinedrift.peers import Peers
 from sardinedrift.placement import PLACED_STATES
 from sardinedrift.ports import Clock, WorkerPort
+from sardinedrift.publisher import Publisher
 
 # One record at most in this time, however many jobs come and go.
 BATCH_SECONDS = 0.5
@@ -41,7 +43,6 @@
 # A visit costs about 0.7 ms of CPU time, and control may use 1.4 % of a core.
 RESTING_VISITS_PER_SECOND = 10.0
 _LEAST_REST = 0.75
-_PUBLISH_SECONDS = 10.0
 # What decides whether a worker has orders.
 _ORDER_TABLES = ("job_by_id", "instance_by_id", "worker_use_by_instance")
 
@@ -61,15 +62,14 @@
     def __init__(
         self,
         identity: Identity,
-        follower,
-        publisher,
-        peers,
+        follower: Follower,
+        publisher: Publisher,
+        peers: Peers,
         workers: WorkerPort,
         clock: Clock,
     ):
         self._identity = identity
         self._follower = follower
-        self._publisher = publisher
         self._peers = peers
         self._workers = workers
         self._clock = clock
@@ -80,7 +80,7 @@
         self._task_by_id: dict[InstanceId, asyncio.Task] = {}
         self._jobs_key: tuple[int, int] | None = None
         self._open_jobs: list[objects.Job] = []
-        self._failing = False
+        self._batches = BatchPublisher(publisher, clock, "changes of jobs")
 
     async def run(self) -> None:
         """Drives jobs until cancelled."""
@@ -90,7 +90,7 @@
                 self._update_guards(tasks)
                 batch = list(itertools.islice(self.due(), MOST_PER_BATCH))
                 if batch:
-                    await self._publish(batch)
+                    await self._batches.publish(batch)
                 await asyncio.sleep(BATCH_SECONDS)
 
     def due(self) -> Iterator[ch.AnyChange]:
@@ -172,7 +172,7 @@
             if scheduler_by_pool[pool_id] == self._identity.entry_id:
                 yield instance.instance_id
 
-    def _is_live(self, entry_id) -> bool:
+    def _is_live(self, entry_id: EntryId) -> bool:
         return entry_id in self._peers.live(self._identity.data_centre_id)
 
     def _jobs(self) -> list[objects.Job]:
@@ -233,18 +233,6 @@
                 worker_lease=guard.lease,
             )
 
-    async def _publish(self, batch: list[ch.AnyChange]) -> None:
-        """Publishes a batch; what fails is found again by the next step."""
-        deadline = self._clock.now() + _PUBLISH_SECONDS
-        try:
-            await self._publisher.publish(batch, deadline)
-        except (LogServiceError, PublishUnknown) as error:
-            if not self._failing:
-                logger.warning("changes of jobs wait: {}", error)
-            self._failing = True
-        else:
-            self._failing = False
-
 
 def _fresh_id() -> ChangeId:
     return ChangeId(uuid.uuid4().hex)
--- a/standins/instancelist.py
+++ b/standins/instancelist.py
@@ -133,7 +133,9 @@
             if i.data_centre_id == data_centre_id
         ]
 
-    async def wait(self, data_centre_id: str, since: int, seconds: float):
+    async def wait(
+        self, data_centre_id: str, since: int, seconds: float
+    ) -> None:
         """Waits for a version other than `since`, or for an outage."""
         try:
             async with asyncio.timeout(seconds):
@@ -261,8 +263,7 @@
 
 
 @click.command()
-@click.option("--host", default="127.0.0.1")
-@click.option("--port", default=0, help="0 binds any free port.")
+@serving.listen_options
 @click.option("--lag-seconds", default=0.0)
 @click.option("--reboot-seconds", default=5.0)
 def main(host: str, port: int, **options) -> None:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -11,8 +11,15 @@
 from sardinedrift.identifiers import Identity, JobStep
 from sardinedrift.ports import TaskUse, UsageReport, WorkerPort
 from tests.decision_fakes import FakeClock, FakeFollower, FakeLog
-from tests.test_fold import cid, join, put_data_centre, put_pool, put_team
-from tests.test_placement import put_worker, submit
+from tests.sample_changes import (
+    cid,
+    join,
+    put_data_centre,
+    put_pool,
+    put_team,
+    put_worker,
+    submit,
+)
 
 # Control may use 1.4 % of a core, and a visit costs about 0.7 ms.
 MOST_VISITS_PER_SECOND = 20
