Know changes of allowances by a number of their publisher

Cause: the fold kept the result of each allowance change for an hour. After half an hour of unknown outcome a transfer could not be published again, so its units stayed locked.

Change: an allowance change names its publisher and carries a number that grows by one per change. The fold keeps the highest folded number per member, skips changes at or below it and keeps no result rows for them. It refuses changes whose publisher is no member, and drops the number with the membership. A batch holds all unsettled transfers in order, so a transfer is settled when the folded number has reached it. The limit on publishing again is gone. The giver of a give and the holder of a return are the publisher, so both fields went; the change id is made from publisher and number. Records of the earlier form can no longer be read: a log that holds some cannot be taken over by entries of this version.

Ruled out: keeping results for some minutes (a later append counts twice); a set of folded numbers per member (grows with the gaps).

Tests: the world and the state machine of test_limits are a support module. The search test_machine_finds_units_taken_beside_the_limit draws its seed from the source of its machine, which had to change; 60 examples no longer found the fault, so it now runs 300 with the same check.

--- a/sardinedrift/allowances.py
+++ b/sardinedrift/allowances.py
@@ -8,6 +8,7 @@
 
 from sardinedrift import changes as ch
 from sardinedrift import objects
+from sardinedrift.allowancechanges import AllowanceChange
 from sardinedrift.configuration import ALL_TEAMS
 from sardinedrift.exceptions import StateError
 from sardinedrift.identifiers import EntryId, EntryState, TeamId
@@ -17,6 +18,27 @@
 RUN_DEADLINE_MARGIN_SECONDS = 60.0
 
 
+def is_folded(state: State, change: AllowanceChange) -> bool:
+    """Tells whether a change is at or below the number of its publisher."""
+    folded = state.tables.sequence_by_publisher.get(change.publisher_id, 0)
+    return change.sequence <= folded
+
+
+def note_folded(state: State, change: AllowanceChange) -> None:
+    """Raises the number of a publisher, also when its change was refused.
+
+    Only members have a row; changes of others are refused however often they
+    are appended.
+    """
+    if _is_active(state, change.publisher_id):
+        state.put("sequence_by_publisher", change.publisher_id, change.sequence)
+
+
+def forget_publisher(state: State, entry_id: EntryId) -> None:
+    """Drops the number of an entry that is no member any more."""
+    state.drop("sequence_by_publisher", entry_id)
+
+
 def release_due(state: State) -> None:
     """Frees the units of holders that are gone and whose work is over."""
     for team_id, held in list(state.tables.allowances_by_team.items()):
@@ -59,38 +81,46 @@
 
 
 def _take(state: State, change: ch.AllowanceTake) -> int:
-    _check_active(state, change.entry_id, "entry_id")
+    receiver_id = change.receiver_id or change.publisher_id
+    _check_active(state, change.publisher_id, "publisher_id")
+    _check_active(state, receiver_id, "receiver_id")
     for team_id, wanted in sorted(change.units_by_team.items()):
         units = min(wanted, max(0, state.unallocated(team_id)))
         if units > 0:
-            _add(state, team_id, change.entry_id, units)
+            _add(state, team_id, receiver_id, units)
     return 0
 
 
 def _give(state: State, change: ch.AllowanceGive) -> int:
+    _check_active(state, change.publisher_id, "publisher_id")
     _check_active(state, change.receiver_id, "receiver_id")
     for team_id, offered in sorted(change.units_by_team.items()):
-        units = min(offered, _held(state, team_id, change.giver_id))
+        units = min(offered, _held(state, team_id, change.publisher_id))
         if units > 0:
-            _add(state, team_id, change.giver_id, -units)
+            _add(state, team_id, change.publisher_id, -units)
             _add(state, team_id, change.receiver_id, units)
     return 0
 
 
 def _return(state: State, change: ch.AllowanceReturn) -> int:
+    _check_active(state, change.publisher_id, "publisher_id")
     for team_id, offered in sorted(change.units_by_team.items()):
-        units = min(offered, _held(state, team_id, change.entry_id))
+        units = min(offered, _held(state, team_id, change.publisher_id))
         if units > 0:
-            _add(state, team_id, change.entry_id, -units)
+            _add(state, team_id, change.publisher_id, -units)
     return 0
 
 
 def _check_active(state: State, entry_id: EntryId, field: str) -> None:
-    entry = state.tables.entry_by_id.get(entry_id)
-    if entry is None or entry.state is not EntryState.ACTIVE:
+    if not _is_active(state, entry_id):
         raise StateError("not_active", f"{entry_id} is not a member", field)
 
 
+def _is_active(state: State, entry_id: EntryId) -> bool:
+    entry = state.tables.entry_by_id.get(entry_id)
+    return entry is not None and entry.state is EntryState.ACTIVE
+
+
 def _held(state: State, team_id: TeamId, entry_id: EntryId) -> int:
     allowances = state.tables.allowances_by_team.get(team_id)
     return allowances.units_by_entry.get(entry_id, 0) if allowances else 0
--- a/sardinedrift/changes.py
+++ b/sardinedrift/changes.py
@@ -1,12 +1,18 @@
 """Typed changes, the content of log records.
 
-A record of the log is the JSON form of a `Batch`. Every change carries a
-change id: the fold applies an id once and answers a repetition with the first
-result, so an append whose answer was lost can safely be repeated.
+A record of the log is the JSON form of a `Batch`. Every change has a change
+id: the fold applies it once, so an append whose answer was lost can safely be
+repeated. A repetition is answered with the first result, except for changes of
+allowances, which are known by the number of their publisher.
 """
 
 import msgspec
 
+from sardinedrift.allowancechanges import (
+    AllowanceGive,
+    AllowanceReturn,
+    AllowanceTake,
+)
 from sardinedrift.changebase import Change, OperatorChange
 from sardinedrift.identifiers import (
     ChangeId,
@@ -222,28 +228,6 @@
     evidence: str
 
 
-class AllowanceTake(Change, frozen=True, kw_only=True):
-    """Takes units from the unallocated rest of limits, as far as it goes."""
-
-    entry_id: EntryId
-    units_by_team: dict[TeamId, int]
-
-
-class AllowanceGive(Change, frozen=True, kw_only=True):
-    """Gives units, already locked by the giver, to another entry."""
-
-    giver_id: EntryId
-    receiver_id: EntryId
-    units_by_team: dict[TeamId, int]
-
-
-class AllowanceReturn(Change, frozen=True, kw_only=True):
-    """Gives units, already locked by the holder, back to the limit."""
-
-    entry_id: EntryId
-    units_by_team: dict[TeamId, int]
-
-
 class DrainAck(Change, frozen=True, kw_only=True):
     """An entry holds no work on an instance and places none there.
 
@@ -326,7 +310,7 @@
 OPERATOR_CHANGES = (OperatorChange, EntryGone)
 
 
-class Batch(msgspec.Struct, frozen=True):
+class Batch(msgspec.Struct, frozen=True, omit_defaults=True):
     """Content of one record.
 
     Attributes:
--- a/sardinedrift/fold.py
+++ b/sardinedrift/fold.py
@@ -16,6 +16,7 @@
     snapshots,
 )
 from sardinedrift import changes as ch
+from sardinedrift.allowancechanges import AllowanceChange
 from sardinedrift.exceptions import StateError
 from sardinedrift.identifiers import Offset
 from sardinedrift.state import State
@@ -102,9 +103,9 @@
     cause = results[-1]
     rejected = []
     for change in batch.changes:
-        known = state.tables.result_by_change_id.get(change.change_id)
+        known = _known(state, change)
         if known:
-            rejected.append(known[1])
+            rejected.append(known)
             continue
         result = cause
         if change.change_id != cause.change_id:
@@ -115,15 +116,15 @@
                 code="batch_rejected",
                 message=f"change {cause.change_id} was rejected",
             )
-        _remember(state, result)
+        _remember(state, change, result)
         rejected.append(result)
     return rejected
 
 
 def _apply_once(state: State, change: ch.AnyChange) -> ch.Result:
-    known = state.tables.result_by_change_id.get(change.change_id)
+    known = _known(state, change)
     if known:
-        return known[1]
+        return known
     try:
         with state.transaction():
             revision = _HANDLERS[type(change)](state, change)
@@ -142,11 +143,36 @@
             field=error.field,
             message=str(error),
         )
-    _remember(state, result)
+    _remember(state, change, result)
     return result
 
 
-def _remember(state: State, result: ch.Result) -> None:
+def _known(state: State, change: ch.AnyChange) -> ch.Result | None:
+    """Returns the result of a change that was folded before.
+
+    The first result of a change of allowances is not kept; its repetition is
+    refused.
+    """
+    if not isinstance(change, AllowanceChange):
+        known = state.tables.result_by_change_id.get(change.change_id)
+        return known[1] if known else None
+    if not allowances.is_folded(state, change):
+        return None
+    return ch.Result(
+        change_id=change.change_id,
+        accepted=False,
+        offset=state.offset,
+        code="already_folded",
+        field="sequence",
+        message="a change with this number or a later one is folded",
+    )
+
+
+def _remember(state: State, change: ch.AnyChange, result: ch.Result) -> None:
+    """Keeps what shows a repetition of the change."""
+    if isinstance(change, AllowanceChange):
+        allowances.note_folded(state, change)
+        return
     state.put("result_by_change_id", result.change_id, (state.time, result))
 
 
--- a/sardinedrift/limits.py
+++ b/sardinedrift/limits.py
@@ -10,12 +10,11 @@
 import contextlib
 from collections.abc import Iterator
 
-from sardinedrift import changes as ch
+from sardinedrift.allowancechanges import AllowanceChange
 from sardinedrift.demand import TeamUse
 from sardinedrift.exceptions import (
     LogServiceError,
     LogUnavailable,
-    PeerError,
     PublishUnknown,
 )
 from sardinedrift.follower import Follower
@@ -24,17 +23,17 @@
     Identity,
     TeamId,
 )
-from sardinedrift.messages import Acknowledged, AllowanceAsk
+from sardinedrift.messages import AllowanceAsk
 from sardinedrift.peers import Peers
 from sardinedrift.ports import Clock
 from sardinedrift.publisher import Publisher
 from sardinedrift.transfers import Transfers
+from sardinedrift.unitasks import UnitAsker
 from sardinedrift.unitview import UnitView
 
 BATCH_SECONDS = 1.0
 _PAUSE_SECONDS = 0.05
 _PUBLISH_SECONDS = 3.0
-_ASK_SECONDS = 2.0
 # Units are locked while their transfer is published, so a log that takes no
 # appends keeps them from use for a third of the time at most.
 _FAILED_PUBLISH_SECONDS = 2 * _PUBLISH_SECONDS
@@ -45,7 +44,7 @@
 
     Args:
         identity: this entry.
-        follower: `.state`, `.log_up`, `result_of` and `changed`.
+        follower: `.state`, `.log_up` and `changed`.
         publisher: `publish(changes, deadline)`.
         peers: `exchange_of` and `call`.
         clock: gives the current time.
@@ -62,10 +61,10 @@
         self._identity = identity
         self._follower = follower
         self._publisher = publisher
-        self._peers = peers
         self._clock = clock
         self._use_by_team: dict[TeamId, TeamUse] = {}
         self._view = UnitView(identity.entry_id, follower)
+        self._asker = UnitAsker(identity, follower, peers, clock)
         self._transfers = Transfers(identity.entry_id, follower)
         self._wake = asyncio.Event()
         self._remembered_at = clock.now()
@@ -144,7 +143,7 @@
             return {}
         if not self._may_transfer():
             return {}
-        if not self._view.is_member(ask.entry_id):
+        if not self._is_member() or not self._view.is_member(ask.entry_id):
             return {}
         promised = {}
         for team_id, wanted in ask.units_by_team.items():
@@ -264,6 +263,9 @@
         # Keeping what was used lately stops units from going back and forth.
         return max(0, min(idle, use.running + idle - use.target()))
 
+    def _is_member(self) -> bool:
+        return self._view.is_member(self._identity.entry_id)
+
     def _admit(self, team_id: TeamId) -> None:
         use = self._use(team_id)
         use.admit(self._free(team_id))
@@ -333,32 +335,29 @@
 
     async def _publish(self) -> bool:
         """Publishes one batch, if there is anything to change."""
+        if not self._is_member():
+            return False
         now = self._clock.now()
-        batch: list[ch.AnyChange] = list(self._transfers.unsettled(now))
+        # All unsettled transfers go first, in the order of their numbers: the
+        # fold skips a number below one that it has folded.
+        batch: list[AllowanceChange] = list(self._transfers.unsettled())
         takes = {
             team_id: min(missing, unallocated)
             for team_id, missing, unallocated in self._missing()
             if unallocated > 0
         }
         takes_by_entry, self._takes_by_peer = self._takes_by_peer, {}
-        if takes and self._view.is_member(self._identity.entry_id):
+        if takes:
             takes_by_entry[self._identity.entry_id] = takes
         batch += (
-            ch.AllowanceTake(
-                change_id=self._transfers.fresh_id(),
-                entry_id=entry_id,
-                units_by_team=units_by_team,
-            )
+            self._transfers.take(entry_id, units_by_team)
             for entry_id, units_by_team in takes_by_entry.items()
         )
         if not batch:
             return False
         self._published = False
         try:
-            results = await self._publisher.publish(
-                batch, now + _PUBLISH_SECONDS
-            )
-            self._transfers.drop_refused(results)
+            await self._publisher.publish(batch, now + _PUBLISH_SECONDS)
             self._published = True
         except LogUnavailable:
             # Nothing was appended, so the units can be used here meanwhile.
@@ -366,49 +365,18 @@
             self._no_transfers_until = now + _FAILED_PUBLISH_SECONDS
         except (LogServiceError, PublishUnknown):
             # Nothing is assumed: gives stay locked and are published again
-            # with the same ids; takes count only once they are folded.
-            self._transfers.note_unknown(batch, now)
+            # with the same numbers; takes count only once they are folded.
+            self._transfers.note_unknown(batch)
             self._no_transfers_until = now + _FAILED_PUBLISH_SECONDS
         self._transfers.settle()
         return True
 
     async def _ask_peers(self) -> None:
-        """Asks one peer per step for each team that lacks units."""
-        asks_by_peer: dict[EntryId, dict[TeamId, int]] = {}
+        """Asks peers once per step for what waiting work lacks."""
+        missing_by_team = {}
         for team_id, missing, unallocated in self._missing():
             waiting = len(self._use(team_id).waiters)
             # Units that this entry cannot take itself, peers take for it.
-            if not waiting or (unallocated > 0 and self._published):
-                continue
-            peer = self._richest_peer(team_id)
-            if peer:
-                asks_by_peer.setdefault(peer, {})[team_id] = missing
-        asks = (self._ask(*item) for item in asks_by_peer.items())
-        await asyncio.gather(*asks)
-
-    async def _ask(
-        self, peer: EntryId, units_by_team: dict[TeamId, int]
-    ) -> None:
-        """Asks a peer; without an answer the next step asks again."""
-        ask = AllowanceAsk(
-            entry_id=self._identity.entry_id, units_by_team=units_by_team
-        )
-        deadline = self._clock.now() + _ASK_SECONDS
-        with contextlib.suppress(PeerError):
-            await self._peers.call(
-                peer, "/peer/allowances", ask, Acknowledged, deadline
-            )
-
-    def _richest_peer(self, team_id: TeamId) -> EntryId | None:
-        """Returns the reachable holder with most spare units, then most."""
-        rows = self._follower.state.tables.allowances_by_team
-        best: tuple[int, int, EntryId] | None = None
-        for entry_id, units in rows[team_id].units_by_entry.items():
-            if entry_id == self._identity.entry_id:
-                continue
-            exchange = self._peers.exchange_of(entry_id)
-            if exchange is None or exchange.stopping:
-                continue
-            spare = exchange.spare_by_team.get(team_id, 0)
-            best = max(best or (0, 0, entry_id), (spare, units, entry_id))
-        return best[2] if best else None
+            if waiting and (unallocated <= 0 or not self._published):
+                missing_by_team[team_id] = missing
+        await self._asker.ask(missing_by_team)
--- a/sardinedrift/membership.py
+++ b/sardinedrift/membership.py
@@ -150,6 +150,7 @@
         if other.state is EntryState.JOINING:
             _remove_waiting(state, other, entry.entry_id)
     inventory.forget_entry(state, entry.entry_id)
+    allowances.forget_publisher(state, entry.entry_id)
     _forget_gone(state)
 
 
--- a/sardinedrift/state.py
+++ b/sardinedrift/state.py
@@ -52,6 +52,7 @@
     ] = {}
     allowances_by_team: dict[TeamId, objects.Allowances] = {}
     longest_run_by_team: dict[str, float] = {}
+    sequence_by_publisher: dict[EntryId, int] = {}
     snapshot_by_id: dict[str, objects.Snapshot] = {}
     result_by_change_id: dict[ChangeId, tuple[float, changes.Result]] = {}
     job_by_id: dict[JobId, objects.Job] = {}
--- /dev/null
+++ b/sardinedrift/unitasks.py
@@ -0,0 +1,73 @@
+"""Asks peers for units of a team limit."""
+
+import asyncio
+import contextlib
+
+from sardinedrift.exceptions import PeerError
+from sardinedrift.follower import Follower
+from sardinedrift.identifiers import EntryId, Identity, TeamId
+from sardinedrift.messages import Acknowledged, AllowanceAsk
+from sardinedrift.peers import Peers
+from sardinedrift.ports import Clock
+
+_ASK_SECONDS = 2.0
+
+
+class UnitAsker:
+    """Asks the peers that hold units.
+
+    Args:
+        identity: this entry.
+        follower: holds the folded state.
+        peers: `exchange_of` and `call`.
+        clock: gives the current time.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        follower: Follower,
+        peers: Peers,
+        clock: Clock,
+    ):
+        self._identity = identity
+        self._follower = follower
+        self._peers = peers
+        self._clock = clock
+
+    async def ask(self, missing_by_team: dict[TeamId, int]) -> None:
+        """Asks one peer for each team that lacks units."""
+        asks_by_peer: dict[EntryId, dict[TeamId, int]] = {}
+        for team_id, missing in missing_by_team.items():
+            peer = self._richest_peer(team_id)
+            if peer:
+                asks_by_peer.setdefault(peer, {})[team_id] = missing
+        asks = (self._ask(*item) for item in asks_by_peer.items())
+        await asyncio.gather(*asks)
+
+    async def _ask(
+        self, peer: EntryId, units_by_team: dict[TeamId, int]
+    ) -> None:
+        """Asks a peer; without an answer the next step asks again."""
+        ask = AllowanceAsk(
+            entry_id=self._identity.entry_id, units_by_team=units_by_team
+        )
+        deadline = self._clock.now() + _ASK_SECONDS
+        with contextlib.suppress(PeerError):
+            await self._peers.call(
+                peer, "/peer/allowances", ask, Acknowledged, deadline
+            )
+
+    def _richest_peer(self, team_id: TeamId) -> EntryId | None:
+        """Returns the reachable holder with most spare units, then most."""
+        rows = self._follower.state.tables.allowances_by_team
+        best: tuple[int, int, EntryId] | None = None
+        for entry_id, units in rows[team_id].units_by_entry.items():
+            if entry_id == self._identity.entry_id:
+                continue
+            exchange = self._peers.exchange_of(entry_id)
+            if exchange is None or exchange.stopping:
+                continue
+            spare = exchange.spare_by_team.get(team_id, 0)
+            best = max(best or (0, 0, entry_id), (spare, units, entry_id))
+        return best[2] if best else None
--- a/tests/decision_fakes.py
+++ b/tests/decision_fakes.py
@@ -5,7 +5,7 @@
 import random
 
 from sardinedrift import changes as ch
-from sardinedrift import fold
+from sardinedrift import fold, snapshots
 from sardinedrift.exceptions import LogUnavailable, PublishUnknown
 from sardinedrift.identifiers import Identity
 from sardinedrift.ports import Clock
@@ -63,13 +63,19 @@
             count -= 1
             self.folded.set()
 
+    def load_snapshot(self):
+        """Replaces the state by a snapshot of the end of the log."""
+        if self.state.offset < self.log.head.offset:
+            self.state = snapshots.decode(snapshots.encode(self.log.head))
+            self.folded.set()
+
     def result_of(self, change_id):
         row = self.state.tables.result_by_change_id.get(change_id)
         return row[1] if row else None
 
 
 class FakePublisher:
-    """Publishes as `mode` says: "ok", "lost", "late" or "down"."""
+    """Publishes as `mode` says: "ok", "lost", "late", "twice" or "down"."""
 
     def __init__(self, follower):
         self.follower = follower
@@ -83,11 +89,13 @@
         if self.mode == "late":
             self.late.append(changes)
             raise PublishUnknown("late")
-        self.follower.log.append(*changes)
+        if self.mode == "twice":
+            self.late.append(changes)
+        results = self.follower.log.append(*changes)
         if self.mode == "lost":
             raise PublishUnknown("lost")
         self.follower.fold()
-        return [self.follower.result_of(each.change_id) for each in changes]
+        return results
 
     def deliver(self):
         """Appends what was on its way when its publisher gave up."""
@@ -95,6 +103,12 @@
             self.follower.log.append(*changes)
         self.late.clear()
 
+    def deliver_one(self, index, again=False):
+        """Appends one of these; `again` leaves it on its way once more."""
+        self.follower.log.append(*self.late[index])
+        if not again:
+            del self.late[index]
+
 
 class FakePeers:
     """Peers without any exchange; asks are recorded."""
--- a/tests/test_fold.py
+++ b/tests/test_fold.py
@@ -132,8 +132,8 @@
     def _take(self, log, entry_id, units):
         log.append(
             ch.AllowanceTake(
-                change_id=cid(),
-                entry_id=entry_id,
+                publisher_id=entry_id,
+                sequence=len(log.records),
                 units_by_team={"red": units},
             )
         )
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -3,19 +3,9 @@
 import asyncio
 import unittest
 
-from hypothesis import settings
-from hypothesis import strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    invariant,
-    precondition,
-    rule,
-    run_state_machine_as_test,
-)
-
 from sardinedrift import changes as ch
 from sardinedrift.limits import Limits
-from sardinedrift.messages import AllowanceAsk, Exchange
+from sardinedrift.messages import Exchange
 from sardinedrift.transfers import Transfers
 from tests.decision_fakes import (
     FakeClock,
@@ -24,16 +14,19 @@
     FakePeers,
     FakePublisher,
     cid,
-    gone,
     identity,
     join,
     put_team,
 )
+from tests.limit_world import (
+    RUN_SECONDS,
+    ConstantLimitMachine,
+    LimitMachine,
+    World,
+    search,
+)
 from tests.test_placement import put_worker, submit
 
-MODES = ["ok", "ok", "lost", "late", "down"]
-RUN_SECONDS = 60.0
-
 
 class _Unlocked(Transfers):
     """Uses units until their transfer is folded."""
@@ -45,246 +38,26 @@
 class _EarlyUnlock(Transfers):
     """Unlocks units when the outcome of a give is not known."""
 
-    def unsettled(self, now):
-        changes = list(super().unsettled(now))
+    def unsettled(self):
+        changes = list(super().unsettled())
         for change in changes:
-            self._unlock(self._transfer_by_id[change.change_id])
+            self._unlock(change.sequence)
         return iter(changes)
 
 
-class _Entry:
-    def __init__(self, world, entry_id, transfers):
-        self.entry_id = entry_id
-        self.follower = FakeFollower(world.log)
-        self.publisher = FakePublisher(self.follower)
-        self.peers = FakePeers()
-        self.limits = Limits(
-            identity(entry_id),
-            self.follower,
-            self.publisher,
-            self.peers,
-            world.clock,
-        )
-        self.limits._transfers = transfers(entry_id, self.follower)
-
-
-class World:
-    """Entries with lagging folds over one log, and the work they run."""
-
-    def __init__(self, transfers=Transfers, entries=3, limit=6):
-        self.transfers = transfers
-        self.clock = FakeClock()
-        self.log = FakeLog(self.clock)
-        self.loop = asyncio.new_event_loop()
-        self.entry_by_id = {}
-        self.ends_by_entry = {}
-        self.count = 0
-        self.revision = 1
-        self.limit = limit
-        self.log.append(
-            put_team(limit=limit),
-            ch.PutPool(change_id=cid(), expected_revision=0, pool_id="pairing"),
-            ch.PutQueue(
-                change_id=cid(),
-                expected_revision=0,
-                queue_id="q",
-                pool_id="pairing",
-                max_run_seconds=RUN_SECONDS,
-            ),
-        )
-        for _ in range(entries):
-            self.join()
-
-    def close(self):
-        self.loop.close()
-
-    def join(self):
-        entry_id = f"e{self.count}"
-        self.count += 1
-        joining = join(entry_id)
-        # Alone in its data centre, an entry is a member at once.
-        self.log.append(
-            ch.EntryJoin(
-                change_id=joining.change_id,
-                entry_id=entry_id,
-                data_centre_id=f"dc-{entry_id}",
-                address=joining.address,
-            )
-        )
-        entry = _Entry(self, entry_id, self.transfers)
-        self.entry_by_id[entry_id] = entry
-        self.ends_by_entry[entry_id] = []
-        entry.follower.fold()
-
-    def set_limit(self, limit):
-        self.log.append(put_team(revision=self.revision, limit=limit))
-        self.revision += 1
-        self.limit = limit
-
-    def start(self, entry_id):
-        entry = self.entry_by_id[entry_id]
-        if not entry.limits.try_acquire("red"):
-            return False
-        assert entry.follower.state.unallocated("red") >= 0, "debt ignored"
-        self.ends_by_entry[entry_id].append(self.clock.time + RUN_SECONDS)
-        self.check()
-        return True
-
-    def finish(self, entry_id):
-        if self.ends_by_entry[entry_id]:
-            self.ends_by_entry[entry_id].pop(0)
-            self.entry_by_id[entry_id].limits.release("red")
-
-    def step(self, entry_id, mode="ok"):
-        entry = self.entry_by_id[entry_id]
-        entry.publisher.mode = mode
-        self.loop.run_until_complete(entry.limits.step())
-
-    def give(self, giver, receiver, units):
-        ask = AllowanceAsk(entry_id=receiver, units_by_team={"red": units})
-        limits = self.entry_by_id[giver].limits
-        return self.loop.run_until_complete(limits.give(ask))
-
-    def end_entry(self, entry_id):
-        """Kills an entry; its minions work on until their deadlines."""
-        del self.entry_by_id[entry_id]
-        self.log.append(gone(entry_id))
-
-    def pass_time(self, seconds):
-        self.clock.time += seconds
-        for entry_id, ends in self.ends_by_entry.items():
-            while ends and ends[0] <= self.clock.time:
-                if entry_id in self.entry_by_id:
-                    self.finish(entry_id)
-                else:
-                    ends.pop(0)
-
-    def running(self):
-        return sum(len(ends) for ends in self.ends_by_entry.values())
-
-    def held(self):
-        allowances = self.log.head.tables.allowances_by_team["red"]
-        return dict(allowances.units_by_entry)
-
-    def check(self):
-        """Running work is covered by units; units pass no lasting limit."""
-        total = self.log.head.tables.allowances_by_team["red"].total
-        assert self.running() <= total, f"{self.running()} run on {total}"
-
-
-class LimitMachine(RuleBasedStateMachine):
-    cuts = True
-
-    def __init__(self):
-        super().__init__()
-        self.world = World()
-        for entry_id in list(self.world.entry_by_id):
-            for _ in range(2):
-                self.world.start(entry_id)
-                self.world.step(entry_id)
-
-    def teardown(self):
-        self.world.close()
-
-    def _entry(self, data):
-        return data.draw(st.sampled_from(sorted(self.world.entry_by_id)))
-
-    @rule(data=st.data(), count=st.integers(1, 4))
-    def start(self, data, count):
-        entry_id = self._entry(data)
-        for _ in range(count):
-            self.world.start(entry_id)
-
-    @rule(data=st.data())
-    def finish(self, data):
-        self.world.finish(self._entry(data))
-
-    @rule(data=st.data(), mode=st.sampled_from(MODES))
-    def step(self, data, mode):
-        self.world.step(self._entry(data), mode)
-
-    @rule(data=st.data())
-    def deliver_late(self, data):
-        self.world.entry_by_id[self._entry(data)].publisher.deliver()
-
-    @rule(data=st.data(), count=st.integers(1, 3))
-    def fold(self, data, count):
-        self.world.entry_by_id[self._entry(data)].follower.fold(count)
-
-    @rule(data=st.data(), units=st.integers(1, 6))
-    def give(self, data, units):
-        self.world.give(self._entry(data), self._entry(data), units)
-
-    @rule(data=st.data(), mode=st.sampled_from(MODES), late=st.booleans())
-    def give_and_start_everywhere(self, data, mode, late):
-        """Starts work at both ends of a give before the giver folds it."""
-        giver, receiver = self._entry(data), self._entry(data)
-        entry = self.world.entry_by_id[giver]
-        self.world.finish(giver)
-        entry.limits._use("red")._recent = 0.0
-        self.world.give(giver, receiver, 6)
-        self.world.step(giver, mode)
-        if late:
-            entry.publisher.deliver()
-        self.world.entry_by_id[receiver].follower.fold()
-        for entry_id in (receiver, giver):
-            while self.world.start(entry_id):
-                pass
-
-    @precondition(lambda self: len(self.world.entry_by_id) > 1)
-    @rule(data=st.data())
-    def end_entry(self, data):
-        self.world.end_entry(self._entry(data))
-
-    @precondition(lambda self: len(self.world.entry_by_id) < 4)
-    @rule()
-    def join(self):
-        self.world.join()
-
-    @precondition(lambda self: self.cuts)
-    @rule(limit=st.integers(0, 9))
-    def set_limit(self, limit):
-        self.world.set_limit(limit)
-
-    @rule(seconds=st.sampled_from([0.1, 1.0, 10.0, 130.0]))
-    def pass_time(self, seconds):
-        self.world.pass_time(seconds)
-
-    @invariant()
-    def covered(self):
-        self.world.check()
-        if not self.cuts:
-            assert self.world.running() <= self.world.limit
-
-
-class _ConstantLimitMachine(LimitMachine):
-    cuts = False
-
-
 class LimitTest(unittest.TestCase):
     def _world(self, *arguments, **options):
         world = World(*arguments, **options)
         self.addCleanup(world.close)
         return world
 
-    def _run_machine(self, machine):
-        run_state_machine_as_test(
-            machine,
-            settings=settings(
-                derandomize=True,
-                max_examples=150,
-                stateful_step_count=60,
-                deadline=None,
-            ),
-        )
-
     def test_running_is_covered_by_units(self):
         """Guards against work beyond the units, also when limits change."""
-        self._run_machine(LimitMachine)
+        search(LimitMachine)
 
     def test_running_never_passes_a_constant_limit(self):
         """Guards against a limit passed in any order of faults."""
-        self._run_machine(_ConstantLimitMachine)
+        search(ConstantLimitMachine)
 
     def _give_scenario(self, transfers, mode):
         """The giver starts work after the receiver has folded the give."""
@@ -437,7 +210,7 @@
         log.append(put_team(limit=1), join("e0"))
         log.append(
             ch.AllowanceTake(
-                change_id=cid(), entry_id="e0", units_by_team={"red": 1}
+                publisher_id="e0", sequence=1, units_by_team={"red": 1}
             )
         )
         follower = FakeFollower(log)
@@ -475,7 +248,7 @@
         log.append(put_team(limit=2), join("e0"))
         take = {"red": 2}
         log.append(
-            ch.AllowanceTake(change_id=cid(), entry_id="e0", units_by_team=take)
+            ch.AllowanceTake(publisher_id="e0", sequence=1, units_by_team=take)
         )
         joining = ch.EntryJoin(
             change_id=cid(),
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -179,7 +179,11 @@
     def request_units(self, units, back):
         change = ch.AllowanceReturn if back else ch.AllowanceTake
         self.log.append(
-            change(change_id=cid(), entry_id="e1", units_by_team={"red": units})
+            change(
+                publisher_id="e1",
+                sequence=len(self.log.records) + 1,
+                units_by_team={"red": units},
+            )
         )
 
     @rule(worker=st.sampled_from(WORKERS))
@@ -311,7 +315,7 @@
             mock.patch("sardinedrift.state.State.unallocated", lambda *_: 1),
             self.assertRaises(AssertionError),
         ):
-            run_machine()
+            run_machine(300)
 
     def test_job_that_fits_no_worker_is_refused(self):
         """Guards against a job that waits forever."""
--- a/tests/test_promise_configuration.py
+++ b/tests/test_promise_configuration.py
@@ -150,7 +150,7 @@
                 each
                 for batch in promises.batches(self.fleet)
                 for each in batch["changes"]
-                if each["change_id"] == "operator-twice"
+                if each.get("change_id") == "operator-twice"
             ]
 
         wait_until(lambda: len(copies()) >= 2, "two appends answered too late")
--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -2,36 +2,97 @@
 
 import unittest
 
+from sardinedrift import changes as ch
 from sardinedrift.transfers import Transfers
-from tests.decision_fakes import FakeClock, FakeFollower, FakeLog
-from tests.test_limits import World
+from tests.decision_fakes import (
+    FakeClock,
+    FakeFollower,
+    FakeLog,
+    join,
+    put_team,
+)
+from tests.limit_world import World
 
 # The work has ended by then, and its use is forgotten.
 IDLE_SECONDS = 60
+UNITS = {"red": 4}
+
+
+def _numbered(sequence):
+    return {"publisher_id": "e0", "sequence": sequence}
 
 
 class TransferTest(unittest.TestCase):
+    def setUp(self):
+        self.log = FakeLog(FakeClock())
+        self.log.append(put_team(), join("e0"))
+        self.log.append(ch.AllowanceTake(**_numbered(1), units_by_team=UNITS))
+        self.follower = FakeFollower(self.log)
+        self.follower.fold()
+        self.transfers = Transfers("e0", self.follower)
+        # The number of the take above.
+        self.transfers.take("e0", UNITS)
+
+    def _batch(self):
+        return list(self.transfers.unsettled())
+
     def test_units_given_in_an_outage_are_not_lost(self):
         """Guards against units that stay locked after a long outage."""
-        follower = FakeFollower(FakeLog(FakeClock()))
-        transfers = Transfers("e0", follower)
-        transfers.give("e1", {"t": 2})
-        (give,) = transfers.unsettled(now=100.0)
-        self.assertEqual(list(transfers.unsettled(now=9e9)), [give])
-        # Once it may be in the log, its result may be forgotten there.
-        transfers.note_unknown([give], now=100.0)
-        self.assertEqual(list(transfers.unsettled(now=200.0)), [give])
-        self.assertEqual(list(transfers.unsettled(now=9e9)), [])
-        self.assertEqual(transfers.locked("t"), 2)
+        self.transfers.give("e1", {"red": 2})
+        self.transfers.note_unknown(self._batch())
+        # The same number, so that a first append that is folded still counts.
+        (give,) = self._batch()
+        self.assertEqual(give.sequence, 2)
+        self.assertEqual(self.transfers.locked("red"), 2)
+        self.log.append(give)
+        self.assertEqual(self._batch(), [give])
+        self.follower.fold()
+        self.assertEqual(self._batch(), [])
+        self.assertEqual(self.transfers.locked("red"), 0)
 
     def test_only_changes_never_appended_are_cancelled(self):
         """Guards against units used twice after an unknown append."""
-        transfers = Transfers("e0", FakeFollower(FakeLog(FakeClock())))
-        transfers.give("e1", {"t": 2})
-        transfers.note_unknown(transfers.unsettled(now=0.0), now=0.0)
-        transfers.give("e1", {"t": 1})
-        transfers.cancel(list(transfers.unsettled(now=0.0)))
-        self.assertEqual(transfers.locked("t"), 2)
+        self.transfers.give("e1", {"red": 2})
+        self.transfers.note_unknown(self._batch())
+        self.transfers.give("e1", {"red": 1})
+        self.transfers.cancel(self._batch())
+        self.assertEqual(self.transfers.locked("red"), 2)
+
+    def test_number_of_a_cancelled_change_is_not_used_again(self):
+        """Guards against a change taken for one that was cancelled."""
+        self.transfers.give("e1", {"red": 2})
+        self.transfers.cancel(self._batch())
+        self.transfers.give_back({"red": 1})
+        (back,) = self._batch()
+        self.assertEqual(back.sequence, 3)
+
+    def test_later_change_does_not_settle_a_cancelled_one_again(self):
+        """Guards against a lock that is taken off twice."""
+        self.transfers.give("e1", {"red": 2})
+        self.transfers.cancel(self._batch())
+        self.transfers.give_back({"red": 1})
+        self.log.append(*self._batch())
+        self.follower.fold()
+        self.assertEqual(self._batch(), [])
+        self.assertEqual(self.transfers.locked("red"), 0)
+
+    def test_every_batch_holds_all_unsettled_changes_in_order(self):
+        """Guards against a number that settles a change in no record."""
+        for units in (1, 1, 1):
+            self.transfers.give("e1", {"red": units})
+            self.transfers.note_unknown(self._batch())
+        numbers = [each.sequence for each in self._batch()]
+        self.assertEqual(numbers, [2, 3, 4])
+        self.assertGreater(self.transfers.take("e0", {}).sequence, 4)
+
+    def test_snapshot_settles_what_it_holds(self):
+        """Guards against units that stay locked when records are skipped."""
+        self.transfers.give("e1", {"red": 2})
+        self.log.append(*self._batch())
+        self.transfers.give("e1", {"red": 1})
+        self.follower.load_snapshot()
+        self.assertEqual([each.sequence for each in self._batch()], [3])
+        self.assertEqual(self.transfers.locked("red"), 1)
 
 
 class OutageTest(unittest.TestCase):
@@ -74,3 +135,17 @@
         self.world.step("e0", "down")
         self.world.pass_time(IDLE_SECONDS)
         self.assertEqual(self.world.give("e0", "e1", 1), {"red": 1})
+
+    def test_give_of_unknown_outcome_counts_once_after_an_outage(self):
+        """Guards against units lost or doubled by an outage of hours."""
+        self._idle()
+        for mode in ("late", "lost"):
+            self.world.give("e0", "e1", 1)
+            self.world.step("e0", mode)
+            self.world.pass_time(7200.0)
+        self.world.step("e0")
+        self.holder.publisher.deliver()
+        self.holder.follower.fold()
+        self.assertEqual(self.world.held(), {"e0": 2, "e1": 2})
+        self.assertEqual(self.holder.limits._transfers.locked("red"), 0)
+        self.assertTrue(all(self.world.start("e0") for _ in range(2)))
