Pace batches of allowances by the number of members

Cause: at 69 members a record a second each is 69 records and 29.5 KB/s, which every entry reads; the budget for all control traffic of a node is 28 KB/s. Change: above 23 members the pause after a batch grows with their number, so that the fleet writes about 23 records a second. Checked in the code: work without a unit waits 20 ms, then asks every linked entry that tells of spare units, again each half second until its deadline. A team of which no linked entry has spare units waits for the next batch, up to 3 s at 69 members; a request with an earlier deadline is then refused. Ruled out: a batch per data centre, which needs an entry that writes for others.

--- a/sardinedrift/limits.py
+++ b/sardinedrift/limits.py
@@ -32,13 +32,25 @@
 from sardinedrift.unitview import UnitView
 
 BATCH_SECONDS = 1.0
+# Every entry reads every record. At one record a second each, 69 members come
+# to 29.5 KB/s, above the 28 KB/s that all control traffic of a node may take.
+FLEET_BATCHES_PER_SECOND = 23
 _PAUSE_SECONDS = 0.05
 _PUBLISH_SECONDS = 3.0
 # Units are locked while their transfer is published, so a log that takes no
-# appends keeps them from use for a third of the time at most.
+# appends keeps them from use for half of the time at most.
 _FAILED_PUBLISH_SECONDS = 2 * _PUBLISH_SECONDS
 
 
+def batch_seconds(members: int) -> float:
+    """Returns the pause after a batch of one member.
+
+    A longer pause refuses no request that an entry with idle units can take:
+    work without a unit is relayed to it meanwhile.
+    """
+    return max(BATCH_SECONDS, members / FLEET_BATCHES_PER_SECOND)
+
+
 class Limits:
     """Allowances of one entry.
 
@@ -173,7 +185,7 @@
             tasks.create_task(self._watch())
             while True:
                 published = await self.step()
-                pause = BATCH_SECONDS if published else _PAUSE_SECONDS
+                pause = self._pause() if published else _PAUSE_SECONDS
                 await asyncio.sleep(pause)
                 await self._next_step()
 
@@ -203,6 +215,9 @@
             use.admitted = 0
             self._admit(team_id)
 
+    def _pause(self) -> float:
+        return batch_seconds(self._view.member_count())
+
     async def _next_step(self) -> None:
         """Waits for a reason to act, at most a few seconds."""
         with contextlib.suppress(TimeoutError):
--- a/sardinedrift/unitview.py
+++ b/sardinedrift/unitview.py
@@ -52,6 +52,11 @@
             if self._entry_id in allowances.units_by_entry:
                 yield team_id
 
+    def member_count(self) -> int:
+        """Returns how many entries are ACTIVE members."""
+        entries = self._follower.state.tables.entry_by_id.values()
+        return sum(each.state is EntryState.ACTIVE for each in entries)
+
     def is_member(self, entry_id: EntryId) -> bool:
         """Returns whether an entry is an ACTIVE member."""
         entry = self._follower.state.tables.entry_by_id.get(entry_id)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,10 +1,12 @@
 """Limits: what runs never passes the units that the log has given out."""
 
 import asyncio
+import contextlib
 import unittest
+from unittest import mock
 
 from sardinedrift import changes as ch
-from sardinedrift.limits import Limits
+from sardinedrift.limits import Limits, batch_seconds
 from sardinedrift.messages import Exchange
 from sardinedrift.transfers import Transfers
 from tests.decision_fakes import (
@@ -14,6 +16,7 @@
     FakePeers,
     FakePublisher,
     cid,
+    gone,
     identity,
     join,
     put_team,
@@ -281,6 +284,53 @@
         limits.stop()
         self.assertFalse(await waiting)
 
+    async def test_members_of_a_large_fleet_pause_longer(self):
+        """Guards against more records than every entry can read."""
+        target = 23
+        for members in (1, 4, 23, 24, 69, 200):
+            pause = batch_seconds(members)
+            self.assertLessEqual(members / pause, target)
+            self.assertGreaterEqual(pause, 1.0)
+        self.assertEqual(batch_seconds(target), 1.0)
+        pauses = await self._pauses_after_batch(members=46, ended=0)
+        self.assertEqual(pauses, [2.0])
+        pauses = await self._pauses_after_batch(members=46, ended=23)
+        self.assertEqual(pauses, [1.0])
+
+    async def _pauses_after_batch(self, members, ended):
+        """Returns the pauses of one member after its first batch."""
+        clock = FakeClock()
+        log = FakeLog(clock)
+        log.append(put_team(limit=3))
+        for number in range(members):
+            joining = ch.EntryJoin(
+                change_id=cid(),
+                entry_id=f"e{number}",
+                data_centre_id=f"dc{number}",
+                address=f"127.0.0.1:{number}",
+            )
+            log.append(joining)
+        for number in range(1, ended + 1):
+            log.append(gone(f"e{number}"))
+        follower = FakeFollower(log)
+        follower.fold()
+        publisher = FakePublisher(follower)
+        limits = Limits(identity("e0"), follower, publisher, FakePeers(), clock)
+        limits.try_acquire("red")
+        pauses = []
+
+        async def sleep(seconds):
+            pauses.append(seconds)
+            raise asyncio.CancelledError
+
+        with (
+            mock.patch("sardinedrift.limits.asyncio.sleep", sleep),
+            contextlib.suppress(asyncio.CancelledError),
+        ):
+            await limits.run()
+        self.assertEqual(follower.state.tables.sequence_by_publisher, {"e0": 1})
+        return pauses
+
     async def test_run_takes_units_for_waiting_work(self):
         """Guards against waiting work that no task serves."""
         clock = FakeClock()
