Measure what is kept of changes of allowances

Cause: the measurement of kept results used allowance changes, which leave none any more. Change: it uses acknowledgements; allowance changes have a measurement of their own.

--- a/standins/capacityrecords.py
+++ b/standins/capacityrecords.py
@@ -32,7 +32,7 @@
             lambda number, units=units: change(
                 ch.AllowanceTake,
                 6_000_000 + number,
-                entry_id=entry_id,
+                publisher_id=entry_id,
                 units_by_team=units,
             ),
         )
--- a/standins/capacityruns.py
+++ b/standins/capacityruns.py
@@ -12,7 +12,8 @@
 
 from sardinedrift import changes as ch
 from sardinedrift import endpoints, fold, messages, snapshots
-from sardinedrift.identifiers import Identity, InstanceKind, WorkClass
+from sardinedrift.allowancechanges import AllowanceChange
+from sardinedrift.identifiers import EntryId, Identity, InstanceKind, WorkClass
 from sardinedrift.peerlinks import LinkTable, Timing
 from sardinedrift.runtime import SystemClock
 from sardinedrift.shares import ShareLedger
@@ -59,7 +60,12 @@
 
 
 def change(kind: type, number: int = 0, /, **fields) -> ch.AnyChange:
-    """Returns a change with an id like that of an operator's."""
+    """Returns a change with an id like that of an operator's.
+
+    One of allowances gets the number in place of the id.
+    """
+    if issubclass(kind, AllowanceChange):
+        return kind(sequence=number, **fields)
     if issubclass(kind, ch.OperatorChange):
         fields.setdefault("expected_revision", 0)
     return kind(change_id=f"{number:032x}", **fields)
@@ -189,7 +195,7 @@
         change(
             ch.AllowanceTake,
             4_000_000 + number,
-            entry_id=entry_id,
+            publisher_id=entry_id,
             units_by_team=units,
         )
     )
@@ -227,6 +233,32 @@
 
 def measure_results(size: int) -> dict[str, float]:
     """Measures the outcomes of changes kept for an hour."""
+
+    def make(number: int, entry_id: EntryId) -> ch.AnyChange:
+        return change(
+            ch.EntryJoinAck, number, entry_id=entry_id, joiner_id="absent"
+        )
+
+    return _folded(size, make)
+
+
+def measure_allowances(size: int) -> dict[str, float]:
+    """Measures what is kept of changes of allowances: one number."""
+
+    def make(number: int, entry_id: EntryId) -> ch.AnyChange:
+        return change(
+            ch.AllowanceTake,
+            number,
+            publisher_id=entry_id,
+            units_by_team={"team-0000": 0},
+        )
+
+    return _folded(size, make)
+
+
+def _folded(
+    size: int, make: Callable[[int, EntryId], ch.AnyChange]
+) -> dict[str, float]:
     folding = Folding()
     put_base(folding)
     put_entries(folding, 1)
@@ -236,14 +268,7 @@
     entry_id = next(iter(folding.state.tables.entry_by_id))
     started = time.process_time()
     for number in range(size):
-        folding.put(
-            change(
-                ch.AllowanceTake,
-                5_000_000 + number,
-                entry_id=entry_id,
-                units_by_team={"team-0000": 0},
-            )
-        )
+        folding.put(make(5_000_000 + number, entry_id))
     spent = time.process_time() - started
     gc.collect()
     grown = resident_mb(os.getpid()) - before
@@ -362,6 +387,7 @@
     "teams": Run(measure_teams, (150, 300, 600)),
     "entries": Run(measure_entries, (23, 46, 69)),
     "results": Run(measure_results, (5_000, 10_000, 20_000)),
+    "allowances": Run(measure_allowances, (5_000, 10_000, 20_000)),
     "exchange": Run(measure_exchange, (50, 200, 600)),
     "held": Run(measure_held, (8, 64, 256)),
     "links": Run(measure_links, (23, 46, 69)),
