--- a/sardinedrift/limits.py
+++ b/sardinedrift/limits.py
@@ -45,8 +45,8 @@
 def batch_seconds(members: int) -> float:
     """Returns the pause after a batch of one member.
 
-    A longer pause refuses no request that an entry with idle units can take:
-    work without a unit is relayed to it meanwhile.
+    Meanwhile work without a unit is relayed to entries with spare units, so
+    a longer pause delays only teams of which no reachable entry has any.
     """
     return max(BATCH_SECONDS, members / FLEET_BATCHES_PER_SECOND)
 
