Fence attempts that the caller does not number

Of two attempts of an id without numbers, or with number 1, the first could claim, be refused as not_run and release the claim, and the second, held up elsewhere, claim later and run. The not_run was then false for the id.

An owner now grants the attempts of an id in rising order, and an attempt without a number counts as 1. The others are refused as superseded, with the outcome unknown. An entry that is no member claims the id before it tries members in turn, as each of them would otherwise claim it with the same number and the second be superseded by the first.

The check of histories compares attempt numbers and no longer the times of sending, as it took the second of an equal pair for a repeat after the refusal.

Ruled out: unknown for all unnumbered attempts, which could then never conclude anything; a fence for numbered attempts only.

--- a/sardinedrift/claiming.py
+++ b/sardinedrift/claiming.py
@@ -193,8 +193,8 @@
     ),
     "superseded": (
         409,
-        "a later attempt with this id was refused as not run; this one "
-        "must not run any more",
+        "an attempt with this number or a higher one has ended as not run, "
+        "so this one must not run any more; use a higher number",
     ),
     "claims_full": (503, "too many ids are in use; send again later"),
 }
--- a/sardinedrift/claims.py
+++ b/sardinedrift/claims.py
@@ -78,9 +78,10 @@
     ) -> ClaimReply:
         """Grants an id to a holder, or tells why not.
 
-        Once a caller was told that attempt n, from 2 on, did not run, only
-        later ones may: one that was sent before and held up, in a frozen
-        entry for example, would make that refusal false.
+        The attempts of an id are granted in rising order, and an attempt
+        without a number counts as 1. Once a caller was told that attempt n
+        did not run, one with the same or a lower number that was held up, in
+        a frozen entry for example, would make that refusal false.
 
         The code is "claimed", "duplicate_request", "already_answered",
         "superseded", "not_owner", "owner_is_new", "expired", "malformed" or
@@ -100,7 +101,7 @@
         claim = self._claim_by_id.get(request_id)
         if claim and claim.phase is not _Phase.RELEASED:
             return ClaimReply(code=_repeated(claim))
-        if claim and claim.attempt >= max(attempt, 2):
+        if claim and self._superseded(claim, attempt):
             return ClaimReply(code="superseded")
         refusal = self._refusal(request_id)
         if refusal:
@@ -129,6 +130,9 @@
         """Grants nothing more; call it before `EntryLeave` is written."""
         self._stopped = True
 
+    def _superseded(self, claim: _Claim, attempt: int) -> bool:
+        return max(attempt, 1) <= max(claim.attempt, 1)
+
     def _refusal(self, request_id: RequestId) -> str | None:
         state = self._follower.state
         here = self._identity.data_centre_id
--- a/sardinedrift/dispatch.py
+++ b/sardinedrift/dispatch.py
@@ -143,9 +143,9 @@
         await self._asker.flush()
 
     async def _handle(self, admitted: Admitted, flight: Flight) -> Answer:
+        # An entry that is no member claims too: the members that it tries one
+        # after the other then run under the same claim.
         with flight.truthful(admitted):
-            if not self._is_member():
-                return await self._relay_to_member(admitted, flight)
             async with self._claimed(admitted, flight):
                 return await self._place(admitted, flight)
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -65,7 +65,10 @@
         request_id: str | None = None,
         attempt: int = 1,
     ) -> Attempt:
-        """Sends one request and records how it ended."""
+        """Sends one request and records how it ended.
+
+        Attempts of the same id need rising numbers; 0 sends none.
+        """
         request_id = request_id or new_request_id(home)
         tag = uuid.UUID(int=self._random.getrandbits(128)).hex
         sent = time.time()
@@ -74,9 +77,10 @@
             "Sardinedrift-Key": self.key,
             "Sardinedrift-Team": self.team,
             "Sardinedrift-Deadline": f"{sent + wait_seconds:.3f}",
-            "Sardinedrift-Attempt": str(attempt),
             "Request-Id": request_id,
         }
+        if attempt:
+            headers["Sardinedrift-Attempt"] = str(attempt)
         post = functools.partial(
             self._post,
             queue=queue,
@@ -101,6 +105,7 @@
             outcome,
             code,
             whole,
+            attempt,
         )
         self.history.append(result)
         return result
