Begin the wait for a change of the scheduler before the check

A task takes its first step one round of the event loop after it is made, so a change between the check of the scheduler and that step woke the waiters before this one and was missed. The request then waited on an old, perhaps frozen, scheduler until the next change or its deadline.

The wait is now started first, and the scheduler is checked once it waits. The test changes the scheduler in that gap; before, the request ended without a slot. Holding a granted slot moves out of the long method that asks for it.

--- a/sardinedrift/slots.py
+++ b/sardinedrift/slots.py
@@ -4,14 +4,19 @@
 import collections
 import contextlib
 import uuid
-from collections.abc import AsyncIterator, Coroutine, Mapping, Sequence
+from collections.abc import (
+    AsyncIterator,
+    Coroutine,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 
 import msgspec
 
 from sardinedrift.exceptions import (
-    DialFailed,
     FailedAnswer,
-    OutcomeUnknown,
+    MinionError,
     PeerError,
     RefusedBeforeStart,
 )
@@ -112,29 +117,28 @@
         if reply.grant is None:
             yield reply
             return
-        self._grant_by_id[reply.grant.grant_id] = reply.grant
-        failed = busy = failed_answer = False
-        try:
+        with self._held(reply.grant):
             yield reply
-        except RefusedBeforeStart as error:
-            failed = error.draining
-            busy = not error.draining
-            raise
-        except (DialFailed, OutcomeUnknown):
-            failed = True
-            raise
-        except FailedAnswer:
-            failed_answer = True
-            raise
-        finally:
-            del self._grant_by_id[reply.grant.grant_id]
-            self._release(reply.grant, failed, busy, failed_answer)
 
     async def flush(self) -> None:
         """Waits until every release is delivered or given up."""
         while self._tasks:
             await asyncio.wait(set(self._tasks))
 
+    @contextlib.contextmanager
+    def _held(self, grant: HeldGrant) -> Iterator[None]:
+        """Lists a grant as held, and releases it once with the verdict."""
+        self._grant_by_id[grant.grant_id] = grant
+        verdict: dict[str, bool] = {}
+        try:
+            yield
+        except MinionError as error:
+            verdict = _verdict(error)
+            raise
+        finally:
+            del self._grant_by_id[grant.grant_id]
+            self._release(grant, **verdict)
+
     async def _reply(self, ask: SlotAsk) -> SlotReply:
         """Asks until a scheduler grants or refuses."""
         asked: EntryId | None = None
@@ -171,11 +175,7 @@
             # Most replies come at once, before a change is worth a task.
             await asyncio.wait({task}, timeout=FIRST_WAIT_SECONDS)
             while not task.done():
-                # Also a change during the first wait must be noticed.
-                if self._peers.scheduler(ask.pool_id) != scheduler:
-                    break
-                await self._change_or(task, ask.deadline)
-                if self._clock.now() > ask.deadline + REPLY_GRACE_SECONDS:
+                if not await self._done_or_changed(task, scheduler, ask):
                     break
         except asyncio.CancelledError:
             self._abandon(task)
@@ -187,15 +187,24 @@
             return None
         return task.result()
 
-    async def _change_or(self, task: asyncio.Task, deadline: float) -> None:
-        changed = asyncio.ensure_future(self._peers.changed())
-        left = deadline + REPLY_GRACE_SECONDS - self._clock.now()
+    async def _done_or_changed(
+        self, task: asyncio.Task, scheduler: EntryId, ask: SlotAsk
+    ) -> bool:
+        """Waits for the reply or a change; False when asking is over."""
+        changed = asyncio.create_task(self._peers.changed())
         try:
+            # The wait begins before the check, so that no change is missed,
+            # neither one since the ask nor one right after the check.
+            await asyncio.sleep(0)
+            if self._peers.scheduler(ask.pool_id) != scheduler:
+                return False
+            left = ask.deadline + REPLY_GRACE_SECONDS - self._clock.now()
             await asyncio.wait(
                 {task, changed},
                 timeout=max(left, 0.0) + ASK_AGAIN_SECONDS,
                 return_when=asyncio.FIRST_COMPLETED,
             )
+            return self._clock.now() <= ask.deadline + REPLY_GRACE_SECONDS
         finally:
             changed.cancel()
 
@@ -237,22 +246,14 @@
             )
         )
 
-    def _release(
-        self,
-        grant: HeldGrant,
-        failed: bool = False,
-        busy: bool = False,
-        failed_answer: bool = False,
-    ) -> None:
+    def _release(self, grant: HeldGrant, **verdict: bool) -> None:
         self._send(
             SlotRelease(
                 entry_id=self._identity.entry_id,
                 grant_id=grant.grant_id,
                 pool_id=grant.pool_id,
                 instance_id=grant.instance_id,
-                failed=failed,
-                busy=busy,
-                failed_answer=failed_answer,
+                **verdict,
             )
         )
 
@@ -299,5 +300,14 @@
         return task
 
 
+def _verdict(error: MinionError) -> dict[str, bool]:
+    """Returns what a release says of the minion after an error."""
+    if isinstance(error, RefusedBeforeStart) and not error.draining:
+        return {"busy": True}
+    if isinstance(error, FailedAnswer):
+        return {"failed_answer": True}
+    return {"failed": True}
+
+
 def _new_ask_id() -> GrantId:
     return GrantId(uuid.uuid4().hex)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -133,6 +133,22 @@
         )
         self.assertNotEqual(self.scheduler.asks[0].ask_id, self.asks()[0][1])
 
+    async def test_scheduler_changes_before_the_wait_for_it_begins(self):
+        """A change missed there would hold the request up to its deadline."""
+        self.peers.scheduler_id = "e2"
+        self.peers.handlers["/peer/slots"] = lambda *_: asyncio.sleep(60)
+        find = self.peers.scheduler
+
+        def change_after_the_answer(pool_id):
+            if self.asks() and self.peers.scheduler_id == "e2":
+                change = self.peers.change_scheduler
+                asyncio.get_running_loop().call_soon(change, "e1")
+            return find(pool_id)
+
+        self.peers.scheduler = change_after_the_answer
+        async with self.acquire(1.0) as reply:
+            self.assertIsNotNone(reply.grant)
+
     async def test_release_is_repeated_and_not_waited_for(self):
         self.peers.scheduler_id = "e2"
         self.peers.handlers["/peer/slots"] = lambda _, ask: reply_for(
