Prove waves over two data centres under failure

Cause: only the fold was searched for waves over several data centres, and no test with processes read from outside whether the budgets held.

Change: the instance list stand-in keeps a record of its reboots, the worker stand-in one of its tasks. A wave over six minions in two data centres runs while the list is out for 2 s, the data centres are cut off from each other for 3.5 s, both entries of one drive the wave alone at once, and the entry that drives it in the other is killed. Budgets of the pool and of each rack and the number of reboots are checked in the record of the list, cut-off work in the journals of the minions.

Ruled out: reading the budgets from the log, which is the entries' own view.

--- a/standins/instancelist.py
+++ b/standins/instancelist.py
@@ -11,6 +11,8 @@
 from standins import serving
 
 MAX_WAIT_SECONDS = 60.0
+# For the run itself; faults do not apply to them.
+_OWN_PATHS = ("/control", "/downtimes")
 CONTROL_TIMEOUT = aiohttp.ClientTimeout(total=2)
 
 
@@ -62,6 +64,14 @@
     token: str
 
 
+class Downtime(msgspec.Struct):
+    """One reboot; times are unix seconds, `ended` is 0 while it lasts."""
+
+    instance_id: str
+    started: float
+    ended: float = 0.0
+
+
 class Instances:
     """The instances, and what of them is listed after the lag.
 
@@ -78,6 +88,7 @@
         self.blocked_sources: frozenset[str] = frozenset()
         self.instance_by_id: dict[str, Instance] = {}
         self.rebooting: set[str] = set()
+        self.downtimes: list[Downtime] = []
         self._ordered: set[Reboot] = set()
         self._done: set[Reboot] = set()
         self._listed_by_id: dict[str, Instance] = {}
@@ -109,6 +120,7 @@
         if instance_id in self.rebooting:
             return False
         self.rebooting.add(instance_id)
+        self.downtimes.append(Downtime(instance_id, time.time()))
         self._list_later(instance_id, None)
         loop = asyncio.get_running_loop()
         loop.call_later(self.reboot_seconds, self._end_reboot, instance_id)
@@ -148,6 +160,9 @@
         if instance_id in self.never_return:
             return
         self.rebooting.discard(instance_id)
+        for downtime in self.downtimes:
+            if downtime.instance_id == instance_id and not downtime.ended:
+                downtime.ended = time.time()
         self._done |= {
             each for each in self._ordered if each.instance_id == instance_id
         }
@@ -182,6 +197,7 @@
     app[INSTANCES] = Instances(**options)
     app.router.add_get("/instances", _instances)
     app.router.add_post("/reboot", _reboot)
+    app.router.add_get("/downtimes", _downtimes)
     app.router.add_post("/control", _control)
     return app
 
@@ -195,7 +211,7 @@
 
 @web.middleware
 async def _apply_faults(request, handler):
-    if request.path != "/control" and _unavailable(request):
+    if request.path not in _OWN_PATHS and _unavailable(request):
         return serving.error(503, "unavailable")
     response = await handler(request)
     # An outage may have begun during a long poll.
@@ -231,6 +247,10 @@
     return serving.json_response(answer)
 
 
+async def _downtimes(request: web.Request) -> web.Response:
+    return serving.json_response(request.app[INSTANCES].downtimes)
+
+
 async def _reboot_stand_in(address: str, seconds: float) -> None:
     message = {"reboot": True, "reboot_seconds": seconds}
     try:
--- a/standins/promises.py
+++ b/standins/promises.py
@@ -12,7 +12,7 @@
 
 from standins.caller import Caller
 from standins.demo import SECRET, instances, main_configuration
-from standins.fleet import Fleet, call, wait_until
+from standins.fleet import Entry, Fleet, call, wait_until
 from standins.history import Attempt, Execution
 
 POOL = "pairing"
@@ -22,6 +22,31 @@
 def start_fleet(fleet: Fleet, teams: dict, data_centres=DATA_CENTRES, **more):
     """Starts two entries and a minion in each data centre, and publishes."""
     fleet.start_platform()
+    with starting_entries(fleet, data_centres, 2, **more) as entries:
+        for name in data_centres:
+            fleet.start_minion(f"{name}-m", POOL, name, "r0")
+    shape = {"data_centres": data_centres, "pools": [POOL], "teams": teams}
+    fleet.publish(*main_configuration(shape), atomic=True)
+    fleet.publish(*instances(fleet), atomic=True)
+    return entries
+
+
+@contextlib.contextmanager
+def starting_entries(
+    fleet: Fleet, data_centres: Iterable[str], count: int, **more
+) -> Iterator[list[Entry]]:
+    """Starts entries during the block; they are members at its end.
+
+    Args:
+        fleet: gets the processes; its platform runs.
+        data_centres: where entries start.
+        count: entries of each data centre.
+        **more: as for `Fleet.start_entry`.
+
+    Yields:
+        A list that holds the entries, by data centre, after the block.
+    """
+    entries: list[Entry] = []
     # Started together, entries find each other through the log.
     with concurrent.futures.ThreadPoolExecutor() as pool:
         started = [
@@ -29,16 +54,11 @@
                 fleet.start_entry, f"{name}-e{number}", name, [], **more
             )
             for name in data_centres
-            for number in range(2)
+            for number in range(count)
         ]
-        for name in data_centres:
-            fleet.start_minion(f"{name}-m", POOL, name, "r0")
-        entries = [each.result() for each in started]
+        yield entries
+        entries += [each.result() for each in started]
     fleet.wait_ready(*entries)
-    shape = {"data_centres": data_centres, "pools": [POOL], "teams": teams}
-    fleet.publish(*main_configuration(shape), atomic=True)
-    fleet.publish(*instances(fleet), atomic=True)
-    return entries
 
 
 def row(entry, path: str) -> dict:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -232,6 +232,7 @@
     app.router.add_post("/tasks/{id}/checkpoint", _checkpoint)
     app.router.add_post("/tasks/{id}/throttle", _throttle)
     app.router.add_post("/tasks/{id}/stop", _stop)
+    app.router.add_get("/tasks", _tasks)
     app.router.add_get("/usage", _usage)
     app.router.add_get("/health", _health)
     return app
@@ -280,6 +281,15 @@
     return _shown(task)
 
 
+async def _tasks(request: web.Request) -> web.Response:
+    """Answers every task that was ever started here."""
+    worker = request.app[WORKER]
+    now = time.time()
+    for task in worker.task_by_id.values():
+        task.advance(now)
+    return serving.json_response(list(worker.task_by_id.values()))
+
+
 async def _usage(request: web.Request) -> web.Response:
     return serving.json_response(request.app[WORKER].usage(time.time()))
 
--- /dev/null
+++ b/tests/test_promise_waves.py
@@ -0,0 +1,224 @@
+"""Waves over two data centres under failure, with real processes."""
+
+import asyncio
+import contextlib
+import math
+import time
+import unittest
+from collections.abc import Iterator
+
+from sardinedrift.routing import rendezvous
+from standins import demo, downtimes, promises, wavebench
+from standins.caller import Caller
+from standins.fleet import running_fleet, wait_until
+from standins.history import read_executions, violations
+
+DATA_CENTRES = ("dc1", "dc2")
+TEAM = "red"
+LIMIT = 60
+POOL = wavebench.POOL
+SHAPE = {"data_centres": DATA_CENTRES, "pools": [], "teams": {TEAM: (1, LIMIT)}}
+MOST_DOWN = 2
+MOST_DOWN_IN_RACK = 1
+RUN_SECONDS = 0.6
+CALLERS_PER_ENTRY = 4
+# Longer than an entry of another data centre is silent before it is dead.
+CUT_SECONDS = 3.5
+# The mechanisms off: budgets that are never used up, and drains that do not
+# wait for the work in progress.
+UNGUARDED = (
+    "-c",
+    "import collections\n"
+    "from sardinedrift import budgets, cli, slots\n"
+    "unused = budgets.Usage(-1000, 0, collections.Counter())\n"
+    "budgets.usage = lambda state, pool_id, without=None: unused\n"
+    "slots.Slots.holds = lambda self, instance_id: False\n"
+    "cli.main()",
+)
+
+
+def _configuration(fleet) -> Iterator[dict]:
+    yield from demo.main_configuration(SHAPE)
+    yield wavebench.pool_change(POOL, MOST_DOWN, MOST_DOWN_IN_RACK)
+    for change in demo.main_configuration({**SHAPE, "pools": [POOL]}):
+        if change["type"] == "PutQueue":
+            yield change
+    yield from demo.instances(fleet)
+
+
+class Load:
+    """Long requests at every entry, each in its own data centre."""
+
+    def __init__(self, entries):
+        self.history = []
+        self.entry_by_request = {}
+        self._entries = entries
+        self._stop = asyncio.Event()
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        """Sends during the block; afterwards every request has ended."""
+        async with asyncio.TaskGroup() as group:
+            for number in range(CALLERS_PER_ENTRY):
+                for entry in self._entries:
+                    group.create_task(self._send(entry, number))
+            try:
+                yield self
+            finally:
+                self._stop.set()
+
+    async def _send(self, entry, number):
+        key = f"{TEAM}.{demo.SECRET}"
+        # Spread, so that some requests are in progress at any time.
+        await asyncio.sleep(number * RUN_SECONDS / CALLERS_PER_ENTRY)
+        async with Caller(TEAM, key, [], number, self.history) as caller:
+            while not self._stop.is_set():
+                result = await caller.send(
+                    f"{POOL}-quick",
+                    entry.data_centre,
+                    run_seconds=RUN_SECONDS,
+                    address=entry.callers,
+                )
+                self.entry_by_request[result.request_id] = entry.name
+                if result.outcome != "answered":
+                    await asyncio.sleep(0.1)
+
+
+class WavePromiseTest(unittest.TestCase):
+    def start(self, data_centres, count, **more):
+        """Starts entries and three minions in each data centre."""
+        self.fleet = fleet = self.enterContext(running_fleet())
+        fleet.start_platform()
+        self.rack_by_minion = {}
+        with promises.starting_entries(
+            fleet, data_centres, count, **more
+        ) as entries:
+            for name in data_centres:
+                for number in range(3):
+                    self.start_minion(name, number)
+        self.entries = entries
+        fleet.publish(*_configuration(fleet), atomic=True)
+        # Ids made within the clock error of a membership change are refused.
+        time.sleep(1.2)
+
+    def start_minion(self, data_centre, number):
+        name, rack = f"{data_centre}-m{number}", f"r{number // 2}"
+        self.rack_by_minion[name] = f"{data_centre}-{rack}"
+        self.fleet.start_minion(name, POOL, data_centre, rack)
+
+    def driver(self, data_centre):
+        """Returns the entry that drives the wave in a data centre."""
+        entry_by_id = {
+            self.fleet.status(each)["entry_id"]: each
+            for each in self.entries
+            if each.data_centre == data_centre
+        }
+        return entry_by_id[rendezvous(f"wave/w/{data_centre}", entry_by_id)]
+
+    def wait_reboots(self, count):
+        wait_until(
+            lambda: len(downtimes.read_downtimes(self.fleet)) >= count,
+            f"{count} reboots",
+        )
+
+    async def run_wave(self, fail, canary=1):
+        """Runs a wave under load, with failures that a function causes."""
+        load = Load(self.entries)
+        async with load.running():
+            await asyncio.to_thread(
+                wait_until,
+                lambda: len(load.history) >= 2 * len(self.entries),
+                "answers",
+            )
+            await asyncio.to_thread(
+                wavebench.start_wave, self.fleet, "w", canary=canary
+            )
+            await asyncio.to_thread(fail)
+            wave = await asyncio.to_thread(wavebench.wait_wave, self.fleet, "w")
+        return load, wave
+
+    def fail(self):
+        """Fails the instance list, links and a driver in one wave."""
+        fleet = self.fleet
+        # The first reboot is the canary's; the next ones are under way.
+        self.wait_reboots(2)
+        fleet.control(fleet.instance_list, outage=True)
+        cut_at = time.monotonic()
+        for entry in self.entries:
+            # Both entries of dc2 drive the wave while they are alone.
+            blocked = ("dc2",) if entry.data_centre == "dc1" else DATA_CENTRES
+            fleet.cut(entry, *blocked)
+        time.sleep(0.5)
+        self.victim = self.driver("dc1").name
+        fleet.kill(self.victim)
+        time.sleep(1.5)
+        fleet.control(fleet.instance_list, outage=False)
+        time.sleep(cut_at + CUT_SECONDS - time.monotonic())
+        for entry in fleet.entry_by_name.values():
+            fleet.cut(entry)
+
+    def broken(self):
+        """Returns what the records of the platform show as broken."""
+        reboots = downtimes.read_downtimes(self.fleet)
+        pool_by_minion = dict.fromkeys(self.rack_by_minion, POOL)
+        return [
+            *downtimes.over_budget(reboots, pool_by_minion, MOST_DOWN),
+            *downtimes.over_budget(
+                reboots, self.rack_by_minion, MOST_DOWN_IN_RACK
+            ),
+            *downtimes.repeated(reboots),
+        ]
+
+    def test_wave_over_two_data_centres_under_failure(self):
+        """Guards P1 and P9: budgets, each once, no request cut off."""
+        self.start(DATA_CENTRES, 2)
+        load, wave = asyncio.run(self.run_wave(self.fail))
+        self.assertEqual(wave["state"], "done", wave)
+        self.assertEqual(set(wave["step_by_instance"].values()), {"back"})
+        reboots = downtimes.read_downtimes(self.fleet)
+        self.assertEqual(
+            sorted(each.instance_id for each in reboots),
+            sorted(self.rack_by_minion),
+        )
+        self.assertEqual(self.broken(), [])
+        self.assertEqual(downtimes.cut_executions(self.fleet), [])
+        lost = [
+            each
+            for each in load.history
+            if each.outcome == "unknown"
+            and load.entry_by_request[each.request_id] != self.victim
+        ]
+        self.assertEqual(lost, [])
+        executions = list(read_executions(self.fleet.directory))
+        found = violations(load.history, executions, {TEAM: LIMIT})
+        self.assertEqual(list(found), [])
+
+    def test_wave_without_guards_is_noticed(self):
+        """Guards against checks that pass without budgets and drains."""
+        self.start(DATA_CENTRES[:1], 1, program=UNGUARDED)
+        asyncio.run(self.run_wave(lambda: None, canary=0))
+        self.assertNotEqual(self.broken(), [])
+        self.assertNotEqual(downtimes.cut_executions(self.fleet), [])
+
+
+class DowntimeCheckTest(unittest.TestCase):
+    def test_reboots_above_a_budget_are_noticed(self):
+        """Guards against a check of budgets that overlooks a reboot."""
+        group = dict.fromkeys("abc", "pool")
+
+        def check(*reboots):
+            each = [downtimes.Downtime(*reboot) for reboot in reboots]
+            return len(list(downtimes.over_budget(each, group, 1)))
+
+        self.assertEqual(check(("a", 1, 2), ("b", 2, 3)), 0)
+        self.assertEqual(check(("a", 1, 3), ("b", 2, 4)), 1)
+        self.assertEqual(check(("a", 1, math.inf), ("b", 9, 10)), 1)
+        group["b"] = "other"
+        self.assertEqual(check(("a", 1, 3), ("b", 2, 4)), 0)
+
+    def test_second_reboot_is_noticed(self):
+        """Guards against a check that overlooks maintenance done twice."""
+        reboots = [downtimes.Downtime("a", 1, 2), downtimes.Downtime("b", 1, 2)]
+        self.assertEqual(downtimes.repeated(reboots), [])
+        reboots.append(downtimes.Downtime("a", 5, 6))
+        self.assertEqual(downtimes.repeated(reboots), ["a"])
