--- a/standins/worker.py
+++ b/standins/worker.py
@@ -35,6 +35,12 @@
     actual_memory_gb: float | None = None
 
 
+class Control(msgspec.Struct, forbid_unknown_fields=True):
+    """Sets how long tasks run that start from now on."""
+
+    run_seconds: float
+
+
 class Throttle(msgspec.Struct):
     """Slows a task down to a factor of its speed and use."""
 
@@ -232,6 +238,7 @@
     app.router.add_post("/tasks/{id}/checkpoint", _checkpoint)
     app.router.add_post("/tasks/{id}/throttle", _throttle)
     app.router.add_post("/tasks/{id}/stop", _stop)
+    app.router.add_post("/control", _control)
     app.router.add_get("/tasks", _tasks)
     app.router.add_get("/usage", _usage)
     app.router.add_get("/health", _health)
@@ -281,6 +288,12 @@
     return _shown(task)
 
 
+async def _control(request: web.Request) -> web.Response:
+    control = await serving.read_json(request, Control)
+    request.app[WORKER].run_seconds = control.run_seconds
+    return serving.json_response(control)
+
+
 async def _tasks(request: web.Request) -> web.Response:
     """Answers every task that was ever started here."""
     worker = request.app[WORKER]
