--- a/standins/promises.py
+++ b/standins/promises.py
@@ -27,6 +27,31 @@
 ) -> list[Entry]:
     """Starts two entries and a minion in each data centre, and publishes."""
     fleet.start_platform()
+    with starting_entries(fleet, data_centres, 2, **more) as entries:
+        for name in data_centres:
+            fleet.start_minion(f"{name}-m", POOL, name, "r0")
+    shape = {"data_centres": data_centres, "pools": [POOL], "teams": teams}
+    fleet.publish(*main_configuration(shape), atomic=True)
+    fleet.publish(*instances(fleet), atomic=True)
+    return entries
+
+
+@contextlib.contextmanager
+def starting_entries(
+    fleet: Fleet, data_centres: Iterable[str], count: int, **more
+) -> Iterator[list[Entry]]:
+    """Starts entries during the block; they are members at its end.
+
+    Args:
+        fleet: gets the processes; its platform runs.
+        data_centres: where entries start.
+        count: entries of each data centre.
+        **more: as for `Fleet.start_entry`.
+
+    Yields:
+        A list that holds the entries, by data centre, after the block.
+    """
+    entries: list[Entry] = []
     # Started together, entries find each other through the log.
     with concurrent.futures.ThreadPoolExecutor() as pool:
         started = [
@@ -34,16 +59,11 @@
                 fleet.start_entry, f"{name}-e{number}", name, [], **more
             )
             for name in data_centres
-            for number in range(2)
+            for number in range(count)
         ]
-        for name in data_centres:
-            fleet.start_minion(f"{name}-m", POOL, name, "r0")
-        entries = [each.result() for each in started]
+        yield entries
+        entries += [each.result() for each in started]
     fleet.wait_ready(*entries)
-    shape = {"data_centres": data_centres, "pools": [POOL], "teams": teams}
-    fleet.publish(*main_configuration(shape), atomic=True)
-    fleet.publish(*instances(fleet), atomic=True)
-    return entries
 
 
 def row(entry: Entry, path: str) -> dict:
