--- a/sardinedrift/publisher.py
+++ b/sardinedrift/publisher.py
@@ -76,7 +76,8 @@
         """Publishes changes in one record.
 
         Args:
-            changes: in order; an id used before gives the first result.
+            changes: in order; an id used before gives the first result,
+                a number of allowances used before gives `already_folded`.
             deadline: unix seconds until which to try.
             atomic: when one change is rejected, all are.
 
@@ -85,7 +86,8 @@
             refused before the append.
 
         Raises:
-            PublishUnknown: the changes may or may not take effect.
+            PublishUnknown: the changes may or may not take effect; also when
+                their results are skipped by a snapshot and are not kept.
             LogUnavailable: nothing was appended.
         """
         changes = tuple(changes)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -196,6 +196,17 @@
         self.assertGreaterEqual(world.held().get("e1", 0), 1)
         self.assertGreaterEqual(world.held()["e0"], 1)
 
+    def test_only_members_take_units_for_others(self):
+        """Guards against changes that the fold refuses one after another."""
+        world = self._world(entries=2, limit=4)
+        entry = world.entry_by_id["e0"]
+        before = len(world.log.records)
+        world.log.append(gone("e0"))
+        entry.follower.fold()
+        world.give("e0", "e1", 1)
+        world.step("e0")
+        self.assertEqual(len(world.log.records), before + 1)
+
     def test_one_entry_does_not_take_the_whole_limit(self):
         """Guards against units idle at one entry and missing at another."""
         world = self._world(entries=2, limit=100)
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -9,7 +9,8 @@
 from sardinedrift.follower import Follower
 from sardinedrift.publisher import Publisher
 from tests.fakes import FakeLog, ManualClock, SystemClock, running, until
-from tests.test_fold import put_pool, put_team
+from tests.test_allowances import take
+from tests.test_fold import join, put_pool, put_team
 
 
 def soon(seconds=20.0):
@@ -51,6 +52,34 @@
         team = self.follower.state.tables.team_by_id["red"]
         self.assertEqual(team.revision, 1)
 
+    async def test_lost_answers_change_allowances_once(self):
+        """Guards against units taken twice by a repeated append."""
+        self.log.put_changes(put_team(limit=8), join("e1"))
+        self.log.lost_answers = 3
+        change = take(1, 2)
+        async with running(self.follower):
+            await self.publisher.publish([change], soon())
+            [again] = await self.publisher.publish([change], soon())
+        self.assertEqual(again.code, "already_folded")
+        rows = self.follower.state.tables.allowances_by_team
+        self.assertEqual(rows["red"].units_by_entry, {"e1": 2})
+
+    async def test_allowances_in_a_snapshot_end_as_unknown(self):
+        """Guards against a wait without end for a result that is not kept."""
+        self.log.put_changes(put_team(limit=8), join("e1"))
+        other, _ = self.pair()
+        publishing = asyncio.create_task(
+            self.publisher.publish([take(1, 2)], soon(0.5))
+        )
+        await until(lambda: self.log.next == 2)
+        async with running(other):
+            await until(lambda: other.state.offset == 1)
+        self.follower._adopt(other.state, "peer")
+        with self.assertRaises(PublishUnknown):
+            await publishing
+        rows = self.follower.state.tables.sequence_by_publisher
+        self.assertEqual(rows, {"e1": 1})
+
     async def test_a_repeated_change_id_gives_the_first_outcome(self):
         """Guards against a conflict when an operator repeats a change."""
         change = put_team()
