Exchange only the spare units that changed

Cause: every exchange carried the whole table of teams with spare units, and across data centres those of the neighbours, too.

Change: an entry counts the versions of its table and sends the teams that changed after the version that the receiver has confirmed in its own exchanges. Versions are named by the entry id, so a new process on either side is told all. What cannot be connected to the held version drops the held table, and without a confirmation the next exchange is whole. Neighbours are told under the versions of their own entries, so it does not matter who tells of them; an older version never replaces a later one. Tables that were not heard of for 60 s are dropped. The own units are counted again after a pause of one second for each 600 teams: at the size of today with each exchange, at full size once a second. A sender without versions is understood, and a receiver that confirms nothing gets whole tables.

Fields with their default are not sent any more. The units that work waits for are not sent any more, as nothing reads them.

Ruled out: sending everything again from time to time, as the counters of used slot-time do: a figure would stay wrong for that long after a loss. Changes since the last exchange sent, without confirmation: the same.

--- a/sardinedrift/assembly.py
+++ b/sardinedrift/assembly.py
@@ -35,6 +35,7 @@
 from sardinedrift.settings import Settings
 from sardinedrift.slots import Slots
 from sardinedrift.snapshotter import Snapshotter
+from sardinedrift.spares import OwnSpare
 from sardinedrift.usage import UseTable
 from sardinedrift.watcher import StateWatcher
 from sardinedrift.waves import Waves
@@ -139,8 +140,7 @@
             offset=self.follower.state.offset,
             current_at=self.follower.current_at,
             held=self._held_for(receiver) if near else {},
-            spare_by_team=self.limits.spare(),
-            wanted_by_team=self.limits.wanted(),
+            spare_by_team=self.spare.units(),
             contended_use=self._use_for(receiver, near),
             endpoints=self.usable_pools.ids(),
         )
@@ -219,6 +219,11 @@
         self.limits = Limits(
             identity, follower, self.publisher, self.peers, clock
         )
+        self.spare = OwnSpare(
+            self.limits.spare,
+            lambda: len(self.follower.state.tables.team_by_id),
+            clock,
+        )
         self.dispatcher = Dispatcher(
             identity,
             follower,
--- a/sardinedrift/messages.py
+++ b/sardinedrift/messages.py
@@ -33,11 +33,11 @@
     since: float
 
 
-class Neighbour(msgspec.Struct, frozen=True, kw_only=True):
+class Neighbour(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """A live member of the sender's data centre, as the sender last heard it.
 
     Attributes:
-        spare_by_team: idle allowance units it could give.
+        spare_by_team: idle allowance units it could give, as in `Exchange`.
     """
 
     entry_id: EntryId
@@ -46,9 +46,11 @@
     offset: Offset
     current_at: float
     spare_by_team: dict[TeamId, int] = {}
+    spare_since: int = 0
+    spare_version: int = 0
 
 
-class Exchange(msgspec.Struct, frozen=True, kw_only=True):
+class Exchange(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """`POST /peer/exchange`: heartbeat, answered with the peer's own.
 
     Attributes:
@@ -58,8 +60,12 @@
         current_at: last unix time at which the sender's state was known to
             be at the end of the log.
         held: slots held, by pool; sent to that pool's scheduler only.
-        spare_by_team: idle allowance units the sender could give.
-        wanted_by_team: units the sender has work waiting for.
+        spare_by_team: idle allowance units the sender could give; of all
+            teams, or of those that changed after version `spare_since`.
+        spare_since: 0: `spare_by_team` has all teams with spare units.
+        spare_version: version of the sender's table; 0: it has none.
+        spare_confirmed: versions that the sender holds of the receiver's
+            table, and across data centres of those of its neighbours.
         contended_use: cumulative slot-seconds of each team in each pool while
             the pool was full, by scheduler; only what has grown.
         endpoints: pools with a usable endpoint in the sender's data centre.
@@ -77,7 +83,9 @@
     current_at: float
     held: dict[PoolId, list[HeldGrant]] = {}
     spare_by_team: dict[TeamId, int] = {}
-    wanted_by_team: dict[TeamId, int] = {}
+    spare_since: int = 0
+    spare_version: int = 0
+    spare_confirmed: dict[EntryId, int] = {}
     contended_use: dict[EntryId, dict[PoolId, dict[TeamId, float]]] = {}
     endpoints: list[PoolId] = []
     neighbours: list[Neighbour] = []
--- a/sardinedrift/peerlinks.py
+++ b/sardinedrift/peerlinks.py
@@ -319,7 +319,7 @@
         current_at=neighbour.current_at,
         spare_by_team=neighbour.spare_by_team,
         held={},
-        wanted_by_team={},
+        spare_confirmed={},
         contended_use={},
         neighbours=[],
     )
--- a/sardinedrift/peers.py
+++ b/sardinedrift/peers.py
@@ -25,6 +25,7 @@
 from sardinedrift.peerlinks import LinkTable
 from sardinedrift.peerrecords import PeerRecords
 from sardinedrift.ports import Clock
+from sardinedrift.spares import SpareTables
 from sardinedrift.state import State
 
 Reply = TypeVar("Reply")
@@ -81,6 +82,9 @@
         self._live = LiveEntries(
             identity, follower, self._links, clock, standing or self._standing
         )
+        self._spares = SpareTables(
+            identity.entry_id, identity.data_centre_id, clock
+        )
         self._client = PeerClient(clock)
         self._records = PeerRecords(self._links, follower, self._get, clock)
         self._task_by_address: dict[str, asyncio.Task] = {}
@@ -156,10 +160,13 @@
         if self.blocked & {exchange.address, exchange.data_centre_id}:
             raise PeerError(f"{exchange.address} is blocked", sent=False)
         if exchange.entry_id != self._identity.entry_id:
+            exchange = self._spares.restored(exchange)
             link = self._links.add(exchange.address)
             self._links.heard(link, exchange)
             self._observe(exchange)
-        return self._outgoing(exchange.entry_id, exchange.data_centre_id)
+        return self._outgoing(
+            exchange.entry_id, exchange.data_centre_id, exchange.spare_confirmed
+        )
 
     async def call(
         self,
@@ -215,14 +222,19 @@
         }
 
     def _outgoing(
-        self, receiver: EntryId | None, data_centre_id: DataCentreId | None
+        self,
+        receiver: EntryId | None,
+        data_centre_id: DataCentreId | None,
+        confirmed: Mapping[EntryId, int],
     ) -> Exchange:
         """Returns the exchange to send to an entry of a data centre."""
         exchange = self._fill(receiver)
-        if data_centre_id in (None, self._identity.data_centre_id):
-            return exchange
-        neighbours = self._links.neighbours()
-        return msgspec.structs.replace(exchange, neighbours=neighbours)
+        if data_centre_id not in (None, self._identity.data_centre_id):
+            neighbours = self._links.neighbours()
+            exchange = msgspec.structs.replace(exchange, neighbours=neighbours)
+        return self._spares.reduced(
+            exchange, receiver, data_centre_id, confirmed
+        )
 
     def _find_peers(self) -> None:
         """Starts a task for each new address and ends those of old ones."""
@@ -259,7 +271,8 @@
             await asyncio.sleep(self._links.rest(link, started))
 
     async def _exchange(self, link: Link, deadline: float) -> None:
-        sent = self._outgoing(link.entry_id, link.data_centre_id)
+        confirmed = link.exchange.spare_confirmed if link.exchange else {}
+        sent = self._outgoing(link.entry_id, link.data_centre_id, confirmed)
         try:
             status, _, body = await self._request(
                 "POST",
@@ -278,9 +291,12 @@
             self._notice_changes()
             return
         _exchanges.labels("answered").inc()
+        if exchange.entry_id == self._identity.entry_id:
+            self._links.answered(link, exchange)
+            return
+        exchange = self._spares.restored(exchange)
         self._links.answered(link, exchange)
-        if exchange.entry_id != self._identity.entry_id:
-            self._observe(exchange)
+        self._observe(exchange)
 
     async def _get(
         self, address: str, path: str, deadline: float
--- a/standins/capacityruns.py
+++ b/standins/capacityruns.py
@@ -293,7 +293,6 @@
         "current_at": time.time(),
         "held": {},
         "spare_by_team": {},
-        "wanted_by_team": {},
         "contended_use": {},
         "endpoints": [f"pool{number}" for number in range(POOLS)],
         **fields,
