Measure exchanges across data centres and changed spare units

Cause: the capacity run measured no exchange between data centres over HTTP, and whole tables of spare units, which are not sent any more. Counting the own spare units was in no line.

Change: parts "far" (CPU of idle entries, one in each of 1, 6, 12 and 23 data centres), "spare" (exchanges of 600 teams by teams that changed) and "count" (counting by teams); "exchange" measures used slot-time only. The parts about exchanges move to a module of their own.

--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -107,6 +107,9 @@
     if not part or "idle" in part:
         for line in capacityidle.idle_entries():
             print(json.dumps(line), flush=True)
+    if not part or "far" in part:
+        for line in capacityidle.far_entries():
+            print(json.dumps(line), flush=True)
 
 
 if __name__ == "__main__":
--- a/standins/capacityidle.py
+++ b/standins/capacityidle.py
@@ -9,6 +9,10 @@
 
 ENTRIES = (1, 2, 4)
 SECONDS = 6.0
+DATA_CENTRES = (1, 6, 12, 23)
+FAR_SECONDS = 20.0
+# Links to new processes are exchanged with more often for 10 s.
+FAR_SETTLE_SECONDS = 15.0
 
 
 def idle_entries() -> Iterator[dict]:
@@ -19,20 +23,40 @@
                 fleet, ["dc1"], count, 1, {"red": (1.0, 10)}
             )
             pids = [each.process.pid for each in entries]
-            before = [benchfleet.cpu_seconds(pid) for pid in pids]
-            time.sleep(SECONDS)
-            spent = [
-                (benchfleet.cpu_seconds(pid) - start) / SECONDS
-                for pid, start in zip(pids, before, strict=True)
-            ]
             yield {
                 "measurement": "idle",
                 "near_peers": count - 1,
-                "cores": [round(each, 4) for each in spent],
+                "cores": _cores(pids, SECONDS),
                 "resident_mb": [round(resident_mb(pid), 1) for pid in pids],
             }
 
 
+def far_entries() -> Iterator[dict]:
+    """Yields CPU per entry with one entry in each data centre."""
+    for count in DATA_CENTRES:
+        places = [f"dc{number}" for number in range(count)]
+        with running_fleet() as fleet:
+            entries = benchfleet.start(fleet, places, 1, 1, {"red": (1.0, 10)})
+            time.sleep(FAR_SETTLE_SECONDS)
+            cores = _cores([each.process.pid for each in entries], FAR_SECONDS)
+            yield {
+                "measurement": "far",
+                "far_links": count - 1,
+                "cores_mean": round(sum(cores) / count, 4),
+                "cores_range": [min(cores), max(cores)],
+            }
+
+
+def _cores(pids: list[int], seconds: float) -> list[float]:
+    """Returns the cores that processes use from now on, each on average."""
+    before = [benchfleet.cpu_seconds(pid) for pid in pids]
+    time.sleep(seconds)
+    return [
+        round((benchfleet.cpu_seconds(pid) - start) / seconds, 4)
+        for pid, start in zip(pids, before, strict=True)
+    ]
+
+
 def resident_mb(pid: int) -> float:
     """Returns the resident memory of a process in MiB."""
     for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
--- /dev/null
+++ b/standins/capacitypeers.py
@@ -0,0 +1,112 @@
+"""The measurements of exchanges, run in a process of their own."""
+
+import time
+
+import msgspec
+
+from sardinedrift import messages
+from sardinedrift.identifiers import Identity, WorkClass
+from sardinedrift.links import Timing
+from sardinedrift.peerlinks import LinkTable
+from sardinedrift.runtime import SystemClock
+from sardinedrift.spares import SpareTables
+
+POOLS = 28
+DATA_CENTRES = 23
+TEAMS = 600
+ROUNDS = 200
+
+
+def measure_exchange(size: int) -> dict[str, float]:
+    """Measures an exchange by teams whose use has grown, in one pool."""
+    use = {f"team-{each:04d}": 1234.567 + each for each in range(size)}
+    return _codec(_exchange(contended_use={"entry0": {"pool0": use}}))
+
+
+def measure_spare(size: int) -> dict[str, float]:
+    """Measures exchanges of 600 teams' spare units by teams that changed."""
+    clock = SystemClock()
+    teller = SpareTables("e1", "dc1", clock)
+    hearer = SpareTables("e2", "dc1", clock)
+    units = {f"team-{each:04d}": 12 for each in range(TEAMS)}
+    confirmed: dict = {}
+    sizes, spent = [], 0.0
+    for number in range(ROUNDS):
+        changed = {f"team-{each:04d}": 13 + number % 2 for each in range(size)}
+        units = {**units, **changed}
+        whole = _exchange(entry_id="e1", spare_by_team=units)
+        started = time.process_time()
+        sent = teller.reduced(whole, "e2", "dc1", confirmed)
+        data = msgspec.json.encode(sent)
+        heard = msgspec.json.decode(data, type=messages.Exchange)
+        restored = hearer.restored(heard)
+        spent += time.process_time() - started
+        if restored.spare_by_team != units:
+            raise AssertionError("the tables differ")
+        answer = hearer.reduced(_exchange(entry_id="e2"), "e1", "dc1", {})
+        confirmed = answer.spare_confirmed
+        sizes.append(len(data))
+    sizes.sort()
+    return {"bytes": sizes[ROUNDS // 2], "exchange_seconds": spent / ROUNDS}
+
+
+def measure_held(size: int) -> dict[str, float]:
+    """Measures an exchange by held grants."""
+    grants = [
+        messages.HeldGrant(
+            f"{number:032x}",
+            "pool0",
+            f"worker-{number:06d}",
+            "team-0001",
+            WorkClass.QUICK,
+            time.time(),
+        )
+        for number in range(size)
+    ]
+    return _codec(_exchange(held={"pool0": grants}))
+
+
+def _exchange(**fields) -> messages.Exchange:
+    given = {
+        "entry_id": f"dc1-{0:012x}",
+        "data_centre_id": "dc1",
+        "address": "10.0.0.1:7000",
+        "member": True,
+        "ready": True,
+        "stopping": False,
+        "offset": 1_000_000,
+        "current_at": time.time(),
+        "held": {},
+        "spare_by_team": {},
+        "contended_use": {},
+        "endpoints": [f"pool{number}" for number in range(POOLS)],
+        **fields,
+    }
+    return messages.Exchange(**given)
+
+
+def _codec(exchange: messages.Exchange) -> dict[str, float]:
+    started = time.process_time()
+    for _ in range(ROUNDS):
+        data = msgspec.json.encode(exchange)
+        msgspec.json.decode(data, type=messages.Exchange)
+    spent = (time.process_time() - started) / ROUNDS
+    return {"codec_seconds": spent, "bytes": len(data)}
+
+
+def measure_links(size: int) -> dict[str, float]:
+    """Measures the choice of remote links, made for each once a second."""
+    clock = SystemClock()
+    identity = Identity("dc0-me", "dc0", "10.0.0.1:1")
+    links = LinkTable(
+        identity, clock, Timing(0.25, 0.75), Timing(1.0, 3.0), lambda _: set()
+    )
+    for number in range(size):
+        link = links.add(f"10.0.1.{number}:7000")
+        link.data_centre_id = f"dc{number % DATA_CENTRES}"
+    rounds = 20
+    started = time.process_time()
+    for _ in range(rounds):
+        for link in list(links.by_address.values()):
+            links.wanted(link)
+    return {"round_seconds": (time.process_time() - started) / rounds}
--- a/standins/capacityruns.py
+++ b/standins/capacityruns.py
@@ -11,17 +11,16 @@
 import msgspec
 
 from sardinedrift import changes as ch
-from sardinedrift import endpoints, fold, messages, snapshots
-from sardinedrift.identifiers import Identity, InstanceKind, WorkClass
-from sardinedrift.links import Timing
-from sardinedrift.peerlinks import LinkTable
+from sardinedrift import endpoints, fold, snapshots
+from sardinedrift.identifiers import Identity, InstanceKind
+from sardinedrift.limits import Limits
 from sardinedrift.runtime import SystemClock
 from sardinedrift.shares import ShareLedger
 from sardinedrift.state import State
+from standins import capacitypeers
 from standins.capacityidle import resident_mb
+from standins.capacitypeers import DATA_CENTRES, POOLS
 
-POOLS = 28
-DATA_CENTRES = 23
 ENTRIES = 69
 GRANTS = 300
 _DIGEST = "0" * 64
@@ -255,77 +254,34 @@
     }
 
 
-def measure_exchange(size: int) -> dict[str, float]:
-    """Measures an exchange by teams with a use, in one pool."""
-    use = {f"team-{each:04d}": 1234.5678 + each for each in range(size)}
-    spare = dict.fromkeys(use, 12)
-    exchange = _exchange(
-        contended_use={"entry0": {"pool0": use}}, spare_by_team=spare
-    )
-    return _codec(exchange)
-
-
-def measure_held(size: int) -> dict[str, float]:
-    """Measures an exchange by held grants."""
-    grants = [
-        messages.HeldGrant(
-            f"{number:032x}",
-            "pool0",
-            f"worker-{number:06d}",
-            "team-0001",
-            WorkClass.QUICK,
-            time.time(),
-        )
-        for number in range(size)
-    ]
-    return _codec(_exchange(held={"pool0": grants}))
-
-
-def _exchange(**fields) -> messages.Exchange:
-    given = {
-        "entry_id": f"dc1-{0:012x}",
-        "data_centre_id": "dc1",
-        "address": "10.0.0.1:7000",
-        "member": True,
-        "ready": True,
-        "stopping": False,
-        "offset": 1_000_000,
-        "current_at": time.time(),
-        "held": {},
-        "spare_by_team": {},
-        "contended_use": {},
-        "endpoints": [f"pool{number}" for number in range(POOLS)],
-        **fields,
-    }
-    return messages.Exchange(**given)
+class _Folded(NamedTuple):
+    """What limits read of a follower."""
 
+    state: State
+    log_up: bool = True
 
-def _codec(exchange: messages.Exchange) -> dict[str, float]:
-    rounds = 200
-    started = time.process_time()
-    for _ in range(rounds):
-        data = msgspec.json.encode(exchange)
-        msgspec.json.decode(data, type=messages.Exchange)
-    spent = (time.process_time() - started) / rounds
-    return {"codec_seconds": spent, "bytes": len(data)}
 
-
-def measure_links(size: int) -> dict[str, float]:
-    """Measures the choice of remote links, made for each once a second."""
-    clock = SystemClock()
-    identity = Identity("dc0-me", "dc0", "10.0.0.1:1")
-    links = LinkTable(
-        identity, clock, Timing(0.25, 0.75), Timing(1.0, 3.0), lambda _: set()
-    )
+def measure_count(size: int) -> dict[str, float]:
+    """Measures counting the own spare units by teams, held by all entries."""
+    folding = Folding()
+    put_base(folding)
+    put_entries(folding)
+    for number in range(size):
+        folding.put(*team_changes(number))
+    entry_ids = list(folding.state.tables.entry_by_id)
+    for number, entry_id in enumerate(entry_ids):
+        _take(folding, number, entry_id, size)
+    identity = Identity(entry_ids[0], "dc0", "10.200.0.0:7000")
+    limits = Limits(identity, _Folded(folding.state), None, None, SystemClock())
     for number in range(size):
-        link = links.add(f"10.0.1.{number}:7000")
-        link.data_centre_id = f"dc{number % DATA_CENTRES}"
+        # A team counts once it was seen here.
+        limits.running(f"team-{number:04d}")
     rounds = 20
     started = time.process_time()
     for _ in range(rounds):
-        for link in list(links.by_address.values()):
-            links.wanted(link)
-    return {"round_seconds": (time.process_time() - started) / rounds}
+        counted = limits.spare()
+    spent = (time.process_time() - started) / rounds
+    return {"count_seconds": spent, "teams_with_spare": len(counted)}
 
 
 def measure_usable(size: int) -> dict[str, float]:
@@ -364,9 +320,11 @@
     "teams": Run(measure_teams, (150, 300, 600)),
     "entries": Run(measure_entries, (23, 46, 69)),
     "results": Run(measure_results, (5_000, 10_000, 20_000)),
-    "exchange": Run(measure_exchange, (50, 200, 600)),
-    "held": Run(measure_held, (8, 64, 256)),
-    "links": Run(measure_links, (23, 46, 69)),
+    "exchange": Run(capacitypeers.measure_exchange, (50, 200, 600)),
+    "spare": Run(capacitypeers.measure_spare, (6, 60, 600)),
+    "count": Run(measure_count, (50, 200, 600)),
+    "held": Run(capacitypeers.measure_held, (8, 64, 256)),
+    "links": Run(capacitypeers.measure_links, (23, 46, 69)),
     "usable": Run(measure_usable, (200, 400, 870)),
     "ledger": Run(measure_ledger, (50, 200, 600)),
 }
