Round spare units down to a power of two

Cause: each unit more or less was a change to tell every peer. Peers use the figures to relay to an entry that has any, and to ask the one with most.

Change: own spare units are rounded down to a power of two before they are told; one unit stays one. The capacity run measures the bytes of an exchange across data centres with its neighbours.

Measured: the new test fails without the rounding; tests.test_spares passes.

--- a/sardinedrift/spares.py
+++ b/sardinedrift/spares.py
@@ -26,6 +26,9 @@
 class OwnSpare:
     """The spare units of this entry, counted less often when teams are many.
 
+    Units are rounded down to a power of two. Peers need to know whether there
+    are any, and who has most; each unit more or less would be one more change.
+
     Args:
         count: returns the spare units now.
         teams: returns the number of teams to count.
@@ -42,12 +45,16 @@
         self._counted_at = 0.0
 
     def units(self) -> Units:
-        """Returns the spare units as counted last."""
+        """Returns the rounded spare units as counted last."""
         now = self._clock.now()
         pause = self._teams() / TEAMS_COUNTED_PER_SECOND
         if not 0 <= now - self._counted_at < pause:
             self._counted_at = now
-            self._units = self._count()
+            self._units = {
+                team_id: 1 << (units.bit_length() - 1)
+                for team_id, units in self._count().items()
+                if units > 0
+            }
         return self._units
 
 
--- a/standins/capacitypeers.py
+++ b/standins/capacitypeers.py
@@ -20,7 +20,23 @@
 def measure_exchange(size: int) -> dict[str, float]:
     """Measures an exchange by teams whose use has grown, in one pool."""
     use = {f"team-{each:04d}": 1234.567 + each for each in range(size)}
-    return _codec(_exchange(contended_use={"entry0": {"pool0": use}}))
+    near = _exchange(contended_use={"entry0": {"pool0": use}})
+    state = {"ready": True, "offset": 1_000_000, "current_at": time.time()}
+    neighbours = [
+        messages.Neighbour(
+            entry_id=f"dc1-{number:012x}",
+            address=f"10.0.0.{number}:7000",
+            spare_version=1000,
+            spare_since=1000,
+            **state,
+        )
+        for number in (1, 2)
+    ]
+    confirmed = {f"dc2-{number:012x}": 1000 for number in range(3)}
+    far = msgspec.structs.replace(
+        near, neighbours=neighbours, spare_confirmed=confirmed
+    )
+    return {**_codec(near), "far_bytes": len(msgspec.json.encode(far))}
 
 
 def measure_spare(size: int) -> dict[str, float]:
@@ -76,9 +92,8 @@
         "stopping": False,
         "offset": 1_000_000,
         "current_at": time.time(),
-        "held": {},
-        "spare_by_team": {},
-        "contended_use": {},
+        "spare_version": 1000,
+        "spare_since": 1000,
         "endpoints": [f"pool{number}" for number in range(POOLS)],
         **fields,
     }
--- a/tests/test_spares.py
+++ b/tests/test_spares.py
@@ -340,6 +340,14 @@
 
 
 class OwnSpareTest(unittest.TestCase):
+    def test_units_are_rounded_but_never_away(self):
+        """Guards against a change told for each unit, and a lost last one."""
+        counted = {"one": 1, "three": 3, "four": 4, "many": 1000, "none": 0}
+        spare = OwnSpare(lambda: counted, lambda: 1, ManualClock())
+        self.assertEqual(
+            spare.units(), {"one": 1, "three": 2, "four": 4, "many": 512}
+        )
+
     def test_many_teams_are_counted_less_often(self):
         """Guards against cost that grows with teams times exchanges."""
         for teams, most in ((10, 100), (TEAMS, 11)):
