Hold repeated set-up of tests in fixtures

Path of test_dispatch takes one entry unless told otherwise, which 32 calls spelled out; test_members starts its member, and test_follower its log and a follower that has caught up, in one place. In the race of operators a row was called a revision.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -42,7 +42,7 @@
             return reply.status, reply.headers, await reply.json()
 
     async def test_answer_and_refusal(self):
-        path = Path(entries=("e1",))
+        path = Path()
         _, client = await self.serve(path)
         async with client.get("/v1/request-ids") as reply:
             request_id = (await reply.json())["request_id"]
@@ -69,7 +69,7 @@
         self.assertEqual(owners, {"e1"})
 
     async def test_unknown_outcome_names_the_request(self):
-        path = Path(OutcomeUnknown("reset"), entries=("e1",))
+        path = Path(OutcomeUnknown("reset"))
         _, client = await self.serve(path)
         status, _, body = await self.post(client)
         self.assertEqual((status, body["outcome"]), (504, "unknown"))
@@ -77,7 +77,7 @@
 
     async def test_endless_body_is_cut_off(self):
         """A body without a length must not fill the memory."""
-        path = Path(entries=("e1",))
+        path = Path()
         _, client = await self.serve(path)
 
         async def chunks():
@@ -89,7 +89,7 @@
         self.assertEqual(path.minions.sent, [])
 
     async def test_stop_waits_for_requests_in_progress(self):
-        path = Path(entries=("e1",))
+        path = Path()
         callers, client = await self.serve(path)
         path.minions.gate.clear()
         task = asyncio.create_task(self.post(client))
@@ -111,20 +111,20 @@
 
     async def test_leaving_closes_connections(self):
         """Guards against a connection closed while its caller sends on it."""
-        callers, client = await self.serve(Path(entries=("e1",)))
+        callers, client = await self.serve(Path())
         for leaving in (False, True):
             _, headers, _ = await self.post(client)
             self.assertEqual(headers.get("Connection") == "close", leaving)
             callers.leave()
 
     async def test_not_ready(self):
-        _, client = await self.serve(Path(entries=("e1",)))
+        _, client = await self.serve(Path())
         self.follower.ready = False
         _, _, body = await self.post(client)
         self.assertEqual(body["code"], "not_ready")
 
     async def test_caller_disconnects(self):
-        path = Path(entries=("e1",))
+        path = Path()
         callers, client = await self.serve(path)
         path.minions.gate.clear()
         request_id = f"dc1.{uuid6.uuid7()}"
@@ -139,9 +139,9 @@
 
     async def test_relay_between_two_entries(self):
         """The second entry runs a claimed request without a second claim."""
-        there = Path(entries=("e1",))
+        there = Path()
         _, client = await self.serve(there)
-        here = Path(entries=("e1",), instances=())
+        here = Path(instances=())
         here.peers.add("e3", "dc2")
 
         async def post(entry_id, path, headers, body, deadline):
@@ -174,7 +174,7 @@
 class DrainAcksTest(unittest.IsolatedAsyncioTestCase):
     async def test_acknowledges_when_no_slot_is_held(self):
         """An early acknowledgement would move an instance under its work."""
-        path = Path(entries=("e1",))
+        path = Path()
         publisher = FakePublisher()
         acks = DrainAcks(
             OWN,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -42,10 +42,20 @@
 
 
 class Path:
-    """A dispatcher with fakes around it."""
-
-    def __init__(self, *script, code="claimed", units=4, **log):
-        self.log = path_fakes.make_log(**log)
+    """A dispatcher with fakes around it.
+
+    Args:
+        *script: what the minions do with one send after the other.
+        code: how the owner of ids answers claims.
+        units: allowance units of the team here.
+        entries: members of the data centre; this entry is "e1".
+        **log: options of the log.
+    """
+
+    def __init__(
+        self, *script, code="claimed", units=4, entries=("e1",), **log
+    ):
+        self.log = path_fakes.make_log(entries=entries, **log)
         self.peers = path_fakes.FakePeers()
         self.scheduler = path_fakes.FakeScheduler()
         self.limits = path_fakes.FakeLimits(units)
@@ -118,13 +128,13 @@
         self.assertEqual(path.ends(), ends)
 
     async def test_answers(self):
-        path = Path(entries=("e1",))
+        path = Path()
         await self.check(path, "", ANSWERED, [ANSWERED])
         self.assertEqual(len(path.minions.sent), 1)
 
     async def test_never_sent_twice_after_bytes_were_sent(self):
         for failure in (OutcomeUnknown("reset"), ValueError("fault")):
-            path = Path(failure, entries=("e1",))
+            path = Path(failure)
             await self.check(path, "outcome_unknown", UNKNOWN, [UNKNOWN])
             self.assertEqual(len(path.minions.sent), 1)
 
@@ -133,7 +143,6 @@
             DialFailed("no"),
             RefusedBeforeStart("busy"),
             RefusedBeforeStart("leaving", draining=True),
-            entries=("e1",),
         )
         await self.check(path, "", ANSWERED, [ANSWERED])
         self.assertEqual(len({d.dispatch_id for d in path.minions.sent}), 4)
@@ -144,26 +153,26 @@
         )
 
     async def test_retries_end_with_the_budget(self):
-        path = Path(*[DialFailed("no")] * 30, entries=("e1",))
+        path = Path(*[DialFailed("no")] * 30)
         with mock.patch("sardinedrift.retries.delay", return_value=0.0):
             await self.check(path, "retries_spent", NOT_RUN, [NOT_RUN])
         self.assertEqual(len(path.minions.sent), 11)
 
     async def test_idempotent_is_sent_again_after_unknown(self):
-        path = Path(OutcomeUnknown("reset"), entries=("e1",))
+        path = Path(OutcomeUnknown("reset"))
         await self.check(path, "", ANSWERED, [], queue="again")
         self.assertEqual(len(path.minions.sent), 2)
 
     async def test_not_run_is_not_claimed_after_an_unknown_attempt(self):
         script = [OutcomeUnknown("reset")] + [DialFailed("no")] * 30
-        path = Path(*script, entries=("e1",))
+        path = Path(*script)
         with mock.patch("sardinedrift.retries.delay", return_value=0.0):
             await self.check(
                 path, "retries_spent", UNKNOWN, [], queue="again", first=True
             )
 
     async def test_no_slot_after_an_unknown_attempt(self):
-        path = Path(OutcomeUnknown("reset"), entries=("e1",))
+        path = Path(OutcomeUnknown("reset"))
         path.minions.gate.clear()
         task = asyncio.create_task(path.outcome(queue="again", first=True))
         await until(lambda: path.minions.sent)
@@ -174,7 +183,7 @@
 
     async def test_unit_is_kept_until_the_run_has_ended(self):
         """The minion may still be running after a broken connection."""
-        path = Path(OutcomeUnknown("reset"), entries=("e1",))
+        path = Path(OutcomeUnknown("reset"))
         await path.outcome()
         self.assertEqual(path.limits.free, 3)
         self.assertTrue(path.slots.holds("m1"))
@@ -182,7 +191,7 @@
         self.assertGreater(time.time(), path.minions.sent[0].run_deadline)
 
     async def test_caller_gone_after_the_send(self):
-        path = Path(entries=("e1",))
+        path = Path()
         path.minions.gate.clear()
         task = asyncio.create_task(path.outcome())
         await until(lambda: path.minions.sent)
@@ -196,7 +205,7 @@
 
     async def test_caller_gone_before_the_send(self):
         """The id stays usable, and a late grant sends nothing."""
-        path = Path(entries=("e1",))
+        path = Path()
         path.scheduler.gate.clear()
         task = asyncio.create_task(path.outcome())
         await until(lambda: path.scheduler.asks)
@@ -219,14 +228,14 @@
             ("not_owner", True, NOT_RUN),
             ("not_owner", False, UNKNOWN),
         ):
-            path = Path(code=code, entries=("e1",))
+            path = Path(code=code)
             await self.check(path, code, outcome, [], first=first)
             self.assertEqual(path.minions.sent, [])
 
     async def test_owner_unreachable(self):
         """Without its owner's word an id may be running elsewhere."""
         for first, outcome in ((True, NOT_RUN), (False, UNKNOWN)):
-            path = Path(entries=("e1",))
+            path = Path()
             with mock.patch("sardinedrift.membership.owner", return_value="e2"):
                 await self.check(
                     path, "owner_unreachable", outcome, [], first=first
@@ -237,7 +246,7 @@
             self.assertIs(end.outcome, NOT_RUN)
 
     async def test_remote_owner_learns_the_end(self):
-        path = Path(entries=("e1",))
+        path = Path()
         path.peers.handlers["/peer/claims"] = ClaimReply(code="claimed")
         path.peers.handlers["/peer/claims/end"] = [
             PeerError("reset"),
@@ -270,7 +279,7 @@
             (reply(UNKNOWN), 1, ("code", UNKNOWN)),
             (reply(NOT_RUN), 2, ("code", NOT_RUN)),
         ):
-            path = Path(entries=("e1",), instances=())
+            path = Path(instances=())
             path.peers.add("e3", "dc2")
             path.peers.add("e4", "dc2")
             path.peers.add("e5", "dc2", endpoints=False)
@@ -279,7 +288,7 @@
             self.assertEqual(len(path.peers.posts), posts)
 
     async def test_at_most_two_hops(self):
-        path = Path(entries=("e1",), instances=())
+        path = Path(instances=())
         path.peers.add("e3", "dc2")
         path.peers.handlers["/peer/requests"] = reply(ANSWERED)
         request = msgspec.structs.replace(path.request(), hops=("e8", "e9"))
@@ -288,7 +297,7 @@
         self.assertEqual(caught.exception.code, "no_endpoint")
 
     async def test_relays_to_a_spare_unit(self):
-        path = Path(entries=("e1",), units=0)
+        path = Path(units=0)
         path.peers.add("e3", "dc2", spare=1)
         path.peers.add("e2", "dc1", spare=1)
         path.peers.handlers["/peer/requests"] = reply(ANSWERED)
@@ -296,7 +305,7 @@
         self.assertEqual(path.peers.posts[0][0], "e2")
 
     async def test_no_unit_before_the_deadline(self):
-        path = Path(entries=("e1",), units=0)
+        path = Path(units=0)
         await self.check(
             path, "limit_unavailable", NOT_RUN, [NOT_RUN], seconds=0.1
         )
@@ -304,7 +313,7 @@
 
     async def test_grant_without_a_free_unit_is_declined(self):
         """Two requests wait for slots with one unit: one declines."""
-        path = Path(entries=("e1",), units=1)
+        path = Path(units=1)
         path.scheduler.gate.clear()
         tasks = [asyncio.create_task(path.outcome()) for _ in range(2)]
         await until(lambda: len(path.scheduler.asks) == 2)
@@ -318,7 +327,7 @@
 
     async def test_grant_on_a_draining_instance_is_declined(self):
         """The drain may be acknowledged between the ask and the grant."""
-        path = Path(entries=("e1",))
+        path = Path()
         path.scheduler.gate.clear()
         task = asyncio.create_task(path.outcome())
         await until(lambda: path.scheduler.asks)
@@ -331,7 +340,7 @@
         self.assertEqual(len(path.scheduler.granted), 2)
 
     async def test_no_slot(self):
-        path = Path(entries=("e1",))
+        path = Path()
         path.scheduler.code = "queue_full"
         await self.check(path, "queue_full", NOT_RUN, [NOT_RUN])
 
@@ -363,7 +372,7 @@
 
     async def _run(self, names, queue, units, cancel_at):
         script = [FAILURES[name]() for name in names]
-        path = Path(*script, entries=("e1",), units=units)
+        path = Path(*script, units=units)
         task = asyncio.create_task(path.outcome(queue=queue, first=True))
         if cancel_at is not None:
             for _ in range(cancel_at):
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -60,6 +60,21 @@
         log.put_changes(put_team(f"team{index}"))
 
 
+def log_of(count):
+    """Returns a log with the creation of so many teams."""
+    log = FakeLog()
+    put_teams(log, count)
+    return log
+
+
+async def ready(log):
+    """Returns a follower that has caught up with a log."""
+    follower = make(log)
+    while not follower.ready:
+        await follower.step()
+    return follower
+
+
 def put_snapshot(log, state, without=()):
     for chunk in snapshots.chunks(state, f"s{state.offset}"):
         if chunk.index not in without:
@@ -69,8 +84,7 @@
 class StartTest(unittest.IsolatedAsyncioTestCase):
     async def test_starts_at_the_first_record(self):
         """Guards against reporting ready before the end of the log."""
-        log = FakeLog()
-        put_teams(log, 600)
+        log = log_of(600)
         follower = make(log)
         await follower.step()
         self.assertFalse(follower.ready)
@@ -81,20 +95,17 @@
 
     async def test_starts_from_a_snapshot_after_expiry(self):
         """Guards against an entry that cannot start once records expired."""
-        log = FakeLog()
-        put_teams(log, 5)
+        log = log_of(5)
         put_snapshot(log, folded(log.records))
         put_teams(log, 5, start=5)
         expected = folded(log.records)
         log.expire(5)
-        follower = make(log)
-        await until_ready(follower)
+        follower = await ready(log)
         self.assertEqual(encoded(follower.state), encoded(expected))
 
     async def test_skips_an_incomplete_snapshot(self):
         """Guards against loading a part of a snapshot."""
-        log = FakeLog()
-        put_teams(log, 5)
+        log = log_of(5)
         chunk = next(snapshots.chunks(folded(log.records), "half"))
         log.put_changes(msgspec.structs.replace(chunk, count=2))
         log.expire(5)
@@ -106,10 +117,8 @@
 
     async def test_starts_from_a_peer_in_an_outage(self):
         """Guards against needing the log to start."""
-        log = FakeLog()
-        put_teams(log, 5)
-        peer = make(log)
-        await until_ready(peer)
+        log = log_of(5)
+        peer = await ready(log)
         log.up = False
         follower = make(log)
         await follower.step()
@@ -121,13 +130,10 @@
 
     async def test_is_not_ready_below_the_highest_reachable_peer(self):
         """Guards against serving on an older state than a reachable peer."""
-        log = FakeLog()
-        put_teams(log, 3)
-        low = make(log)
-        await until_ready(low)
+        log = log_of(3)
+        low = await ready(log)
         put_teams(log, 2, start=3)
-        high = make(log)
-        await until_ready(high)
+        high = await ready(log)
         log.up = False
         follower = make(log, FakePeers(low, high))
         await follower.step()
@@ -151,8 +157,7 @@
 class RelayTest(unittest.IsolatedAsyncioTestCase):
     async def test_equal_lower_and_gapped_records_are_ignored(self):
         """Guards against folding a record twice or out of order."""
-        log = FakeLog()
-        put_teams(log, 6)
+        log = log_of(6)
         follower = make(log)
         follower.offer(log.records[:3])
         before = encoded(follower.state)
@@ -164,10 +169,8 @@
 
     async def test_a_shorter_log_never_lowers_the_offset(self):
         """Guards against reverting to an older configuration."""
-        log = FakeLog()
-        put_teams(log, 5)
-        follower = make(log)
-        await until_ready(follower)
+        log = log_of(5)
+        follower = await ready(log)
         current_at = follower.current_at
         del log.records[2:]
         self.assertFalse(await follower.step())
@@ -176,13 +179,10 @@
 
     async def test_loads_newer_state_after_a_long_cut(self):
         """Guards against staying at records that expired meanwhile."""
-        log = FakeLog()
-        put_teams(log, 3)
-        follower = make(log)
-        await until_ready(follower)
+        log = log_of(3)
+        follower = await ready(log)
         put_teams(log, 4, start=3)
-        other = make(log)
-        await until_ready(other)
+        other = await ready(log)
         log.expire(6)
         await follower.step()
         self.assertEqual(follower.state.offset, 2)
@@ -195,8 +195,7 @@
 
     async def test_current_through_a_peer_only_at_its_offset(self):
         """Guards against a young age of a state that lacks records."""
-        log = FakeLog()
-        put_teams(log, 2)
+        log = log_of(2)
         follower = make(log)
         follower.offer(log.records[:1])
         follower.note_current(1, 500.0)
@@ -219,8 +218,7 @@
 
     def test_ring_is_bounded(self):
         """Guards against unbounded memory, and against gaps in answers."""
-        log = FakeLog()
-        put_teams(log, 10)
+        log = log_of(10)
         ring = RecordRing(most_records=4)
         for record in log.records:
             ring.add(record)
@@ -228,11 +226,6 @@
         self.assertEqual(ring.records_from(8), log.records[8:])
 
 
-async def until_ready(follower):
-    while not follower.ready:
-        await follower.step()
-
-
 _followers = st.integers(0, 2)
 _steps = st.one_of(
     st.tuples(st.just("append"), st.sampled_from(["done", "lost", "never"])),
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -98,95 +98,85 @@
 
 
 class MembersTest(unittest.IsolatedAsyncioTestCase):
-    def setUp(self):
+    """Entry "a" is a member; "b" and others know it as their seed."""
+
+    async def asyncSetUp(self):
         self.log = FakeLog()
         self.view = Listed("a", "b")
+        self.a = Entry("a", self.log, self.view)
+        await self.enterAsyncContext(self.a.serving())
+        await until(lambda: self.a.members.active)
+
+    def entry(self, entry_id="b", log=None, address=None):
+        seeds = [self.a.address]
+        return Entry(entry_id, log or self.log, self.view, seeds, address)
 
     async def test_joins_acknowledges_and_leaves(self):
         """Guards against a join without the acknowledgement of members."""
-        a = Entry("a", self.log, self.view)
-        b = Entry("b", self.log, self.view, [a.address])
-        async with a.serving():
-            await until(lambda: a.members.active)
-            async with b.serving():
-                await until(lambda: b.members.active)
-                await until(lambda: a.peers.live_members("dc1") == ["a", "b"])
-                await b.members.leave("a")
-                await until(lambda: a.state_of("b") is EntryState.GONE)
-                self.assertFalse(b.members.retired.is_set())
+        a, b = self.a, self.entry()
+        async with b.serving():
+            await until(lambda: b.members.active)
+            await until(lambda: a.peers.live_members("dc1") == ["a", "b"])
+            await b.members.leave("a")
+            await until(lambda: a.state_of("b") is EntryState.GONE)
+            self.assertFalse(b.members.retired.is_set())
 
     async def test_a_killed_entry_is_shown_gone(self):
         """Guards against joins and moves that wait for an ended entry."""
-        a = Entry("a", self.log, self.view)
-        b = Entry("b", self.log, self.view, [a.address])
-        async with a.serving():
-            await until(lambda: a.members.active)
-            async with b.serving():
-                await until(lambda: b.members.active)
-            await until(lambda: a.peers.ended_since("b"))
-            self.assertIs(a.state_of("b"), EntryState.ACTIVE)
-            self.view.entry_ids.discard("b")
-            await until(lambda: a.state_of("b") is EntryState.GONE)
+        a, b = self.a, self.entry()
+        async with b.serving():
+            await until(lambda: b.members.active)
+        await until(lambda: a.peers.ended_since("b"))
+        self.assertIs(a.state_of("b"), EntryState.ACTIVE)
+        self.view.entry_ids.discard("b")
+        await until(lambda: a.state_of("b") is EntryState.GONE)
 
     async def test_a_frozen_entry_is_never_shown_gone(self):
         """Guards against taking silence for the end of a process."""
-        a = Entry("a", self.log, self.view)
-        b = Entry("b", self.log, self.view, [a.address])
-        async with a.serving():
-            await until(lambda: a.members.active)
-            async with b.serving():
-                await until(lambda: b.members.active)
-                frozen = socket.socket()
-                frozen.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            frozen.bind(("127.0.0.1", int(b.address.split(":")[1])))
-            with frozen:
-                frozen.listen(200)
-                self.view.entry_ids.discard("b")
-                await until(lambda: "b" not in a.peers.live("dc1"))
-                await asyncio.sleep(1.0)
-                self.assertIs(a.state_of("b"), EntryState.ACTIVE)
+        a, b = self.a, self.entry()
+        async with b.serving():
+            await until(lambda: b.members.active)
+            frozen = socket.socket()
+            frozen.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        frozen.bind(("127.0.0.1", int(b.address.split(":")[1])))
+        with frozen:
+            frozen.listen(200)
+            self.view.entry_ids.discard("b")
+            await until(lambda: "b" not in a.peers.live("dc1"))
+            await asyncio.sleep(1.0)
+            self.assertIs(a.state_of("b"), EntryState.ACTIVE)
 
     async def test_a_restarted_process_replaces_the_old_id_at_once(self):
         """Guards against work sent to the id of an ended process."""
-        a = Entry("a", self.log, self.view)
+        a, b = self.a, self.entry()
         self.view.entry_ids.add("c")
-        async with a.serving():
-            await until(lambda: a.members.active)
-            b = Entry("b", self.log, self.view, [a.address])
-            async with b.serving():
-                await until(lambda: a.peers.live("dc1") == ["a", "b"])
-            c = Entry("c", self.log, self.view, [a.address], b.address)
-            async with c.serving():
-                await until(lambda: "c" in a.peers.live("dc1"))
-                self.assertNotIn("b", a.peers.live("dc1"))
+        async with b.serving():
+            await until(lambda: a.peers.live("dc1") == ["a", "b"])
+        c = self.entry("c", address=b.address)
+        async with c.serving():
+            await until(lambda: "c" in a.peers.live("dc1"))
+            self.assertNotIn("b", a.peers.live("dc1"))
 
     async def test_an_entry_shown_gone_retires(self):
         """Guards against a process that works on without membership."""
-        a = Entry("a", self.log, self.view)
-        async with a.serving():
-            await until(lambda: a.members.active)
-            self.log.put_changes(gone("a"))
-            await until(a.members.retired.is_set)
+        self.log.put_changes(gone("a"))
+        await until(self.a.members.retired.is_set)
 
     async def test_relays_records_and_snapshots_in_an_outage(self):
         """Guards against needing the platform when a peer has the state."""
-        a = Entry("a", self.log, self.view)
         down = FakeLog()
         down.up = False
-        b = Entry("b", down, self.view, [a.address])
-        async with a.serving():
-            await until(lambda: a.members.active)
-            async with b.serving():
-                await until(lambda: b.follower.ready)
-                offset = self.log.put_changes(gone("nobody"))
-                await until(lambda: b.follower.state.offset >= offset)
-                await until(lambda: b.follower.current_at > 0)
+        b = self.entry(log=down)
+        async with b.serving():
+            await until(lambda: b.follower.ready)
+            offset = self.log.put_changes(gone("nobody"))
+            await until(lambda: b.follower.state.offset >= offset)
+            await until(lambda: b.follower.current_at > 0)
 
     async def test_blocked_calls_fail_unsent(self):
         """Guards against a cut that lets calls through."""
-        a = Entry("a", self.log, self.view)
-        b = Entry("b", self.log, self.view, [a.address])
-        async with a.serving(), b.serving():
+        a, b = self.a, self.entry()
+        async with b.serving():
             await until(lambda: "a" in b.peers.live("dc1"))
             b.peers.blocked.add(a.address)
             with self.assertRaises(PeerError) as caught:
--- a/tests/test_promise_configuration.py
+++ b/tests/test_promise_configuration.py
@@ -1,7 +1,6 @@
 """Keys (P3) and configuration (P10) under failure, with real processes."""
 
 import concurrent.futures
-import hashlib
 import time
 import unittest
 import unittest.mock
@@ -15,15 +14,15 @@
 from sardinedrift.snapshotter import Snapshotter
 from sardinedrift.state import State
 from standins import promises
-from standins.demo import SECRET
+from standins.demo import grant_key
 from standins.fleet import FleetError, running_fleet, wait_until
 from standins.history import Attempt
+from tests import sample_changes
 from tests.fakes import FakeLog, ManualClock, SystemClock
 
 # The target is 2 s in this fleet and 17 s at full size; the first is recorded
 # as measured, the second is asserted.
 CAP_SECONDS = 17.0
-DIGEST = hashlib.sha256(SECRET.encode()).hexdigest()
 
 
 def put_team(team, limit, **fields):
@@ -60,16 +59,17 @@
 
     def withdraw(self, team):
         """Withdraws the key of a team; returns when it was accepted."""
-        revision = promises.row(self.entries[0], f"keys/{team}")
-        change = {"type": "WithdrawKey", "key_id": team}
-        change["expected_revision"] = revision["revision"]
+        key = promises.row(self.entries[0], f"keys/{team}")
+        change = {
+            "type": "WithdrawKey",
+            "key_id": team,
+            "expected_revision": key["revision"],
+        }
         self.fleet.publish(change, entry=self.entries[0])
         return time.time()
 
     def add_team(self, team):
-        grant = {"type": "GrantKey", "key_id": team, "team_id": team}
-        grant["digest"] = DIGEST
-        self.fleet.publish(put_team(team, 16), grant)
+        self.fleet.publish(put_team(team, 16), grant_key(team, team))
 
     def wait_folded(self, entry, offset):
         wait_until(
@@ -168,10 +168,7 @@
 
     def test_forgotten_change_id_is_noticed(self):
         """Guards against a check of one effect that passes without results."""
-        change = ch.PutTeam(
-            change_id="x", expected_revision=0, team_id="t", share=1, limit=1
-        )
-        data = ch.encode_batch(ch.Batch((change,)))
+        data = ch.encode_batch(ch.Batch((sample_changes.put_team(),)))
         state = State()
         first = fold.apply_record(state, 0, 1.0, data)
         self.assertEqual(fold.apply_record(state, 1, 1.0, data), first)
@@ -181,16 +178,15 @@
     def test_race_of_operators_has_one_winner(self):
         """Guards against two entries that accept conflicting edits."""
         self.fleet.publish(put_team("raced", 1))
-        revision = promises.row(self.entries[0], "teams/raced")
+        team = promises.row(self.entries[0], "teams/raced")
         for turn in range(3):
-            revision = revision["revision"]
             racers = [
                 self.pool.submit(
                     self.fleet.publish,
                     put_team(
                         "raced",
                         10 * turn + number,
-                        expected_revision=revision,
+                        expected_revision=team["revision"],
                         change_id=f"race-{turn}-{number}",
                     ),
                     entry=self.entries[number],
@@ -205,8 +201,8 @@
             result = racers[errors.index(None)].result()[0]
             for entry in self.entries:
                 self.wait_folded(entry, result["offset"])
-                revision = promises.row(entry, "teams/raced")
-                self.assertEqual(revision["limit"], won)
+                team = promises.row(entry, "teams/raced")
+                self.assertEqual(team["limit"], won)
 
     def test_new_entry_serves_in_an_outage(self):
         """Guards against an older configuration at an entry without log."""
@@ -314,10 +310,7 @@
         """Guards against expiry when the chosen member cannot append."""
         clock = ManualClock(10_000.0)
         follower = Follower(FakeLog(), clock)
-        join = ch.EntryJoin(
-            change_id="j", entry_id="a", data_centre_id="dc1", address="a"
-        )
-        data = ch.encode_batch(ch.Batch((join,)))
+        data = ch.encode_batch(ch.Batch((sample_changes.join("a"),)))
         fold.apply_record(follower.state, 0, clock.now(), data)
         peers = unittest.mock.Mock()
         peers.live_members.return_value = ["a", "b"]
--- a/tests/test_promise_requests.py
+++ b/tests/test_promise_requests.py
@@ -164,7 +164,7 @@
     def _sends(self, requests=40):
         async def send():
             failures = [DialFailed("refused")] * 10_000
-            path = Path(*failures, entries=("e1",))
+            path = Path(*failures)
             for _ in range(requests):
                 await path.outcome(seconds=2.0)
             return len(path.minions.sent)
