Move the dispatcher with fakes beside its fakes

test_callers and test_promise_requests imported Path from test_dispatch. It stands in tests/path_fakes.py now. tests.test_dispatch, callers, promise_requests, placement, admission and slots: 64 passed.

--- a/sardinedrift/placement.py
+++ b/sardinedrift/placement.py
@@ -87,9 +87,8 @@
     check_name("job_id", change.job_id)
     check_exists(state, "team_by_id", "team_id", change.team_id)
     check_exists(state, "pool_by_id", "pool_id", change.pool_id)
-    check_range("cores", change.cores, 0)
-    check_range("memory_gb", change.memory_gb, 0)
-    check_range("accelerators", change.accelerators, 0)
+    for name in SIZES:
+        check_range(name, getattr(change, name), 0)
     check_range("max_run_seconds", change.max_run_seconds, 0.05)
     if change.job_id in state.tables.job_by_id:
         raise StateError("exists", "a job id is used only once", "job_id")
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -4,9 +4,13 @@
 import hashlib
 import time
 
+import uuid6
+
 from sardinedrift import changes as ch
-from sardinedrift.exceptions import PeerError
-from sardinedrift.identifiers import Identity
+from sardinedrift.admission import Admitted
+from sardinedrift.dispatch import Dispatcher
+from sardinedrift.exceptions import AdmissionError, PeerError
+from sardinedrift.identifiers import Identity, Outcome
 from sardinedrift.messages import (
     Acknowledged,
     ClaimReply,
@@ -15,6 +19,8 @@
     SlotReply,
 )
 from sardinedrift.ports import Answer
+from sardinedrift.slots import Slots
+from tests.fakes import SystemClock
 from tests.sample_changes import (
     Log,
     cid,
@@ -28,6 +34,7 @@
 )
 
 OWN = Identity("e1", "dc1", "127.0.0.1:1")
+ACKNOWLEDGED = Acknowledged()
 ANSWER = Answer(200, b"done", "text/plain")
 
 
@@ -260,4 +267,71 @@
         return instance_id in self.gone
 
 
-ACKNOWLEDGED = Acknowledged()
+class Path:
+    """A dispatcher with fakes around it.
+
+    Args:
+        *script: what the minions do with one send after the other.
+        code: how the owner of ids answers claims.
+        units: allowance units of the team here.
+        entries: members of the data centre; this entry is "e1".
+        **log: options of the log.
+    """
+
+    def __init__(
+        self, *script, code="claimed", units=4, entries=("e1",), **log
+    ):
+        self.log = make_log(entries=entries, **log)
+        self.peers = FakePeers()
+        self.scheduler = FakeScheduler()
+        self.limits = FakeLimits(units)
+        self.minions = FakeMinions(*script)
+        self.claims = FakeClaims(code)
+        self.view = FakeView()
+        clock = SystemClock()
+        self.slots = Slots(OWN, self.peers, {"pairing": self.scheduler}, clock)
+        self.dispatcher = Dispatcher(
+            OWN,
+            FakeFollower(self.log),
+            self.peers,
+            self.slots,
+            self.limits,
+            self.claims,
+            self.minions,
+            self.view,
+            clock,
+        )
+
+    def request(self, queue="once", seconds=5.0, first=False, own=False):
+        deadline = time.time() + seconds
+        return Admitted(
+            request_id=f"dc1.{uuid6.uuid7()}",
+            made_by_caller=not own,
+            first_attempt=first,
+            queue=self.log.state.tables.queue_by_id[queue],
+            team_id="red",
+            deadline=deadline,
+            run_deadline_bound=deadline,
+        )
+
+    async def outcome(self, **fields):
+        """Returns the code and outcome of one request."""
+        try:
+            answer = await self.dispatcher.handle(self.request(**fields))
+        except AdmissionError as error:
+            return error.code, error.outcome
+        assert answer.body == b"done"
+        return "", Outcome.ANSWERED
+
+    async def settled(self):
+        """Waits until all is given back, and checks that once is enough."""
+        await self.dispatcher.flush()
+        assert self.limits.free == self.limits.units
+        assert self.limits.turns == 0
+        assert self.slots.held() == {}
+        assert self.scheduler.returned() == sorted(self.scheduler.granted)
+        ends = [holder for holder, _ in self.claims.ended]
+        assert len(ends) == len(set(ends))
+
+    def ends(self):
+        return [outcome for _, outcome in self.claims.ended]
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -14,9 +14,8 @@
 from sardinedrift.identifiers import Outcome
 from tests import path_fakes
 from tests.fakes import SystemClock, until
-from tests.path_fakes import OWN
+from tests.path_fakes import OWN, Path
 from tests.sample_changes import put_pool, start_move
-from tests.test_dispatch import Path
 
 KEY = {"Sardinedrift-Key": "k1.s1"}
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -7,12 +7,9 @@
 
 import hypothesis
 import msgspec
-import uuid6
 from hypothesis import strategies
 
 from sardinedrift import attempts, claiming
-from sardinedrift.admission import Admitted
-from sardinedrift.dispatch import Dispatcher
 from sardinedrift.exceptions import (
     AdmissionError,
     DialFailed,
@@ -23,10 +20,8 @@
 from sardinedrift.identifiers import Outcome
 from sardinedrift.messages import ClaimReply
 from sardinedrift.relays import ErrorBody
-from sardinedrift.slots import Slots
-from tests import path_fakes
-from tests.fakes import SystemClock, until
-from tests.path_fakes import ACKNOWLEDGED, ANSWER, OWN
+from tests.fakes import until
+from tests.path_fakes import ACKNOWLEDGED, ANSWER, Path
 from tests.sample_changes import put_pool, start_move
 
 NOT_RUN = Outcome.NOT_RUN
@@ -41,76 +36,6 @@
     return 503, {"sardinedrift-outcome": outcome.value}, body
 
 
-class Path:
-    """A dispatcher with fakes around it.
-
-    Args:
-        *script: what the minions do with one send after the other.
-        code: how the owner of ids answers claims.
-        units: allowance units of the team here.
-        entries: members of the data centre; this entry is "e1".
-        **log: options of the log.
-    """
-
-    def __init__(
-        self, *script, code="claimed", units=4, entries=("e1",), **log
-    ):
-        self.log = path_fakes.make_log(entries=entries, **log)
-        self.peers = path_fakes.FakePeers()
-        self.scheduler = path_fakes.FakeScheduler()
-        self.limits = path_fakes.FakeLimits(units)
-        self.minions = path_fakes.FakeMinions(*script)
-        self.claims = path_fakes.FakeClaims(code)
-        self.view = path_fakes.FakeView()
-        clock = SystemClock()
-        self.slots = Slots(OWN, self.peers, {"pairing": self.scheduler}, clock)
-        self.dispatcher = Dispatcher(
-            OWN,
-            path_fakes.FakeFollower(self.log),
-            self.peers,
-            self.slots,
-            self.limits,
-            self.claims,
-            self.minions,
-            self.view,
-            clock,
-        )
-
-    def request(self, queue="once", seconds=5.0, first=False, own=False):
-        deadline = time.time() + seconds
-        return Admitted(
-            request_id=f"dc1.{uuid6.uuid7()}",
-            made_by_caller=not own,
-            first_attempt=first,
-            queue=self.log.state.tables.queue_by_id[queue],
-            team_id="red",
-            deadline=deadline,
-            run_deadline_bound=deadline,
-        )
-
-    async def outcome(self, **fields):
-        """Returns the code and outcome of one request."""
-        try:
-            answer = await self.dispatcher.handle(self.request(**fields))
-        except AdmissionError as error:
-            return error.code, error.outcome
-        assert answer.body == b"done"
-        return "", ANSWERED
-
-    async def settled(self):
-        """Waits until all is given back, and checks that once is enough."""
-        await self.dispatcher.flush()
-        assert self.limits.free == self.limits.units
-        assert self.limits.turns == 0
-        assert self.slots.held() == {}
-        assert self.scheduler.returned() == sorted(self.scheduler.granted)
-        ends = [holder for holder, _ in self.claims.ended]
-        assert len(ends) == len(set(ends))
-
-    def ends(self):
-        return [outcome for _, outcome in self.claims.ended]
-
-
 class DispatchTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         # Runs end soon after their deadline, so that tests are short.
--- a/tests/test_promise_requests.py
+++ b/tests/test_promise_requests.py
@@ -10,8 +10,8 @@
 from sardinedrift.exceptions import DialFailed
 from standins.fleet import Fleet, call
 from standins.history import Attempt, Execution, violations
+from tests.path_fakes import Path
 from tests.processload import Load, broken, fleet_of
-from tests.test_dispatch import Path
 
 SEED = 11
 
