--- a/sardinedrift/instancelist.py
+++ b/sardinedrift/instancelist.py
@@ -8,9 +8,9 @@
 from loguru import logger
 
 from sardinedrift.exceptions import InstanceListError
-from sardinedrift.identifiers import DataCentreId, Identity, InstanceId
+from sardinedrift.identifiers import DataCentreId, InstanceId
 from sardinedrift.ports import Clock, InstanceList, ListedInstance
-from sardinedrift.sessions import call_timeout, platform_session
+from sardinedrift.sessions import PlatformClient, call_timeout
 
 POLL_SECONDS = 10.0
 RETRY_SECONDS = 0.5
@@ -42,19 +42,8 @@
     done: bool
 
 
-class HttpInstanceList(InstanceList):
-    """Client of the instance list; made inside a running event loop.
-
-    Args:
-        address: "host:port" of the service.
-        identity: whom the `Source` header names.
-        clock: against which deadlines are measured.
-    """
-
-    def __init__(self, address: str, identity: Identity, clock: Clock):
-        self._url = f"http://{address}"
-        self._clock = clock
-        self._session = platform_session(identity)
+class HttpInstanceList(PlatformClient, InstanceList):
+    """Client of the instance list; see `PlatformClient`."""
 
     async def read(
         self, data_centre_id: DataCentreId, since: int, deadline: float
@@ -90,10 +79,6 @@
         except msgspec.MsgspecError as error:
             raise InstanceListError("unreadable answer to a reboot") from error
 
-    async def aclose(self) -> None:
-        """Closes the connections."""
-        await self._session.close()
-
     async def _call(
         self, method: str, path: str, seconds: float, **arguments
     ) -> bytes:
--- a/sardinedrift/logservice.py
+++ b/sardinedrift/logservice.py
@@ -8,9 +8,9 @@
     LogUnavailable,
     OffsetExpired,
 )
-from sardinedrift.identifiers import Identity, Offset
-from sardinedrift.ports import Clock, LogPage, LogService
-from sardinedrift.sessions import call_timeout, platform_session
+from sardinedrift.identifiers import Offset
+from sardinedrift.ports import LogPage, LogService
+from sardinedrift.sessions import PlatformClient, call_timeout
 
 # The service ends a long poll at the deadline; its answer needs time to
 # arrive.
@@ -35,19 +35,8 @@
     first: int
 
 
-class HttpLogService(LogService):
-    """Client of the platform's log; made inside a running event loop.
-
-    Args:
-        address: "host:port" of the service.
-        identity: whom the `Source` header names.
-        clock: against which deadlines are measured.
-    """
-
-    def __init__(self, address: str, identity: Identity, clock: Clock):
-        self._url = f"http://{address}"
-        self._clock = clock
-        self._session = platform_session(identity)
+class HttpLogService(PlatformClient, LogService):
+    """Client of the platform's log; see `PlatformClient`."""
 
     async def append(self, data: bytes, deadline: float) -> Offset:
         """Appends one record and returns its offset; see `LogService`."""
@@ -87,10 +76,6 @@
             raise LogUnavailable("unreadable answer to a read") from error
         raise OffsetExpired(f"offset {start} expired", Offset(expired.first))
 
-    async def aclose(self) -> None:
-        """Closes the connections."""
-        await self._session.close()
-
     async def _append(self, data: bytes, left: float) -> tuple[int, bytes]:
         async with self._session.post(
             f"{self._url}/append",
--- a/sardinedrift/sessions.py
+++ b/sardinedrift/sessions.py
@@ -1,8 +1,9 @@
-"""HTTP client sessions to the services of the platform."""
+"""HTTP clients of the services of the platform."""
 
 import aiohttp
 
 from sardinedrift.identifiers import Identity
+from sardinedrift.ports import Clock
 
 CONNECT_SECONDS = 1.0
 KEEPALIVE_SECONDS = 15.0
@@ -13,19 +14,30 @@
     return f"{identity.entry_id},{identity.data_centre_id}"
 
 
-def platform_session(identity: Identity) -> aiohttp.ClientSession:
-    """Returns a session whose calls name this entry.
+class PlatformClient:
+    """Base of clients of the platform; made inside a running event loop.
 
-    It reads no proxy variables; make it inside a running event loop and close
-    it.
+    Args:
+        address: "host:port" of the service.
+        identity: whom the `Source` header names.
+        clock: against which deadlines are measured.
     """
-    return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=0, keepalive_timeout=KEEPALIVE_SECONDS
-        ),
-        headers={"Source": source_of(identity)},
-        trust_env=False,
-    )
+
+    def __init__(self, address: str, identity: Identity, clock: Clock):
+        self._url = f"http://{address}"
+        self._clock = clock
+        # Reads no proxy variables.
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=KEEPALIVE_SECONDS
+            ),
+            headers={"Source": source_of(identity)},
+            trust_env=False,
+        )
+
+    async def aclose(self) -> None:
+        """Closes the connections."""
+        await self._session.close()
 
 
 def call_timeout(seconds: float) -> aiohttp.ClientTimeout:
