--- a/sardinedrift/admin.py
+++ b/sardinedrift/admin.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from sardinedrift import adminchanges, adminviews, timeline
+from sardinedrift import changes as ch
 from sardinedrift.exceptions import (
     LogUnavailable,
     PeerError,
@@ -122,7 +123,7 @@
             self._record_result(result)
         return _json({"results": results}, 200 if accepted else 409)
 
-    def _record_result(self, result) -> None:
+    def _record_result(self, result: ch.Result) -> None:
         kind = timeline.EventKind.CHANGE_REJECTED
         if result.accepted:
             kind = timeline.EventKind.CHANGE_ACCEPTED
--- a/sardinedrift/grants.py
+++ b/sardinedrift/grants.py
@@ -1,7 +1,7 @@
 """Slots in use, as a scheduler knows them."""
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Hashable, Iterable
 
 from sardinedrift.identifiers import (
     EntryId,
@@ -100,7 +100,7 @@
         return lost
 
 
-def _decrease(counter: collections.Counter, key) -> None:
+def _decrease(counter: collections.Counter[Hashable], key: Hashable) -> None:
     counter[key] -= 1
     if not counter[key]:
         del counter[key]
--- a/sardinedrift/metrics.py
+++ b/sardinedrift/metrics.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from enum import Enum
 
 import prometheus_client as prometheus
 
@@ -163,18 +164,22 @@
         self.waves = self._gauge("waves", "Waves by state", "state")
         self.moves = self._gauge("moves", "Moves by state", "state")
 
-    def _counter(self, name: str, text: str, *labels: str):
+    def _counter(
+        self, name: str, text: str, *labels: str
+    ) -> prometheus.Counter:
         return prometheus.Counter(
             f"sardinedrift_{name}", text, labels, registry=self.registry
         )
 
-    def _gauge(self, name: str, text: str, *labels: str):
+    def _gauge(self, name: str, text: str, *labels: str) -> prometheus.Gauge:
         return prometheus.Gauge(
             f"sardinedrift_{name}", text, labels, registry=self.registry
         )
 
 
-def _set_states(gauge: prometheus.Gauge, rows: dict, states) -> None:
+def _set_states(
+    gauge: prometheus.Gauge, rows: dict, states: type[Enum]
+) -> None:
     count = collections.Counter(row.state for row in rows.values())
     for state in states:
         gauge.labels(state.value).set(count[state])
--- a/sardinedrift/scheduler.py
+++ b/sardinedrift/scheduler.py
@@ -10,6 +10,7 @@
 from sardinedrift.identifiers import (
     DataCentreId,
     EntryId,
+    GrantId,
     InstanceId,
     PoolId,
     TeamId,
@@ -298,7 +299,7 @@
         running = self._grants.running_by_instance[instance.instance_id]
         return self._health.free(instance, running, now)
 
-    def _end_ask(self, ask_id, code: str) -> None:
+    def _end_ask(self, ask_id: GrantId, code: str) -> None:
         waiting = self._queues.get(ask_id)
         if waiting is None:
             return
@@ -309,7 +310,7 @@
         if not self._queues.has(team_id):
             self._ledger.stop_waiting(team_id, now)
 
-    def _free(self, grant_id) -> HeldGrant | None:
+    def _free(self, grant_id: GrantId) -> HeldGrant | None:
         grant = self._grants.end(grant_id)
         if grant:
             self._ledger.finish(grant.team_id, self._clock.now())
--- a/sardinedrift/waves.py
+++ b/sardinedrift/waves.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import uuid
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from loguru import logger
 from prometheus_client import Counter
@@ -225,7 +225,11 @@
         )
         return [*self._ends(wave, zip(rebooting, back, strict=True))]
 
-    def _ends(self, wave, pairs) -> Iterator[ch.WaveProgress]:
+    def _ends(
+        self,
+        wave: objects.Wave,
+        pairs: Iterable[tuple[objects.Instance, bool]],
+    ) -> Iterator[ch.WaveProgress]:
         limit = self._clock.now() - _DEADLINE_MARGIN_SECONDS
         for instance, back in pairs:
             deadline = wave.return_deadline_by_instance[instance.instance_id]
--- a/standins/benchlatency.py
+++ b/standins/benchlatency.py
@@ -109,7 +109,14 @@
         await asyncio.sleep(0.7)
 
 
-async def _in_turns(caller, session, minion, entry, make_id):
+async def _in_turns(
+    caller: Caller,
+    session: aiohttp.ClientSession,
+    minion: str,
+    entry: Entry,
+    make_id: Callable[[], str],
+) -> tuple[list[float], list[float]]:
+    """Returns seconds of calls of a minion, and of requests at an entry."""
     direct, through = [], []
     for _ in range(ROUNDS):
         started = time.perf_counter()
@@ -142,7 +149,9 @@
         await response.read()
 
 
-def _added(name: str, direct, through) -> Iterator[Figure]:
+def _added(
+    name: str, direct: list[float], through: list[float]
+) -> Iterator[Figure]:
     base = benchfleet.percentile(direct, 0.5)
     middle = benchfleet.percentile(through, 0.5) - base
     high = benchfleet.percentile(through, 0.99) - base
@@ -151,7 +160,7 @@
     yield Figure(f"added, 99th percentile ({name})", high * 1e3, "ms")
 
 
-async def _throughput(caller, name: str, entry: Entry) -> list[Figure]:
+async def _throughput(caller: Caller, name: str, entry: Entry) -> list[Figure]:
     pid = entry.process.pid
     end = time.monotonic() + LOAD_SECONDS
     before, started = benchfleet.cpu_seconds(pid), time.monotonic()
--- a/standins/benchloads.py
+++ b/standins/benchloads.py
@@ -69,7 +69,13 @@
     return list(_distances(executions, window, codes))
 
 
-async def _ask(caller: Caller, turn, index, end, codes) -> None:
+async def _ask(
+    caller: Caller,
+    turn: int | None,
+    index: int,
+    end: float,
+    codes: collections.Counter[str],
+) -> None:
     """Sends until the end, or only in the turns of the team."""
     choices = random.Random(f"{SEED}-{caller.team}-{index}")
     await asyncio.sleep(choices.random() * RUN_SECONDS)
@@ -88,9 +94,10 @@
 
 
 def _distances(
-    executions: Iterable[Execution], window, codes
+    executions: list[Execution],
+    window: tuple[float, float],
+    codes: collections.Counter[str],
 ) -> Iterator[Figure]:
-    executions = list(executions)
     places = {
         "fleet": executions,
         "dc1": [e for e in executions if e.minion.startswith("dc1")],
--- a/standins/capacityruns.py
+++ b/standins/capacityruns.py
@@ -12,7 +12,7 @@
 
 from sardinedrift import changes as ch
 from sardinedrift import endpoints, fold, messages, snapshots
-from sardinedrift.identifiers import Identity, InstanceKind, WorkClass
+from sardinedrift.identifiers import EntryId, Identity, InstanceKind, WorkClass
 from sardinedrift.peerlinks import LinkTable, Timing
 from sardinedrift.runtime import SystemClock
 from sardinedrift.shares import ShareLedger
@@ -127,7 +127,10 @@
     ]
 
 
-def _memory(build: Callable[[Folding], None], prepare=None) -> dict:
+def _memory(
+    build: Callable[[Folding], None],
+    prepare: Callable[[Folding], None] | None = None,
+) -> dict[str, float]:
     folding = Folding()
     put_base(folding)
     if prepare:
@@ -183,7 +186,7 @@
             )
 
 
-def _take(folding: Folding, number: int, entry_id, teams: int) -> None:
+def _take(folding: Folding, number: int, entry_id: EntryId, teams: int) -> None:
     units = {f"team-{each:04d}": 4 for each in range(teams)}
     folding.put(
         change(
--- a/standins/instancelist.py
+++ b/standins/instancelist.py
@@ -7,6 +7,7 @@
 import click
 import msgspec
 from aiohttp import web
+from aiohttp.typedefs import Handler
 
 from standins import serving
 
@@ -196,7 +197,9 @@
 
 
 @web.middleware
-async def _apply_faults(request, handler):
+async def _apply_faults(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
     if request.path != "/control" and _unavailable(request):
         return serving.error(503, "unavailable")
     response = await handler(request)
--- a/standins/logservice.py
+++ b/standins/logservice.py
@@ -7,6 +7,7 @@
 import click
 import msgspec
 from aiohttp import web
+from aiohttp.typedefs import Handler
 
 from sardinedrift.ports import LogPage, LogRecord
 from standins import serving
@@ -144,7 +145,9 @@
 
 
 @web.middleware
-async def _apply_faults(request, handler):
+async def _apply_faults(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
     faults = request.app[LOG].faults
     if request.path not in ("/append", "/records"):
         return await handler(request)
--- a/standins/minion.py
+++ b/standins/minion.py
@@ -10,6 +10,7 @@
 import click
 import msgspec
 from aiohttp import web
+from aiohttp.typedefs import Handler
 
 from standins import serving
 
@@ -183,7 +184,9 @@
 
 
 @web.middleware
-async def _silence(request, handler):
+async def _silence(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
     minion = request.app[MINION]
     transport = request.transport
     if transport in minion.silent:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -5,6 +5,7 @@
 import click
 import msgspec
 from aiohttp import web
+from aiohttp.typedefs import Handler
 
 from standins import serving
 
@@ -238,7 +239,9 @@
 
 
 @web.middleware
-async def _show_refusals(request, handler):
+async def _show_refusals(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
     try:
         return await handler(request)
     except Refused as refused:
