--- a/standins/capacityjobs.py
+++ b/standins/capacityjobs.py
@@ -6,21 +6,27 @@
 import os
 import socket
 import time
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import uvloop
 from aiohttp import web
 
 from sardinedrift import changes as ch
 from sardinedrift import fold
-from sardinedrift.identifiers import Identity, InstanceKind
+from sardinedrift.identifiers import (
+    DataCentreId,
+    EntryId,
+    Identity,
+    InstanceKind,
+    PoolId,
+)
 from sardinedrift.jobs import Jobs
 from sardinedrift.runtime import SystemClock
 from sardinedrift.state import State
 from sardinedrift.workers import HttpWorkers
 from standins.capacityidle import resident_mb
 
-_ENTRY = "dc0-me"
+_ENTRY = EntryId("dc0-me")
 _POOL = "pool0"
 # Covers the leases, which are taken and granted one after another.
 WARM_UP_SECONDS = 6.0
@@ -42,7 +48,9 @@
         offset = self.state.offset + 1
         return fold.apply_record(self.state, offset, time.time(), data)
 
-    async def publish(self, changes, deadline) -> list[ch.Result]:
+    async def publish(
+        self, changes: Iterable[ch.AnyChange], deadline: float
+    ) -> list[ch.Result]:
         """Folds changes; see `Publisher`."""
         del deadline
         return self.put(*changes)
@@ -51,12 +59,12 @@
 class _Peers:
     """This entry schedules every pool."""
 
-    def scheduler(self, pool_id):
+    def scheduler(self, pool_id: PoolId) -> EntryId:
         """Returns this entry."""
         del pool_id
         return _ENTRY
 
-    def live(self, data_centre_id):
+    def live(self, data_centre_id: DataCentreId) -> list[EntryId]:
         """Returns this entry only."""
         del data_centre_id
         return [_ENTRY]
--- a/standins/capacitywaves.py
+++ b/standins/capacitywaves.py
@@ -2,14 +2,21 @@
 
 import asyncio
 import time
+from collections.abc import Iterable
 
 from sardinedrift import changes as ch
-from sardinedrift.identifiers import Identity, InstanceKind
+from sardinedrift.identifiers import (
+    DataCentreId,
+    EntryId,
+    Identity,
+    InstanceId,
+    InstanceKind,
+)
 from sardinedrift.runtime import SystemClock
 from sardinedrift.waves import Waves
 from standins.capacityruns import Folding, change
 
-_ENTRY = "dc0-me"
+_ENTRY = EntryId("dc0-me")
 _POOL = "pool0"
 _PASSES = 100
 
@@ -17,22 +24,24 @@
 class _Platform:
     """The entry's surroundings: it is alone, and every instance is listed."""
 
-    def live_members(self, data_centre_id):
+    def live_members(self, data_centre_id: DataCentreId) -> list[EntryId]:
         """Returns this entry only."""
         del data_centre_id
         return [_ENTRY]
 
-    def listed(self, instance_id):
+    def listed(self, instance_id: str) -> bool:
         """Tells that an instance is listed."""
         del instance_id
         return True
 
-    def leaving(self, instance_id):
+    def leaving(self, instance_id: str) -> bool:
         """Tells that an instance does not leave."""
         del instance_id
         return False
 
-    async def reboot(self, instance_id, token, deadline):
+    async def reboot(
+        self, instance_id: InstanceId, token: str, deadline: float
+    ) -> bool:
         """Tells that a reboot has not ended."""
         del instance_id, token, deadline
         return False
@@ -41,7 +50,9 @@
 class _PublishingFolding(Folding):
     """Folds what is published at once."""
 
-    async def publish(self, changes, deadline):
+    async def publish(
+        self, changes: Iterable[ch.AnyChange], deadline: float
+    ) -> list[ch.Result]:
         """Folds changes; see `Publisher`."""
         del deadline
         self.put(*changes)
