--- a/sardinedrift/adminviews.py
+++ b/sardinedrift/adminviews.py
@@ -1,7 +1,7 @@
 """What operators read: objects of the state as plain JSON values."""
 
 from collections.abc import Callable, Iterator
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -48,68 +48,74 @@
     return _plain(value)
 
 
-_View = Callable[[State, Any], Row]
-
-_TABLE_AND_VIEW_BY_COLLECTION: dict[str, tuple[str, _View]] = {
-    "data-centres": ("data_centre_by_id", _object),
-    "teams": ("team_by_id", _object),
-    "keys": ("key_by_id", _key),
-    "pools": ("pool_by_id", _object),
-    "queues": ("queue_by_id", _object),
-    "rules": ("rule_by_id", _object),
-    "instances": ("instance_by_id", _object),
-    "moves": ("move_by_id", _move),
-    "waves": ("wave_by_id", _wave),
-    "entries": ("entry_by_id", _object),
-    "allowances": ("allowances_by_team", _allowances),
-    "jobs": ("job_by_id", _object),
-    "workers": ("worker_use_by_instance", _object),
+class _Collection(NamedTuple):
+    """Where a collection is kept, and how its objects are shown.
+
+    Attributes:
+        fields: those by which the collection can be filtered.
+        view: returns an object as a row.
+    """
+
+    table: str
+    fields: tuple[str, ...]
+    view: Callable[[State, Any], Row] = _object
+
+
+_COLLECTION_BY_NAME = {
+    "data-centres": _Collection(
+        "data_centre_by_id", objects.DataCentre.__struct_fields__
+    ),
+    "teams": _Collection("team_by_id", objects.Team.__struct_fields__),
+    "keys": _Collection(
+        "key_by_id", ("key_id", "team_id", "state", "revision"), _key
+    ),
+    "pools": _Collection("pool_by_id", objects.Pool.__struct_fields__),
+    "queues": _Collection("queue_by_id", objects.Queue.__struct_fields__),
+    "rules": _Collection("rule_by_id", objects.Rule.__struct_fields__),
+    "instances": _Collection(
+        "instance_by_id", objects.Instance.__struct_fields__
+    ),
+    "moves": _Collection("move_by_id", objects.Move.__struct_fields__, _move),
+    "waves": _Collection("wave_by_id", objects.Wave.__struct_fields__, _wave),
+    "entries": _Collection("entry_by_id", objects.Entry.__struct_fields__),
+    "allowances": _Collection(
+        "allowances_by_team", ("team_id", "limit", "unallocated"), _allowances
+    ),
+    "jobs": _Collection("job_by_id", objects.Job.__struct_fields__),
+    "workers": _Collection(
+        "worker_use_by_instance", objects.WorkerUse.__struct_fields__
+    ),
 }
 
-COLLECTIONS = tuple(_TABLE_AND_VIEW_BY_COLLECTION)
-
-
-# Fields by which a collection can be filtered.
-_FIELDS_BY_COLLECTION: dict[str, tuple[str, ...]] = {
-    "data-centres": objects.DataCentre.__struct_fields__,
-    "teams": objects.Team.__struct_fields__,
-    "keys": ("key_id", "team_id", "state", "revision"),
-    "pools": objects.Pool.__struct_fields__,
-    "queues": objects.Queue.__struct_fields__,
-    "rules": objects.Rule.__struct_fields__,
-    "instances": objects.Instance.__struct_fields__,
-    "moves": objects.Move.__struct_fields__,
-    "waves": objects.Wave.__struct_fields__,
-    "entries": objects.Entry.__struct_fields__,
-    "allowances": ("team_id", "limit", "unallocated"),
-    "jobs": objects.Job.__struct_fields__,
-    "workers": objects.WorkerUse.__struct_fields__,
-}
+COLLECTIONS = tuple(_COLLECTION_BY_NAME)
 
 
 def fields(collection: str) -> tuple[str, ...]:
     """Returns the names of the fields that a collection is filtered by."""
-    return _FIELDS_BY_COLLECTION[collection]
+    return _COLLECTION_BY_NAME[collection].fields
 
 
 def one(state: State, collection: str, object_id: str) -> Row | None:
     """Returns one object of a collection, or None."""
-    table, view = _TABLE_AND_VIEW_BY_COLLECTION[collection]
-    rows = getattr(state.tables, table)
+    kept = _COLLECTION_BY_NAME[collection]
+    rows = getattr(state.tables, kept.table)
     if object_id not in rows:
         return None
-    return view(state, _subject(collection, rows, object_id))
+    return kept.view(state, _subject(collection, rows, object_id))
 
 
 def rows_after(
     state: State, collection: str, after: str
 ) -> Iterator[tuple[str, Row]]:
     """Yields (id, object) of a collection in id order, after an id."""
-    table, view = _TABLE_AND_VIEW_BY_COLLECTION[collection]
-    rows = getattr(state.tables, table)
+    kept = _COLLECTION_BY_NAME[collection]
+    rows = getattr(state.tables, kept.table)
     for object_id in sorted(rows):
         if object_id > after:
-            yield object_id, view(state, _subject(collection, rows, object_id))
+            yield (
+                object_id,
+                kept.view(state, _subject(collection, rows, object_id)),
+            )
 
 
 def _subject(collection: str, rows: dict, object_id: str) -> Any:
