--- a/standins/capacityruns.py
+++ b/standins/capacityruns.py
@@ -133,7 +133,10 @@
     ]
 
 
-def _memory(build: Callable[[Folding], None], prepare=None) -> dict:
+def _memory(
+    build: Callable[[Folding], None],
+    prepare: Callable[[Folding], None] | None = None,
+) -> dict[str, float]:
     folding = Folding()
     put_base(folding)
     if prepare:
@@ -189,7 +192,7 @@
             )
 
 
-def _take(folding: Folding, number: int, entry_id, teams: int) -> None:
+def _take(folding: Folding, number: int, entry_id: EntryId, teams: int) -> None:
     units = {f"team-{each:04d}": 4 for each in range(teams)}
     folding.put(
         change(
--- a/tests/test_promise_requests.py
+++ b/tests/test_promise_requests.py
@@ -10,8 +10,8 @@
 from sardinedrift.exceptions import DialFailed
 from standins.fleet import Fleet, call
 from standins.history import Attempt, Execution, violations
+from tests.path_fakes import Path
 from tests.processload import Load, broken, fleet_of
-from tests.test_dispatch import Path
 
 SEED = 11
 
@@ -173,7 +173,7 @@
     def _sends(self, requests=40):
         async def send():
             failures = [DialFailed("refused")] * 10_000
-            path = Path(*failures, entries=("e1",))
+            path = Path(*failures)
             for _ in range(requests):
                 await path.outcome(seconds=2.0)
             return len(path.minions.sent)
