--- a/sardinedrift/guards.py
+++ b/sardinedrift/guards.py
@@ -19,6 +19,7 @@
     JobStep,
     Offset,
 )
+from sardinedrift.overuse import Overuse
 from sardinedrift.ports import (
     Clock,
     TaskUse,
@@ -35,9 +36,6 @@
 # Covers the clock error between an entry and a worker.
 START_MARGIN_SECONDS = 1.0
 ORDER_SECONDS = 1.0
-# Declared sizes are estimates; only use well above them is acted upon.
-OVERUSE_FACTOR = 1.5
-THROTTLE_FACTOR = 0.5
 _UNLIMITED = 1 << 20
 _UNSETTLED = (JobState.PLACED, JobState.CANCELLING)
 
@@ -49,9 +47,6 @@
     "Orders that a worker refused or did not answer.",
     ["reason"],
 )
-_throttles = Counter(
-    "sardinedrift_task_throttles_total", "Tasks slowed down for their use."
-)
 
 
 class Guard:
@@ -93,10 +88,9 @@
         self._lapses_at = 0.0
         self._take_after: float | None = None
         self._lease_of_unclear: dict[str, Offset] = {}
-        self._throttled_at: dict[str, float] = {}
-        self._peak_by_task: dict[str, float] = {}
         self._end_by_task: dict[str, Report] = {}
         self._probation = Probation(clock)
+        self._overuse = Overuse(workers, clock)
 
     def room(self) -> int:
         """Returns how many more jobs may be placed here now.
@@ -259,8 +253,10 @@
         if line is None:
             return await self._start(worker, job)
         self._probation.count_success()
-        if await self._overuses(worker, job, line, reported_at):
-            peak = self._peak_by_task[line.task_id]
+        if await self._overuse.persists(
+            worker.address, line, job.memory_gb, reported_at, self._limit()
+        ):
+            peak = self._overuse.peak(line.task_id)
             return await self._stop(worker, job, "used_too_much", peak)
         if job.state is JobState.PLACED:
             return self._progress(job, RUNNING)
@@ -306,28 +302,6 @@
             return None
         return self._progress(job, RUNNING)
 
-    async def _overuses(
-        self,
-        worker: objects.Instance,
-        job: objects.Job,
-        line: TaskUse,
-        reported_at: float,
-    ) -> bool:
-        """Throttles a task of excessive use; tells if that did not help."""
-        name = line.task_id
-        peak = max(self._peak_by_task.get(name, 0.0), line.memory_gb)
-        self._peak_by_task[name] = peak
-        if line.memory_gb <= OVERUSE_FACTOR * job.memory_gb:
-            return False
-        if name not in self._throttled_at:
-            await self._workers.throttle(
-                worker.address, name, THROTTLE_FACTOR, self._limit()
-            )
-            self._throttled_at[name] = self._clock.now()
-            _throttles.inc()
-            return False
-        return reported_at > self._throttled_at[name]
-
     async def _stop(
         self,
         worker: objects.Instance,
@@ -383,12 +357,8 @@
 
     def _forget_tasks(self, known: set[str]) -> None:
         """Drops what is remembered of tasks that are placed no more."""
-        for rows in (
-            self._lease_of_unclear,
-            self._throttled_at,
-            self._peak_by_task,
-            self._end_by_task,
-        ):
+        self._overuse.forget(known)
+        for rows in (self._lease_of_unclear, self._end_by_task):
             for name in rows.keys() - known:
                 del rows[name]
 
