Ask for a slot while the claim is on its way

At an entry that is neither owner nor scheduler a request waited for two round trips in turn. The slot is now asked for during the claim when both are other entries, the owner is live and a unit of the team is free at once; the turn for the unit is taken first, as before. Nothing is sent before the claim is granted.

A refused or failed claim, a caller that goes away, a deadline and a relay give ask, slot and turn back at once. So does a claim that takes longer than 20 ms: a frozen owner would otherwise hold slots for 2 s each. A slot that comes back unused is taken off the use of its team, and no longer counts as a success of the minion, which could end its probation without any answer. Until now this was so for grants of requests that had given up.

Ruled out: asking early when the scheduler is this entry, as that takes no round trip, or when no unit is free, as teams at their limit would then hold slots.

--- a/sardinedrift/attempts.py
+++ b/sardinedrift/attempts.py
@@ -31,6 +31,8 @@
 
 # Time for an answer that the minion gives at its run deadline to arrive.
 ANSWER_GRACE_SECONDS = 2.0
+# A claim that takes longer must not keep a slot from other work.
+EARLY_SECONDS = 0.02
 _SLEEP_STEP_SECONDS = 1.0
 # The request ran too long; this says nothing about the minion.
 _DEADLINE_STATUS = 504
@@ -47,9 +49,13 @@
         sent: bytes may have reached a minion and nothing proves otherwise.
         asked_unit: the turn for a unit, given by `Limits.wait`, is used.
         instance_id: the granted minion.
+        early: the ask for a slot, when it began before the attempt.
+        began: unix time of the ask for a slot, or 0.
     """
 
     def __init__(self) -> None:
+        self.early: asyncio.Task[SlotReply] | None = None
+        self.began = 0.0
         self.sent = False
         self.asked_unit = False
         self.instance_id: InstanceId | None = None
@@ -91,6 +97,38 @@
         """How many attempts still hold or wait for a slot."""
         return len(self._tasks)
 
+    async def begin_early(self, admitted: Admitted) -> Attempt | None:
+        """Takes a turn for a unit and asks for a slot, ahead of `run`.
+
+        The attempt goes to `run` or to `give_back`. None: no unit is free at
+        once, or the slot is not asked of another entry.
+        """
+        queue = admitted.queue
+        if not self._slots.scheduled_elsewhere(queue.pool_id):
+            return None
+        # Returns at once, as the deadline has come.
+        now = self._clock.now()
+        if not await self._limits.wait(admitted.team_id, now):
+            return None
+        attempt = Attempt()
+        attempt.began = now
+        attempt.early = self._slots.ask_early(
+            queue.pool_id, admitted.team_id, queue.work_class, admitted.deadline
+        )
+        return attempt
+
+    def give_back(self, attempt: Attempt, team_id: TeamId) -> None:
+        """Gives back the slot and the turn that an attempt has not used."""
+        if attempt.early is not None:
+            self._slots.give_up(attempt.early)
+            attempt.early = None
+        if attempt.asked_unit:
+            return
+        attempt.asked_unit = True
+        # Lets the next request ask for the unit that was not needed.
+        if self._limits.try_acquire(team_id):
+            self._limits.release(team_id)
+
     async def run(
         self,
         attempt: Attempt,
@@ -113,7 +151,7 @@
         task.add_done_callback(self._tasks.discard)
         # A callback also runs for a task cancelled before its first step.
         task.add_done_callback(
-            lambda _: self._pass_turn(attempt, admitted.team_id)
+            lambda _: self.give_back(attempt, admitted.team_id)
         )
         try:
             return await attempt.result
@@ -146,13 +184,15 @@
         avoid: Sequence[InstanceId],
     ) -> None:
         queue = admitted.queue
-        began = self._clock.now()
+        began = attempt.began or self._clock.now()
+        early, attempt.early = attempt.early, None
         async with self._slots.acquire(
             queue.pool_id,
             admitted.team_id,
             queue.work_class,
             admitted.deadline,
             avoid,
+            early,
         ) as reply:
             grant = self._check_grant(reply)
             attempt.instance_id = grant.instance_id
@@ -193,11 +233,6 @@
         finally:
             self._limits.release(team_id)
 
-    def _pass_turn(self, attempt: Attempt, team_id: TeamId) -> None:
-        """Lets the next request ask for the unit that was not needed."""
-        if not attempt.asked_unit and self._limits.try_acquire(team_id):
-            self._limits.release(team_id)
-
     async def _send(
         self, attempt: Attempt, admitted: Admitted, address: str
     ) -> None:
--- a/sardinedrift/claiming.py
+++ b/sardinedrift/claiming.py
@@ -82,6 +82,11 @@
         owner = self._owner(request_id)
         return home is not None and owner in self._peers.live_members(home)
 
+    def claims_elsewhere(self, request_id: RequestId) -> bool:
+        """Tells whether the owner of an id is another, live entry."""
+        owner = self._owner(request_id)
+        return owner != self.entry_id and self.can_claim(request_id)
+
     async def claim(self, admitted: Admitted) -> Claim:
         """Claims the id of a request at its owner.
 
--- a/sardinedrift/dispatch.py
+++ b/sardinedrift/dispatch.py
@@ -11,8 +11,13 @@
 
 from sardinedrift import retries
 from sardinedrift.admission import Admitted
-from sardinedrift.attempts import Attempt, Attempts, GrantDeclinedError
-from sardinedrift.claiming import ClaimAsker
+from sardinedrift.attempts import (
+    EARLY_SECONDS,
+    Attempt,
+    Attempts,
+    GrantDeclinedError,
+)
+from sardinedrift.claiming import Claim, ClaimAsker
 from sardinedrift.claims import Claims
 from sardinedrift.exceptions import (
     AdmissionError,
@@ -153,22 +158,44 @@
     async def _claimed(
         self, admitted: Admitted, flight: Flight
     ) -> AsyncIterator[None]:
-        """Holds the claim of the id, and ends it once on every path."""
+        """Holds the claim of the id for the block."""
         if not admitted.needs_claim:
             yield
             return
-        claim = await self._asker.claim(admitted)
-        flight.claimed = True
         try:
-            yield
-        except AdmissionError as error:
-            ran = flight.may_have_run
-            claim.end(Outcome.UNKNOWN if ran else error.outcome)
-            raise
-        except BaseException:
-            claim.end(flight.outcome)
-            raise
-        claim.end(Outcome.ANSWERED)
+            claim = await self._claim(admitted, flight)
+            flight.claimed = True
+            with flight.ending(claim):
+                yield
+        finally:
+            self._drop_early(admitted, flight)
+
+    async def _claim(self, admitted: Admitted, flight: Flight) -> Claim:
+        """Claims the id, and asks for a slot meanwhile if both are elsewhere.
+
+        Nothing is sent before the claim is granted.
+        """
+        if (
+            self._asker.claims_elsewhere(admitted.request_id)
+            and self._is_member()
+            and self._has_endpoint(admitted.queue.pool_id)
+        ):
+            flight.early = await self._attempts.begin_early(admitted)
+        if flight.early is None:
+            return await self._asker.claim(admitted)
+        patience = asyncio.get_running_loop().call_later(
+            EARLY_SECONDS, self._drop_early, admitted, flight
+        )
+        try:
+            return await self._asker.claim(admitted)
+        finally:
+            patience.cancel()
+
+    def _drop_early(self, admitted: Admitted, flight: Flight) -> None:
+        """Gives back what was asked for early and is not needed now."""
+        attempt, flight.early = flight.early, None
+        if attempt is not None:
+            self._attempts.give_back(attempt, admitted.team_id)
 
     async def _place(self, admitted: Admitted, flight: Flight) -> Answer:
         while self._clock.now() < admitted.deadline:
@@ -176,7 +203,9 @@
                 return await self._relay_to_member(admitted, flight)
             if not self._has_endpoint(admitted.queue.pool_id):
                 return await self._relay_to_endpoint(admitted, flight)
-            answer = await self._wait_for_unit(admitted, flight)
+            answer = None
+            if flight.early is None:
+                answer = await self._wait_for_unit(admitted, flight)
             if answer is None:
                 answer = await self._attempt(admitted, flight)
             if answer is not None:
@@ -245,7 +274,8 @@
         self, admitted: Admitted, flight: Flight
     ) -> Answer | None:
         """Returns the answer, or None when another attempt is allowed."""
-        attempt = flight.attempt = Attempt()
+        attempt = flight.attempt = flight.early or Attempt()
+        flight.early = None
         try:
             answer = await self._attempts.run(attempt, admitted, flight.avoid)
         except GrantDeclinedError:
@@ -286,6 +316,7 @@
         self, choices: Iterable[EntryId], admitted: Admitted, flight: Flight
     ) -> Answer | None:
         """Relays to the first choice that takes the request, else None."""
+        self._drop_early(admitted, flight)
         claimed = flight.claimed or not admitted.made_by_caller
         for entry_id in itertools.islice(choices, MOST_CHOICES):
             flight.relaying = True
--- a/sardinedrift/flight.py
+++ b/sardinedrift/flight.py
@@ -5,6 +5,7 @@
 
 from sardinedrift.admission import Admitted
 from sardinedrift.attempts import Attempt
+from sardinedrift.claiming import Claim
 from sardinedrift.exceptions import AdmissionError
 from sardinedrift.identifiers import InstanceId, Outcome
 
@@ -17,6 +18,7 @@
         ran_unknown: an ended attempt or relay may have run.
         relaying: a relay is waiting for its reply.
         attempt: the last attempt.
+        early: the first attempt while it waits for the claim.
         refusal: the last refusal by another entry.
         failures: failed attempts so far.
     """
@@ -26,6 +28,7 @@
         self.ran_unknown = False
         self.relaying = False
         self.attempt: Attempt | None = None
+        self.early: Attempt | None = None
         self.refusal: AdmissionError | None = None
         self.failures = 0
         self.avoid: list[InstanceId] = []
@@ -52,3 +55,17 @@
             elif not self.claimed and error.outcome is Outcome.NOT_RUN:
                 error.outcome = admitted.refused
             raise
+
+    @contextlib.contextmanager
+    def ending(self, claim: Claim) -> Iterator[None]:
+        """Ends a claim once on every path."""
+        try:
+            yield
+        except AdmissionError as error:
+            ran = self.may_have_run
+            claim.end(Outcome.UNKNOWN if ran else error.outcome)
+            raise
+        except BaseException:
+            claim.end(self.outcome)
+            raise
+        claim.end(Outcome.ANSWERED)
--- a/sardinedrift/messages.py
+++ b/sardinedrift/messages.py
@@ -123,12 +123,14 @@
         failed: the minion failed or refused the request.
         busy: the minion stated that all its slots are taken.
         failed_answer: the minion answered with a server error.
+        unused: nothing was sent to the minion.
     """
 
     entry_id: EntryId
     grant_id: GrantId
     pool_id: PoolId
     instance_id: InstanceId
+    unused: bool = False
     failed: bool = False
     busy: bool = False
     failed_answer: bool = False
--- a/sardinedrift/scheduler.py
+++ b/sardinedrift/scheduler.py
@@ -10,6 +10,7 @@
 from sardinedrift.identifiers import (
     DataCentreId,
     EntryId,
+    GrantId,
     InstanceId,
     PoolId,
     TeamId,
@@ -60,6 +61,7 @@
         self._queues = AskQueues(most_waiting)
         self._grants = Grants()
         self._ledger = ShareLedger(self._share_of)
+        self._started_by_grant: dict[GrantId, float] = {}
         self._seen_use_by_scheduler: dict[EntryId, dict[TeamId, float]] = {}
         self._instances: Sequence[Instance] = ()
         self._weight_by_team: dict[TeamId, float] = {}
@@ -97,8 +99,8 @@
         now = self._clock.now()
         self._end_ask(release.grant_id, "deadline")
         self._grants.note_ended(release.grant_id)
-        grant = self._free(release.grant_id)
-        if grant:
+        grant = self._free(release.grant_id, release.unused)
+        if grant and not release.unused:
             self._judge(release, grant, now)
         self._fill()
 
@@ -287,7 +289,8 @@
             now,
         )
         self._grants.add(ask.entry_id, grant, instance.address)
-        self._ledger.start(ask.team_id, now)
+        started = self._ledger.start(ask.team_id, now)
+        self._started_by_grant[ask.ask_id] = started
         reply = SlotReply(grant=grant, address=instance.address)
         self._queues.end(ask.ask_id, reply)
         self._note_waiting(ask.team_id, now)
@@ -308,9 +311,12 @@
         if not self._queues.has(team_id):
             self._ledger.stop_waiting(team_id, now)
 
-    def _free(self, grant_id) -> HeldGrant | None:
+    def _free(self, grant_id, unused: bool = False) -> HeldGrant | None:
         grant = self._grants.end(grant_id)
-        if grant:
+        started = self._started_by_grant.pop(grant_id, None)
+        if grant and unused and started is not None:
+            self._ledger.cancel(grant.team_id, self._clock.now(), started)
+        elif grant:
             self._ledger.finish(grant.team_id, self._clock.now())
         return grant
 
--- a/sardinedrift/shares.py
+++ b/sardinedrift/shares.py
@@ -78,11 +78,16 @@
         self._charged(team).waiting = False
         self._waiting.discard(team)
 
-    def start(self, team: TeamId, now: float) -> None:
-        """Charges a team for one more slot from now on."""
+    def start(self, team: TeamId, now: float) -> float:
+        """Charges a team for one more slot from now on.
+
+        Returns:
+            What `cancel` needs to take the charge back.
+        """
         self._advance(now)
         self._charged(team).running += 1
         self._total_running += 1
+        return self._contended
 
     def finish(self, team: TeamId, now: float) -> None:
         """Ends the charge of one slot."""
@@ -94,6 +99,18 @@
         self._total_running -= 1
         self._learn_service_time()
 
+    def cancel(self, team: TeamId, now: float, started: float) -> None:
+        """Takes back the charge of one slot that was not used."""
+        self._advance(now)
+        account = self._charged(team)
+        if account.running == 0:
+            return
+        used = self._contended - started
+        account.use -= used
+        account.virtual -= used / self._share(team)
+        account.running -= 1
+        self._total_running -= 1
+
     def next_team(
         self, waiting_teams: Iterable[TeamId], now: float
     ) -> TeamId | None:
--- a/sardinedrift/slots.py
+++ b/sardinedrift/slots.py
@@ -99,27 +99,60 @@
         work_class: WorkClass,
         deadline: float,
         avoid: Sequence[InstanceId] = (),
+        early: asyncio.Task[SlotReply] | None = None,
     ) -> AsyncIterator[SlotReply]:
         """Yields the scheduler's reply and holds its slot for the block.
 
         A minion error that leaves the block is reported to the scheduler.
+        With `early`, the reply is that of an ask started by `ask_early`.
         """
-        ask = SlotAsk(
-            ask_id=_new_ask_id(),
-            entry_id=self._identity.entry_id,
-            pool_id=pool_id,
-            team_id=team_id,
-            work_class=work_class,
-            deadline=deadline,
-            avoid=list(avoid),
-        )
-        reply = await self._reply(ask)
+        if early is None:
+            ask = self._new_ask(pool_id, team_id, work_class, deadline, avoid)
+            reply = await self._reply(ask)
+        else:
+            reply = await self._reply_to_early(early)
         if reply.grant is None:
             yield reply
             return
         with self._held(reply.grant):
             yield reply
 
+    def scheduled_elsewhere(self, pool_id: PoolId) -> bool:
+        """Tells whether another entry schedules a pool."""
+        scheduler = self._peers.scheduler(pool_id)
+        return scheduler not in (None, self._identity.entry_id)
+
+    def ask_early(
+        self,
+        pool_id: PoolId,
+        team_id: TeamId,
+        work_class: WorkClass,
+        deadline: float,
+    ) -> asyncio.Task[SlotReply]:
+        """Starts to ask for a slot that may turn out not to be needed.
+
+        The task goes to `acquire` or to `give_up`.
+        """
+        ask = self._new_ask(pool_id, team_id, work_class, deadline, ())
+        return self._spawn(self._reply(ask))
+
+    def give_up(self, early: asyncio.Task[SlotReply]) -> None:
+        """Ends an early ask and gives back its slot, which was not used."""
+        if early.done():
+            self._release_abandoned(early)
+        else:
+            early.cancel()
+
+    async def _reply_to_early(
+        self, early: asyncio.Task[SlotReply]
+    ) -> SlotReply:
+        try:
+            return await early
+        except asyncio.CancelledError:
+            # The reply may have come in the same step.
+            self.give_up(early)
+            raise
+
     async def flush(self) -> None:
         """Waits until every release is delivered or given up."""
         while self._tasks:
@@ -139,6 +172,24 @@
             del self._grant_by_id[grant.grant_id]
             self._release(grant, **verdict)
 
+    def _new_ask(
+        self,
+        pool_id: PoolId,
+        team_id: TeamId,
+        work_class: WorkClass,
+        deadline: float,
+        avoid: Sequence[InstanceId],
+    ) -> SlotAsk:
+        return SlotAsk(
+            ask_id=_new_ask_id(),
+            entry_id=self._identity.entry_id,
+            pool_id=pool_id,
+            team_id=team_id,
+            work_class=work_class,
+            deadline=deadline,
+            avoid=list(avoid),
+        )
+
     async def _reply(self, ask: SlotAsk) -> SlotReply:
         """Asks until a scheduler grants or refuses."""
         asked: EntryId | None = None
@@ -233,7 +284,7 @@
             return
         reply = task.result()
         if reply is not None and reply.grant is not None:
-            self._release(reply.grant)
+            self._release(reply.grant, unused=True)
 
     def _withdraw(self, ask: SlotAsk) -> None:
         """Gives up the place of an ask, whose id is that of its grant."""
@@ -243,6 +294,7 @@
                 grant_id=ask.ask_id,
                 pool_id=ask.pool_id,
                 instance_id=InstanceId(""),
+                unused=True,
             )
         )
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -118,6 +118,27 @@
         ledger.wait("blue", 5.0)
         self.assertEqual(ledger.contended_use(7.0), {"red": 2.0})
 
+    def _next_after_an_end(self, end):
+        """A slot of red ends after 5 s while blue waits too."""
+        ledger = ShareLedger({"red": 1.0, "blue": 1.0}.get)
+        for team in ("red", "blue"):
+            ledger.wait(team, 1000.0)
+        started = ledger.start("red", 1000.0)
+        end(ledger, started)
+        chosen = ledger.next_team(["red", "blue"], 1005.0)
+        return chosen, ledger.contended_use(1005.0)
+
+    def test_slot_that_was_not_used_is_no_use(self):
+        """Guards against requests that are refused and use up a share."""
+        cancel = self._next_after_an_end(
+            lambda ledger, started: ledger.cancel("red", 1005.0, started)
+        )
+        self.assertEqual(cancel, ("red", {}))
+        finish = self._next_after_an_end(
+            lambda ledger, _: ledger.finish("red", 1005.0)
+        )
+        self.assertEqual(finish, ("blue", {"red": 5.0}))
+
     def test_six_hundred_teams_stay_near_their_share(self):
         """Guards against a team that is never served among many."""
         ledger = ShareLedger(lambda team: 1.0)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -97,6 +97,27 @@
         await self.slots.flush()
         self.assertEqual(self.scheduler.returned(), self.scheduler.granted)
 
+    async def test_cancelled_in_the_step_of_an_early_grant(self):
+        """The grant would be known to nobody."""
+        self.scheduler.gate.clear()
+        deadline = time.time() + 10.0
+        wanted = ("pairing", "red", WorkClass.QUICK, deadline)
+        early = self.slots.ask_early(*wanted)
+        early.add_done_callback(lambda _: task.cancel())
+
+        async def use():
+            async with self.slots.acquire(*wanted, early=early):
+                self.fail("the request has given up")
+
+        task = asyncio.create_task(use())
+        await until(lambda: self.scheduler.asks)
+        self.scheduler.gate.set()
+        await asyncio.wait([task])
+        await self.slots.flush()
+        self.assertTrue(task.cancelled())
+        self.assertEqual(len(self.scheduler.granted), 1)
+        self.assertEqual(self.scheduler.returned(), self.scheduler.granted)
+
     async def test_same_scheduler_is_asked_with_the_same_id(self):
         """A new id would lose the place in the queue."""
         self.peers.scheduler_id = "e2"
