--- a/sardinedrift/assembly.py
+++ b/sardinedrift/assembly.py
@@ -20,13 +20,14 @@
 from sardinedrift.instancelist import HttpInstanceList, InstanceView
 from sardinedrift.jobs import Jobs
 from sardinedrift.limits import Limits
+from sardinedrift.links import Timing
 from sardinedrift.liveness import Standing
 from sardinedrift.logservice import HttpLogService
 from sardinedrift.members import Members
 from sardinedrift.metrics import Metrics
 from sardinedrift.minions import HttpMinions
 from sardinedrift.observations import Observer
-from sardinedrift.peers import Peers, Timing
+from sardinedrift.peers import Peers
 from sardinedrift.publisher import Publisher
 from sardinedrift.recorder import Recorder
 from sardinedrift.runtime import SystemClock
@@ -34,6 +35,7 @@
 from sardinedrift.settings import Settings
 from sardinedrift.slots import Slots
 from sardinedrift.snapshotter import Snapshotter
+from sardinedrift.spares import OwnSpare
 from sardinedrift.usage import UseTable
 from sardinedrift.watcher import StateWatcher
 from sardinedrift.waves import Waves
@@ -138,8 +140,7 @@
             offset=self.follower.state.offset,
             current_at=self.follower.current_at,
             held=self._held_for(receiver) if near else {},
-            spare_by_team=self.limits.spare(),
-            wanted_by_team=self.limits.wanted(),
+            spare_by_team=self.spare.units(),
             contended_use=self._use_for(receiver, near),
             endpoints=self.usable_pools.ids(),
         )
@@ -218,6 +219,11 @@
         self.limits = Limits(
             identity, follower, self.publisher, self.peers, clock
         )
+        self.spare = OwnSpare(
+            self.limits.spare,
+            lambda: len(self.follower.state.tables.team_by_id),
+            clock,
+        )
         self.dispatcher = Dispatcher(
             identity,
             follower,
--- a/standins/capacityrecords.py
+++ b/standins/capacityrecords.py
@@ -62,7 +62,7 @@
     return lambda number: change(
         ch.AllowanceTake,
         6_000_000 + number,
-        entry_id=entry_id,
+        publisher_id=entry_id,
         units_by_team=units,
     )
 
--- a/tests/test_promise_configuration.py
+++ b/tests/test_promise_configuration.py
@@ -9,8 +9,9 @@
 from sardinedrift import fold
 from sardinedrift.follower import Follower
 from sardinedrift.identifiers import Identity
+from sardinedrift.links import Timing
 from sardinedrift.messages import Exchange, Neighbour
-from sardinedrift.peerlinks import LinkTable, Timing
+from sardinedrift.peerlinks import LinkTable
 from sardinedrift.snapshotter import Snapshotter
 from sardinedrift.state import State
 from standins import promises
@@ -150,7 +151,7 @@
                 each
                 for batch in promises.batches(self.fleet)
                 for each in batch["changes"]
-                if each["change_id"] == "operator-twice"
+                if each.get("change_id") == "operator-twice"
             ]
 
         wait_until(lambda: len(copies()) >= 2, "two appends answered too late")
