--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -70,7 +70,7 @@
             (reply(UNKNOWN), 1, ("code", UNKNOWN)),
             (reply(NOT_RUN), 2, ("code", NOT_RUN)),
         ):
-            path = Path(entries=("e1",), instances=())
+            path = Path(instances=())
             path.peers.add("e3", "dc2")
             path.peers.add("e4", "dc2")
             path.peers.add("e5", "dc2", endpoints=False)
@@ -79,7 +79,7 @@
             self.assertEqual(len(path.peers.posts), posts)
 
     async def test_at_most_two_hops(self):
-        path = Path(entries=("e1",), instances=())
+        path = Path(instances=())
         path.peers.add("e3", "dc2")
         path.peers.handlers["/peer/requests"] = reply(ANSWERED)
         request = msgspec.structs.replace(path.request(), hops=("e8", "e9"))
@@ -88,7 +88,7 @@
         self.assertEqual(caught.exception.code, "no_endpoint")
 
     async def test_relays_to_a_spare_unit(self):
-        path = Path(entries=("e1",), units=0)
+        path = Path(units=0)
         path.peers.add("e3", "dc2", spare=1)
         path.peers.add("e2", "dc1", spare=1)
         path.peers.handlers["/peer/requests"] = reply(ANSWERED)
