Free the units of an ended entry when the log is quiet

Cause: the fold frees the units of an entry that is shown as gone with the first record after their due time, and nothing wrote such a record. With the whole limit of a team held back and no other change in the fleet, no entry had a unit to take, so none appended and the team was refused without end.

Change: a member of each data centre appends an empty take once units have been due for 1 s; the others of it do after 3 s. The limits and the jobs both read the folded remainder, so neither changes.

Ruled out: an entry that counts due units as free by its own clock; the fold would differ between readers, and requests and jobs would each need the rule. A longest run time that had been lowered explains a later due time only: it stays at its maximum by design, and the test sets it from the start.

--- a/sardinedrift/members.py
+++ b/sardinedrift/members.py
@@ -1,6 +1,8 @@
 """Membership of this entry, and what it records about the others."""
 
 import asyncio
+import contextlib
+import uuid
 from collections.abc import Coroutine, Iterator
 from typing import Protocol
 
@@ -22,6 +24,8 @@
 LONGEST_EVIDENCE_GAP_SECONDS = 1.5
 CHECK_SECONDS = 0.25
 PUBLISH_SECONDS = 5.0
+# Longest error of this entry's clock against that of the log.
+RELEASE_MARGIN_SECONDS = 1.0
 # The evidence is checked again before a lost or failed append is repeated.
 _GONE_ERRORS = (LogUnavailable, PublishUnknown)
 
@@ -65,6 +69,7 @@
         self._task_by_key: dict[str, asyncio.Task] = {}
         self._unlisted_since: dict[EntryId, float] = {}
         self._sampled_at = 0.0
+        self._release_checked_at = 0.0
 
     @property
     def active(self) -> bool:
@@ -107,6 +112,7 @@
         self._sample_list(neighbours)
         if self.active:
             self._acknowledge(neighbours)
+            self._release_units()
         if self._may_show_gone():
             self._show_gone(neighbours)
 
@@ -177,7 +183,7 @@
         for entry in neighbours:
             seconds = self._evidence_age(entry.entry_id)
             # One member records it; the others do when that one does not.
-            first = self._records_first(entry.entry_id)
+            first = self._chosen(f"gone/{entry.entry_id}")
             if seconds >= self._evidence_seconds * (1 if first else 2):
                 key = f"gone-{entry.entry_id}"
                 self._start(key, self._publish_gone(entry.entry_id))
@@ -197,6 +203,33 @@
         except _GONE_ERRORS as error:
             logger.warning("{} not recorded as gone: {}", entry_id, error)
 
+    def _release_units(self) -> None:
+        """Appends a record once units of an entry that is gone are due.
+
+        The fold frees them by the time of a record, and in a quiet log none
+        would come while their team waits for them.
+        """
+        now = self._clock.now()
+        if now < self._release_checked_at + RELEASE_MARGIN_SECONDS:
+            return
+        self._release_checked_at = now
+        rows = self._follower.state.tables.allowances_by_team.values()
+        due = min((e.returning[0][0] for e in rows if e.returning), default=now)
+        # One member records it; the others do when that one does not.
+        margins = 1 if self._chosen("release") else 3
+        if due + margins * RELEASE_MARGIN_SECONDS <= now:
+            self._start("release", self._publish_release())
+
+    async def _publish_release(self) -> None:
+        change = ch.AllowanceTake(
+            change_id=ChangeId(f"release-{uuid.uuid4()}"),
+            entry_id=self._identity.entry_id,
+            units_by_team={},
+        )
+        deadline = self._clock.now() + PUBLISH_SECONDS
+        with contextlib.suppress(LogUnavailable, PublishUnknown):
+            await self._publisher.publish([change], deadline)
+
     def _evidence_age(self, entry_id: EntryId) -> float:
         """Returns for how many seconds all evidence has held."""
         ended = self._peers.ended_since(entry_id)
@@ -205,10 +238,10 @@
             return 0.0
         return self._clock.now() - max(ended, unlisted)
 
-    def _records_first(self, entry_id: EntryId) -> bool:
+    def _chosen(self, key: str) -> bool:
+        """Tells whether this entry is the one here that records something."""
         members = self._peers.live_members(self._identity.data_centre_id)
-        chosen = rendezvous(f"gone/{entry_id}", members)
-        return chosen in (None, self._identity.entry_id)
+        return rendezvous(key, members) in (None, self._identity.entry_id)
 
     def _own(self) -> objects.Entry | None:
         entries = self._follower.state.tables.entry_by_id
--- a/standins/promises.py
+++ b/standins/promises.py
@@ -19,14 +19,24 @@
 DATA_CENTRES = ("dc1", "dc2")
 
 
-def start_fleet(fleet: Fleet, teams: dict, data_centres=DATA_CENTRES, **more):
+def start_fleet(
+    fleet: Fleet,
+    teams: dict,
+    data_centres=DATA_CENTRES,
+    max_run_seconds: float = 5.0,
+    **more,
+):
     """Starts two entries and a minion in each data centre, and publishes."""
     fleet.start_platform()
     with starting_entries(fleet, data_centres, 2, **more) as entries:
         for name in data_centres:
             fleet.start_minion(f"{name}-m", POOL, name, "r0")
     shape = {"data_centres": data_centres, "pools": [POOL], "teams": teams}
-    fleet.publish(*main_configuration(shape), atomic=True)
+    changes = list(main_configuration(shape))
+    for change in changes:
+        if change["type"] == "PutQueue":
+            change["max_run_seconds"] = max_run_seconds
+    fleet.publish(*changes, atomic=True)
     fleet.publish(*instances(fleet), atomic=True)
     return entries
 
