--- a/sardinedrift/inventory.py
+++ b/sardinedrift/inventory.py
@@ -9,6 +9,7 @@
     check_name,
     check_range,
     check_revision,
+    common_fields,
 )
 from sardinedrift.exceptions import StateError
 from sardinedrift.identifiers import (
@@ -23,6 +24,9 @@
 from sardinedrift.state import State
 
 _replace = msgspec.structs.replace
+# Operators read how a move ended; kept for ever, moves would fill the memory.
+ENDED_MOVE_SECONDS = 86_400.0
+_SIZES = ("slots", "connections", "cores", "memory_gb", "accelerators")
 
 
 def forget_entry(state: State, entry_id: EntryId) -> None:
@@ -38,36 +42,25 @@
         state, "data_centre_by_id", "data_centre_id", change.data_centre_id
     )
     check_exists(state, "pool_by_id", "pool_id", change.pool_id)
-    check_range("slots", change.slots, 0)
-    check_range("connections", change.connections, 0)
-    check_range("cores", change.cores, 0)
-    check_range("memory_gb", change.memory_gb, 0)
-    check_range("accelerators", change.accelerators, 0)
+    for name in _SIZES:
+        check_range(name, getattr(change, name), 0)
     current = state.tables.instance_by_id.get(change.instance_id)
     revision = check_revision(change, current)
     if current:
         _check_place(change, current)
         _check_jobs(state, change)
     _check_address(state, change)
-    instance = objects.Instance(
-        instance_id=change.instance_id,
-        kind=change.kind,
-        data_centre_id=change.data_centre_id,
-        pool_id=change.pool_id,
-        rack=change.rack,
-        address=change.address,
-        slots=change.slots,
-        connections=change.connections,
-        cores=change.cores,
-        memory_gb=change.memory_gb,
-        accelerators=change.accelerators,
-        state=current.state if current else InstanceState.ACTIVE,
-        up=current.up if current else True,
-        drain=current.drain if current else None,
-        revision=revision,
-        lent_from=current.lent_from if current else None,
-        lent_wave_id=current.lent_wave_id if current else None,
-    )
+    fields = common_fields(change, objects.Instance)
+    if current:
+        instance = _replace(current, **fields, revision=revision)
+    else:
+        instance = objects.Instance(
+            **fields,
+            state=InstanceState.ACTIVE,
+            up=True,
+            drain=None,
+            revision=revision,
+        )
     state.put("instance_by_id", change.instance_id, instance)
     return revision
 
@@ -177,12 +170,29 @@
     if instance.lent_from == move.to_pool_id:
         moved = lending.not_lent(moved)
     reactivate(state, moved)
-    done = _replace(move, state=MoveState.DONE, revision=move.revision + 1)
-    state.put("move_by_id", move.move_id, done)
+    _end_move(state, move, MoveState.DONE)
     if instance.lent_wave_id is not None:
         lending.end_wave_if_over(state, instance.lent_wave_id)
 
 
+def _end_move(state: State, move: objects.Move, end: MoveState) -> None:
+    """Ends a move; it can be read for some time more."""
+    ended = _replace(
+        move,
+        state=end,
+        revision=move.revision + 1,
+        forget_at=state.time + ENDED_MOVE_SECONDS,
+    )
+    state.put("move_by_id", move.move_id, ended)
+
+
+def _forget_ended_moves(state: State) -> None:
+    """Drops moves that ended long ago; a started move makes room this way."""
+    for move in list(state.tables.move_by_id.values()):
+        if move.forget_at is not None and move.forget_at <= state.time:
+            state.drop("move_by_id", move.move_id)
+
+
 def _start_move(state: State, change: ch.StartMove) -> int:
     check_name("move_id", change.move_id)
     check_exists(state, "instance_by_id", "instance_id", change.instance_id)
@@ -212,6 +222,7 @@
         1,
         change.wave_id,
     )
+    _forget_ended_moves(state)
     state.put("move_by_id", change.move_id, move)
     begin_drain(state, instance, move_id=change.move_id)
     return 1
@@ -225,8 +236,7 @@
         raise StateError(
             "ended", f"the move is {move.state.value} already", "move_id"
         )
-    cancelled = _replace(move, state=MoveState.CANCELLED, revision=revision)
-    state.put("move_by_id", move.move_id, cancelled)
+    _end_move(state, move, MoveState.CANCELLED)
     instance = state.tables.instance_by_id[move.instance_id]
     wave_id = instance.lent_wave_id
     if instance.lent_from == move.from_pool_id:
--- a/sardinedrift/maintenance.py
+++ b/sardinedrift/maintenance.py
@@ -17,18 +17,22 @@
 from sardinedrift.identifiers import (
     InstanceId,
     InstanceState,
+    PoolId,
     WaveId,
     WaveState,
     WaveStep,
 )
 from sardinedrift.inventory import begin_drain, reactivate
-from sardinedrift.lending import end_wave_if_over
+from sardinedrift.lending import (
+    UNDER_WAY_STEPS,
+    end_wave,
+    end_wave_if_over,
+    forget_ended_waves,
+)
 from sardinedrift.state import State
 
 _replace = msgspec.structs.replace
 
-_UNDER_WAY_STEPS = (WaveStep.DRAINING, WaveStep.REBOOTING)
-
 
 def _start_wave(state: State, change: ch.StartWave) -> int:
     check_name("wave_id", change.wave_id)
@@ -40,18 +44,7 @@
     if change.wave_id in state.tables.wave_by_id:
         raise StateError("exists", "a wave id is used only once", "wave_id")
     check_revision(change, None)
-    if has_running_wave(state, change.pool_id):
-        raise StateError(
-            "wave_running", "the pool has a running wave", "pool_id"
-        )
-    pool = state.tables.pool_by_id[change.pool_id]
-    if min(pool.max_unavailable, pool.max_unavailable_per_rack) < 1:
-        raise StateError(
-            "budget_never_met",
-            f"the budgets of pool {pool.pool_id} permit no drained instance; "
-            "set max_unavailable and max_unavailable_per_rack to at least 1",
-            "pool_id",
-        )
+    _check_pool(state, change.pool_id)
     wave = objects.Wave(
         change.wave_id,
         change.pool_id,
@@ -63,11 +56,29 @@
         {},
         1,
         change.borrow,
+        started=state.offset,
     )
+    forget_ended_waves(state)
     state.put("wave_by_id", change.wave_id, wave)
     return 1
 
 
+def _check_pool(state: State, pool_id: PoolId) -> None:
+    """Refuses a pool in which no wave can begin."""
+    if has_running_wave(state, pool_id):
+        raise StateError(
+            "wave_running", "the pool has a running wave", "pool_id"
+        )
+    pool = state.tables.pool_by_id[pool_id]
+    if min(pool.max_unavailable, pool.max_unavailable_per_rack) < 1:
+        raise StateError(
+            "budget_never_met",
+            f"the budgets of pool {pool_id} permit no drained instance; "
+            "set max_unavailable and max_unavailable_per_rack to at least 1",
+            "pool_id",
+        )
+
+
 def _wave_instances(state: State, change: ch.StartWave) -> Iterator[InstanceId]:
     in_pool = {
         each.instance_id
@@ -94,8 +105,7 @@
         raise StateError(
             "ended", f"the wave is {wave.state.value} already", "wave_id"
         )
-    stopped = _replace(wave, state=WaveState.STOPPED, revision=revision)
-    state.put("wave_by_id", wave.wave_id, stopped)
+    end_wave(state, wave, WaveState.STOPPED)
     return revision
 
 
@@ -122,7 +132,7 @@
         raise StateError(
             "not_active", f"it is {instance.state.value}", "instance_id"
         )
-    under_way = sum(wave.count(step) for step in _UNDER_WAY_STEPS)
+    under_way = sum(wave.count(step) for step in UNDER_WAY_STEPS)
     if wave.count(WaveStep.BACK) < wave.canary and under_way:
         raise StateError(
             "canary", "the first instances are maintained one by one"
@@ -196,11 +206,7 @@
     in_canary = wave.count(WaveStep.BACK) < wave.canary
     too_many = wave.count(WaveStep.FAILED) >= wave.max_failures
     if wave.state is WaveState.RUNNING and (in_canary or too_many):
-        state.put(
-            "wave_by_id",
-            wave.wave_id,
-            _replace(wave, state=WaveState.STOPPED, revision=wave.revision + 1),
-        )
+        end_wave(state, wave, WaveState.STOPPED)
 
 
 def _set_step(
--- a/sardinedrift/members.py
+++ b/sardinedrift/members.py
@@ -204,7 +204,7 @@
             logger.warning("{} not recorded as gone: {}", entry_id, error)
 
     def _release_units(self) -> None:
-        """Appends a record once units of an entry that is gone are due.
+        """Records that units of an entry that is gone are due.
 
         The fold frees them by the time of a record, and in a quiet log none
         would come while their team waits for them.
@@ -221,11 +221,8 @@
             self._start("release", self._publish_release())
 
     async def _publish_release(self) -> None:
-        change = ch.AllowanceTake(
-            change_id=ChangeId(f"release-{uuid.uuid4()}"),
-            entry_id=self._identity.entry_id,
-            units_by_team={},
-        )
+        name = f"release-{uuid.uuid4()}"
+        change = ch.ReleaseUnits(change_id=ChangeId(name))
         deadline = self._clock.now() + PUBLISH_SECONDS
         with contextlib.suppress(LogUnavailable, PublishUnknown):
             await self._publisher.publish([change], deadline)
