--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,14 +6,10 @@
 from unittest import mock
 
 import hypothesis
-import uuid6
 from hypothesis import strategies
 
 from sardinedrift import attempts, claiming
-from sardinedrift.admission import Admitted
-from sardinedrift.dispatch import Dispatcher
 from sardinedrift.exceptions import (
-    AdmissionError,
     DialFailed,
     OutcomeUnknown,
     PeerError,
@@ -21,10 +17,8 @@
 )
 from sardinedrift.identifiers import Outcome
 from sardinedrift.messages import ClaimReply
-from sardinedrift.slots import Slots
-from tests import path_fakes
-from tests.fakes import SystemClock, until
-from tests.path_fakes import ACKNOWLEDGED, ANSWER, OWN
+from tests.fakes import until
+from tests.path_fakes import ACKNOWLEDGED, ANSWER, Path
 from tests.sample_changes import put_pool, start_move
 
 NOT_RUN = Outcome.NOT_RUN
@@ -32,66 +26,6 @@
 ANSWERED = Outcome.ANSWERED
 
 
-class Path:
-    """A dispatcher with fakes around it."""
-
-    def __init__(self, *script, code="claimed", units=4, **log):
-        self.log = path_fakes.make_log(**log)
-        self.peers = path_fakes.FakePeers()
-        self.scheduler = path_fakes.FakeScheduler()
-        self.limits = path_fakes.FakeLimits(units)
-        self.minions = path_fakes.FakeMinions(*script)
-        self.claims = path_fakes.FakeClaims(code)
-        self.view = path_fakes.FakeView()
-        clock = SystemClock()
-        self.slots = Slots(OWN, self.peers, {"pairing": self.scheduler}, clock)
-        self.dispatcher = Dispatcher(
-            OWN,
-            path_fakes.FakeFollower(self.log),
-            self.peers,
-            self.slots,
-            self.limits,
-            self.claims,
-            self.minions,
-            self.view,
-            clock,
-        )
-
-    def request(self, queue="once", seconds=5.0, first=False, own=False):
-        deadline = time.time() + seconds
-        return Admitted(
-            request_id=f"dc1.{uuid6.uuid7()}",
-            made_by_caller=not own,
-            first_attempt=first,
-            queue=self.log.state.tables.queue_by_id[queue],
-            team_id="red",
-            deadline=deadline,
-            run_deadline_bound=deadline,
-        )
-
-    async def outcome(self, **fields):
-        """Returns the code and outcome of one request."""
-        try:
-            answer = await self.dispatcher.handle(self.request(**fields))
-        except AdmissionError as error:
-            return error.code, error.outcome
-        assert answer.body == b"done"
-        return "", ANSWERED
-
-    async def settled(self):
-        """Waits until all is given back, and checks that once is enough."""
-        await self.dispatcher.flush()
-        assert self.limits.free == self.limits.units
-        assert self.limits.turns == 0
-        assert self.slots.held() == {}
-        assert self.scheduler.returned() == sorted(self.scheduler.granted)
-        ends = [holder for holder, _ in self.claims.ended]
-        assert len(ends) == len(set(ends))
-
-    def ends(self):
-        return [outcome for _, outcome in self.claims.ended]
-
-
 class DispatchTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         # Runs end soon after their deadline, so that tests are short.
@@ -109,13 +43,13 @@
         self.assertEqual(path.ends(), ends)
 
     async def test_answers(self):
-        path = Path(entries=("e1",))
+        path = Path()
         await self.check(path, "", ANSWERED, [ANSWERED])
         self.assertEqual(len(path.minions.sent), 1)
 
     async def test_never_sent_twice_after_bytes_were_sent(self):
         for failure in (OutcomeUnknown("reset"), ValueError("fault")):
-            path = Path(failure, entries=("e1",))
+            path = Path(failure)
             await self.check(path, "outcome_unknown", UNKNOWN, [UNKNOWN])
             self.assertEqual(len(path.minions.sent), 1)
 
@@ -124,7 +58,6 @@
             DialFailed("no"),
             RefusedBeforeStart("busy"),
             RefusedBeforeStart("leaving", draining=True),
-            entries=("e1",),
         )
         await self.check(path, "", ANSWERED, [ANSWERED])
         self.assertEqual(len({d.dispatch_id for d in path.minions.sent}), 4)
@@ -135,26 +68,26 @@
         )
 
     async def test_retries_end_with_the_budget(self):
-        path = Path(*[DialFailed("no")] * 30, entries=("e1",))
+        path = Path(*[DialFailed("no")] * 30)
         with mock.patch("sardinedrift.retries.delay", return_value=0.0):
             await self.check(path, "retries_spent", NOT_RUN, [NOT_RUN])
         self.assertEqual(len(path.minions.sent), 11)
 
     async def test_idempotent_is_sent_again_after_unknown(self):
-        path = Path(OutcomeUnknown("reset"), entries=("e1",))
+        path = Path(OutcomeUnknown("reset"))
         await self.check(path, "", ANSWERED, [], queue="again")
         self.assertEqual(len(path.minions.sent), 2)
 
     async def test_not_run_is_not_claimed_after_an_unknown_attempt(self):
         script = [OutcomeUnknown("reset")] + [DialFailed("no")] * 30
-        path = Path(*script, entries=("e1",))
+        path = Path(*script)
         with mock.patch("sardinedrift.retries.delay", return_value=0.0):
             await self.check(
                 path, "retries_spent", UNKNOWN, [], queue="again", first=True
             )
 
     async def test_no_slot_after_an_unknown_attempt(self):
-        path = Path(OutcomeUnknown("reset"), entries=("e1",))
+        path = Path(OutcomeUnknown("reset"))
         path.minions.gate.clear()
         task = asyncio.create_task(path.outcome(queue="again", first=True))
         await until(lambda: path.minions.sent)
@@ -165,7 +98,7 @@
 
     async def test_unit_is_kept_until_the_run_has_ended(self):
         """The minion may still be running after a broken connection."""
-        path = Path(OutcomeUnknown("reset"), entries=("e1",))
+        path = Path(OutcomeUnknown("reset"))
         await path.outcome()
         self.assertEqual(path.limits.free, 3)
         self.assertTrue(path.slots.holds("m1"))
@@ -173,7 +106,7 @@
         self.assertGreater(time.time(), path.minions.sent[0].run_deadline)
 
     async def test_caller_gone_after_the_send(self):
-        path = Path(entries=("e1",))
+        path = Path()
         path.minions.gate.clear()
         task = asyncio.create_task(path.outcome())
         await until(lambda: path.minions.sent)
@@ -187,7 +120,7 @@
 
     async def test_caller_gone_before_the_send(self):
         """The id stays usable, and a late grant sends nothing."""
-        path = Path(entries=("e1",))
+        path = Path()
         path.scheduler.gate.clear()
         task = asyncio.create_task(path.outcome())
         await until(lambda: path.scheduler.asks)
@@ -210,14 +143,14 @@
             ("not_owner", True, NOT_RUN),
             ("not_owner", False, UNKNOWN),
         ):
-            path = Path(code=code, entries=("e1",))
+            path = Path(code=code)
             await self.check(path, code, outcome, [], first=first)
             self.assertEqual(path.minions.sent, [])
 
     async def test_owner_unreachable(self):
         """Without its owner's word an id may be running elsewhere."""
         for first, outcome in ((True, NOT_RUN), (False, UNKNOWN)):
-            path = Path(entries=("e1",))
+            path = Path()
             with mock.patch("sardinedrift.membership.owner", return_value="e2"):
                 await self.check(
                     path, "owner_unreachable", outcome, [], first=first
@@ -228,7 +161,7 @@
             self.assertIs(end.outcome, NOT_RUN)
 
     async def test_remote_owner_learns_the_end(self):
-        path = Path(entries=("e1",))
+        path = Path()
         path.peers.handlers["/peer/claims"] = ClaimReply(code="claimed")
         path.peers.handlers["/peer/claims/end"] = [
             PeerError("reset"),
@@ -241,7 +174,7 @@
         self.assertEqual({each.holder for each in ends}, {claim.holder})
 
     async def test_no_unit_before_the_deadline(self):
-        path = Path(entries=("e1",), units=0)
+        path = Path(units=0)
         await self.check(
             path, "limit_unavailable", NOT_RUN, [NOT_RUN], seconds=0.1
         )
@@ -249,7 +182,7 @@
 
     async def test_grant_without_a_free_unit_is_declined(self):
         """Two requests wait for slots with one unit: one declines."""
-        path = Path(entries=("e1",), units=1)
+        path = Path(units=1)
         path.scheduler.gate.clear()
         tasks = [asyncio.create_task(path.outcome()) for _ in range(2)]
         await until(lambda: len(path.scheduler.asks) == 2)
@@ -263,7 +196,7 @@
 
     async def test_grant_on_a_draining_instance_is_declined(self):
         """The drain may be acknowledged between the ask and the grant."""
-        path = Path(entries=("e1",))
+        path = Path()
         path.scheduler.gate.clear()
         task = asyncio.create_task(path.outcome())
         await until(lambda: path.scheduler.asks)
@@ -276,7 +209,7 @@
         self.assertEqual(len(path.scheduler.granted), 2)
 
     async def test_no_slot(self):
-        path = Path(entries=("e1",))
+        path = Path()
         path.scheduler.code = "queue_full"
         await self.check(path, "queue_full", NOT_RUN, [NOT_RUN])
 
@@ -308,7 +241,7 @@
 
     async def _run(self, names, queue, units, cancel_at):
         script = [FAILURES[name]() for name in names]
-        path = Path(*script, entries=("e1",), units=units)
+        path = Path(*script, units=units)
         task = asyncio.create_task(path.outcome(queue=queue, first=True))
         if cancel_at is not None:
             for _ in range(cancel_at):
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -8,8 +8,7 @@
 from sardinedrift.identifiers import Outcome
 from sardinedrift.messages import ClaimReply
 from sardinedrift.relays import RELAY_HEADER, ErrorBody
-from tests.path_fakes import ACKNOWLEDGED
-from tests.test_dispatch import Path
+from tests.path_fakes import ACKNOWLEDGED, Path
 
 NOT_RUN = Outcome.NOT_RUN
 UNKNOWN = Outcome.UNKNOWN
