Test the release of due units without processes

Cause: the fold test of held-back units appended an empty record itself, which hid that nothing else does.

Change: a test of the members with a fake log waits for the units without any other record. It fails without the release.

Ruled out: relying on the process test alone, which takes 14 s.

--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -4,10 +4,12 @@
 import contextlib
 import socket
 import unittest
+from unittest import mock
 
 from aiohttp import web
 
-from sardinedrift import peerapi
+from sardinedrift import allowances, members, peerapi
+from sardinedrift import changes as ch
 from sardinedrift.exceptions import PeerError
 from sardinedrift.follower import Follower
 from sardinedrift.identifiers import EntryState, Identity
@@ -17,7 +19,7 @@
 from sardinedrift.peers import Peers
 from sardinedrift.publisher import Publisher
 from tests.fakes import FakeLog, SystemClock, running, until
-from tests.sample_changes import gone
+from tests.sample_changes import gone, join, put_team
 
 NEAR = Timing(0.02, 0.3)
 
@@ -162,6 +164,26 @@
         self.log.put_changes(gone("a"))
         await until(self.a.members.retired.is_set)
 
+    async def test_units_of_an_ended_entry_return_in_a_quiet_log(self):
+        """Guards against a team refused until an unrelated change."""
+        self.enterContext(
+            mock.patch.object(allowances, "RUN_DEADLINE_MARGIN_SECONDS", 0.1)
+        )
+        self.enterContext(
+            mock.patch.object(members, "RELEASE_MARGIN_SECONDS", 0.05)
+        )
+        state = self.a.follower.state
+        self.log.put_changes(put_team(limit=4), join("b"))
+        await until(lambda: self.a.state_of("b") is EntryState.ACTIVE)
+        self.log.put_changes(
+            ch.AllowanceTake(
+                publisher_id="b", sequence=1, units_by_team={"red": 4}
+            )
+        )
+        await until(lambda: state.unallocated("red") == 0)
+        self.log.put_changes(gone("b"))
+        await until(lambda: state.unallocated("red") == 4)
+
     async def test_relays_records_and_snapshots_in_an_outage(self):
         """Guards against needing the platform when a peer has the state."""
         down = FakeLog()
