--- a/sardinedrift/allowances.py
+++ b/sardinedrift/allowances.py
@@ -111,6 +111,12 @@
     return 0
 
 
+def _release(state: State, change: ch.ReleaseUnits) -> int:
+    # Every record frees what is due before its changes are folded.
+    del state, change
+    return 0
+
+
 def _check_active(state: State, entry_id: EntryId, field: str) -> None:
     if not _is_active(state, entry_id):
         raise StateError("not_active", f"{entry_id} is not a member", field)
@@ -151,4 +157,5 @@
     ch.AllowanceTake: _take,
     ch.AllowanceGive: _give,
     ch.AllowanceReturn: _return,
+    ch.ReleaseUnits: _release,
 }
--- a/sardinedrift/changes.py
+++ b/sardinedrift/changes.py
@@ -228,6 +228,13 @@
     evidence: str
 
 
+class ReleaseUnits(Change, frozen=True, kw_only=True):
+    """Asks for the units of ended entries that are due.
+
+    The fold frees them with any record; this one ensures that there is one.
+    """
+
+
 class DrainAck(Change, frozen=True, kw_only=True):
     """An entry holds no work on an instance and places none there.
 
@@ -291,6 +298,7 @@
     | EntryJoinAck
     | EntryLeave
     | EntryGone
+    | ReleaseUnits
     | AllowanceTake
     | AllowanceGive
     | AllowanceReturn
--- a/standins/promises.py
+++ b/standins/promises.py
@@ -23,6 +23,7 @@
     fleet: Fleet,
     teams: dict[str, tuple[float, int]],
     data_centres: Sequence[str] = DATA_CENTRES,
+    max_run_seconds: float = 5.0,
     **more: Any,
 ) -> list[Entry]:
     """Starts two entries and a minion in each data centre, and publishes."""
@@ -31,14 +32,18 @@
         for name in data_centres:
             fleet.start_minion(f"{name}-m", POOL, name, "r0")
     shape = {"data_centres": data_centres, "pools": [POOL], "teams": teams}
-    fleet.publish(*main_configuration(shape), atomic=True)
+    changes = list(main_configuration(shape))
+    for change in changes:
+        if change["type"] == "PutQueue":
+            change["max_run_seconds"] = max_run_seconds
+    fleet.publish(*changes, atomic=True)
     fleet.publish(*instances(fleet), atomic=True)
     return entries
 
 
 @contextlib.contextmanager
 def starting_entries(
-    fleet: Fleet, data_centres: Iterable[str], count: int, **more
+    fleet: Fleet, data_centres: Iterable[str], count: int, **more: Any
 ) -> Iterator[list[Entry]]:
     """Starts entries during the block; they are members at its end.
 
