--- a/sardinedrift/peerlinks.py
+++ b/sardinedrift/peerlinks.py
@@ -13,6 +13,7 @@
 # All exchanges that one entry sends to other data centres. Each costs about
 # 0.7 ms of a core, and as many arrive.
 FAR_EXCHANGES_PER_SECOND = 5.0
+EARLY_SECONDS = 0.002
 
 
 class LinkTable:
@@ -160,7 +161,8 @@
     def due(self, link: Link) -> bool:
         """Tells whether to send an exchange now, and notes that it is sent."""
         now = self._clock.now()
-        waits = link.sent_at <= now < self._due_at(link, now)
+        # Timers of the event loop may end up to a millisecond early.
+        waits = link.sent_at <= now < self._due_at(link, now) - EARLY_SECONDS
         if waits or not self.wanted(link):
             return False
         link.sent_at = now
@@ -192,7 +194,9 @@
             return link.sent_at + min(interval, self.far.interval)
         # Each link has its own phase; all at once would hold up requests.
         phase = link.phase * interval
-        return (link.sent_at - phase) // interval * interval + interval + phase
+        # One that was sent early belongs to the interval that it began.
+        since_phase = link.sent_at + EARLY_SECONDS - phase
+        return since_phase // interval * interval + interval + phase
 
     def _far_paced(self) -> Timing:
         """Returns the timing at the present number of data centres.
