Add up the holders of a team once for each change of its row

Cause: every request asks several times for the units of its team, and each answer summed the units of all holders twice. Counting the spare units of 600 teams with 69 holders took 8 to 10 ms.

Change: the sums are kept for a row, which is never changed in place.

--- a/sardinedrift/unitview.py
+++ b/sardinedrift/unitview.py
@@ -5,6 +5,7 @@
 
 from sardinedrift.follower import Follower
 from sardinedrift.identifiers import EntryId, EntryState, TeamId
+from sardinedrift.objects import Allowances
 
 
 class Units(NamedTuple):
@@ -21,6 +22,14 @@
     total: int
 
 
+class _Sums(NamedTuple):
+    """Sums over the holders of one row, which is never changed in place."""
+
+    allowances: Allowances
+    held: int
+    allocated: int
+
+
 class UnitView:
     """Reads the allowance units of one entry from the folded state.
 
@@ -32,18 +41,34 @@
     def __init__(self, entry_id: EntryId, follower: Follower):
         self._entry_id = entry_id
         self._follower = follower
+        self._sums_by_team: dict[TeamId, _Sums] = {}
 
     def units(self, team_id: TeamId) -> Units:
         """Returns the units of a team; zeros when the team is unknown."""
         state = self._follower.state
         allowances = state.tables.allowances_by_team.get(team_id)
-        if allowances is None or team_id not in state.tables.team_by_id:
+        team = state.tables.team_by_id.get(team_id)
+        if allowances is None or team is None:
+            self._sums_by_team.pop(team_id, None)
             return Units(0, 0, 0)
         held = 0
         if self.is_member(self._entry_id):
             held = allowances.units_by_entry.get(self._entry_id, 0)
-        total = sum(allowances.units_by_entry.values())
-        return Units(held, state.unallocated(team_id), total)
+        sums = self._sums(team_id, allowances)
+        return Units(held, team.limit - sums.allocated, sums.held)
+
+    def _sums(self, team_id: TeamId, allowances: Allowances) -> _Sums:
+        """Returns the sums of a row; one row is added up only once.
+
+        Every request asks several times, and at 69 holders a sum takes longer
+        than all the rest of the answer.
+        """
+        sums = self._sums_by_team.get(team_id)
+        if sums is None or sums.allowances is not allowances:
+            held = sum(allowances.units_by_entry.values())
+            sums = _Sums(allowances, held, allowances.total)
+            self._sums_by_team[team_id] = sums
+        return sums
 
     def teams(self) -> Iterator[TeamId]:
         """Yields the teams of which the entry holds units."""
