Split the two longest functions and drop an unused one

Assembling the drivers stands apart from what serves requests, and the caller stand-in makes its headers and tries its entries in methods of their own. Limits.wanted was read by a test only; the test now counts the waiters.

--- a/sardinedrift/assembly.py
+++ b/sardinedrift/assembly.py
@@ -104,6 +104,7 @@
         self._make_platform()
         self._make_agreement()
         self._make_decisions()
+        self._make_drivers()
         self._make_applications()
 
     @contextlib.asynccontextmanager
@@ -236,6 +237,10 @@
             clock,
             observer=self.recorder,
         )
+
+    def _make_drivers(self) -> None:
+        """Makes what acts on the state by itself, not for a request."""
+        identity, follower, clock = self.identity, self.follower, self.clock
         self.drain_acks = DrainAcks(
             identity, follower, self.publisher, self.slots, clock
         )
@@ -255,7 +260,6 @@
             self.minions,
             clock,
         )
-
         self.jobs = Jobs(
             identity,
             follower,
--- a/sardinedrift/limits.py
+++ b/sardinedrift/limits.py
@@ -133,14 +133,6 @@
         spare = {team: count(team) for team in self._use_by_team}
         return {team: units for team, units in spare.items() if units > 0}
 
-    def wanted(self) -> dict[TeamId, int]:
-        """Returns the units that work waits for, by team."""
-        return {
-            team_id: len(use.waiters)
-            for team_id, use in self._use_by_team.items()
-            if use.waiters
-        }
-
     def running(self, team_id: TeamId) -> int:
         """Returns how many requests of a team run at this entry."""
         return self._use(team_id).running
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -1,6 +1,5 @@
 """A caller that sends requests to entries and keeps a history."""
 
-import functools
 import json
 import random
 import time
@@ -73,43 +72,53 @@
         tag = uuid.UUID(int=self._random.getrandbits(128)).hex
         sent = time.time()
         body = {"run_seconds": run_seconds, "size": size, "tag": tag}
-        headers = {
-            "Sardinedrift-Key": self.key,
-            "Sardinedrift-Team": self.team,
-            "Sardinedrift-Deadline": f"{sent + wait_seconds:.3f}",
-            "Request-Id": request_id,
-        }
-        if attempt:
-            headers["Sardinedrift-Attempt"] = str(attempt)
-        post = functools.partial(
-            self._post,
+        outcome, code, whole = await self._post_until_reached(
+            [address] if address else self._balanced(),
             queue=queue,
             body=json.dumps(body).encode(),
-            headers=headers,
+            headers=self._headers(request_id, sent + wait_seconds, attempt),
             expected=(tag, request_id, size),
             wait_seconds=wait_seconds + 5.0,
         )
-        addresses = [address] if address else self._balanced()
-        for chosen in addresses:
-            outcome, code, whole = await post(chosen)
-            if code != "unreachable":
-                break
-        ended = time.time()
         result = Attempt(
-            request_id,
-            self.team,
-            queue,
-            idempotent,
-            sent,
-            ended,
-            outcome,
-            code,
-            whole,
-            attempt,
+            request_id=request_id,
+            team=self.team,
+            queue=queue,
+            idempotent=idempotent,
+            sent=sent,
+            ended=time.time(),
+            outcome=outcome,
+            code=code,
+            whole=whole,
+            number=attempt,
         )
         self.history.append(result)
         return result
 
+    def _headers(
+        self, request_id: str, deadline: float, attempt: int
+    ) -> dict[str, str]:
+        headers = {
+            "Sardinedrift-Key": self.key,
+            "Sardinedrift-Team": self.team,
+            "Sardinedrift-Deadline": f"{deadline:.3f}",
+            "Request-Id": request_id,
+        }
+        if attempt:
+            headers["Sardinedrift-Attempt"] = str(attempt)
+        return headers
+
+    async def _post_until_reached(
+        self, addresses: Sequence[str], **fields
+    ) -> tuple[str, str, bool]:
+        """Tries entries until one does not refuse the connection."""
+        result = ("not_run", "unreachable", True)
+        for address in addresses:
+            result = await self._post(address, **fields)
+            if result[1] != "unreachable":
+                break
+        return result
+
     def _balanced(self) -> list[str]:
         """Returns the entries in random order, as a balancer would try."""
         return self._random.sample(self.addresses, len(self.addresses))
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -250,7 +250,7 @@
         for name in ("a", "b", "c"):
             tasks.append(asyncio.create_task(work(name)))
             await asyncio.sleep(0)
-        self.assertEqual(limits.wanted(), {"red": 3})
+        self.assertEqual(len(limits._use("red").waiters), 3)
         limits.release("red")
         await asyncio.gather(*tasks)
         self.assertEqual(order, ["a", "b", "c"])
