Take units for work that waits for a slot as well

Cause: an entry counted running and waiting work when it asked for units, but not work that had been admitted and waits for a slot. Waiting requests were refused as limit_unavailable after their whole deadline beside a limit of which most was unallocated.

Change: admitted work counts.

Measured: the new test takes 5 units, before 3. What remains, from reading: the count of admitted work is reset each second, so more is admitted than there are units; what is then declined goes to the end of the queue.

--- a/sardinedrift/limits.py
+++ b/sardinedrift/limits.py
@@ -335,7 +335,9 @@
             if team_id not in rows:
                 continue
             held, unallocated, _ = self._view.units(team_id)
-            needed = max(use.target(), use.running + len(use.waiters))
+            # Admitted work, which waits for a slot, needs its units, too.
+            demand = use.running + use.admitted + len(use.waiters)
+            needed = max(use.target(), demand)
             missing = needed - (held - self._transfers.locked(team_id))
             if missing > 0 and unallocated >= 0:
                 yield team_id, missing, unallocated
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -216,7 +216,42 @@
         self.assertLess(world.held()["e0"], 10)
 
 
+def alone(follower, clock):
+    """Returns the limits of an entry without peers."""
+    publisher = FakePublisher(follower)
+    return Limits(identity("e0"), follower, publisher, FakePeers(), clock)
+
+
 class WaitTest(unittest.IsolatedAsyncioTestCase):
+    async def test_units_are_taken_beside_work_that_waits_for_a_slot(self):
+        """Guards against work refused while units of its team are unused."""
+        clock = FakeClock()
+        log = FakeLog(clock)
+        log.append(put_team(limit=9), join("e0"))
+        log.append(
+            ch.AllowanceTake(
+                publisher_id="e0", sequence=1, units_by_team={"red": 2}
+            )
+        )
+        follower = FakeFollower(log)
+        follower.fold()
+        limits = alone(follower, clock)
+        limits._transfers._last_sequence = 1
+        # These two have their units and wait for slots.
+        for _ in range(2):
+            self.assertTrue(await limits.wait("red", clock.now() + 60))
+        waiting = [
+            asyncio.create_task(limits.wait("red", clock.now() + 60))
+            for _ in range(3)
+        ]
+        await asyncio.sleep(0)
+        await limits.step()
+        follower.fold()
+        units = follower.state.tables.allowances_by_team["red"].units_by_entry
+        self.assertEqual(units, {"e0": 5})
+        limits.stop()
+        await asyncio.gather(*waiting)
+
     async def test_waiting_work_starts_in_order_and_asks_the_richest(self):
         """Guards against waiting work overtaken by later work."""
         clock = FakeClock()
@@ -229,13 +264,7 @@
         )
         follower = FakeFollower(log)
         follower.fold()
-        limits = Limits(
-            identity("e0"),
-            follower,
-            FakePublisher(follower),
-            FakePeers(),
-            clock,
-        )
+        limits = alone(follower, clock)
         self.assertTrue(await limits.wait("red", clock.now() + 60))
         self.assertTrue(limits.try_acquire("red"))
         order = []
@@ -349,13 +378,7 @@
         log.append(put_team(limit=3), join("e0"))
         follower = FakeFollower(log)
         follower.fold()
-        limits = Limits(
-            identity("e0"),
-            follower,
-            FakePublisher(follower),
-            FakePeers(),
-            clock,
-        )
+        limits = alone(follower, clock)
         running = asyncio.create_task(limits.run())
         absent = asyncio.create_task(limits.wait("absent", clock.now() + 60))
         self.assertTrue(await limits.wait("red", clock.now() + 60))
