--- /dev/null
+++ b/sardinedrift/engine/catalogue.py
@@ -0,0 +1,143 @@
+"""What every entry knows of the jobs: submissions, cancels and progress."""
+
+import enum
+from collections.abc import Callable
+
+import msgspec
+
+from sardinedrift.engine.model import (
+    ENDED_STATES,
+    JobState,
+    Progress,
+    Submission,
+)
+from sardinedrift.engine.ports import KeyedRecord
+from sardinedrift.identifiers import JobId, QueueId
+
+
+class KeyKind(enum.Enum):
+    """First letter of the key of a record."""
+
+    SUBMISSION = "j"
+    CANCEL = "c"
+    PROGRESS = "p"
+
+
+_LETTERS = frozenset(kind.value for kind in KeyKind)
+_submission_decoder = msgspec.msgpack.Decoder(Submission)
+_progress_decoder = msgspec.msgpack.Decoder(Progress)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def key_of(kind: KeyKind, job_id: JobId) -> str:
+    """Returns the key of a job's record."""
+    return f"{kind.value}/{job_id}"
+
+
+def submission_record(submission: Submission) -> KeyedRecord:
+    """Returns the record of an accepted job."""
+    key = key_of(KeyKind.SUBMISSION, submission.job_id)
+    return KeyedRecord(key, _encoder.encode(submission))
+
+
+def cancel_record(job_id: JobId) -> KeyedRecord:
+    """Returns the record of a cancellation."""
+    return KeyedRecord(key_of(KeyKind.CANCEL, job_id), b"1")
+
+
+def progress_record(job_id: JobId, progress: Progress) -> KeyedRecord:
+    """Returns the record of a job's progress."""
+    key = key_of(KeyKind.PROGRESS, job_id)
+    return KeyedRecord(key, _encoder.encode(progress))
+
+
+class KnownJob:
+    """Records of one job, as far as they are known.
+
+    Attributes:
+        submission: the job, or None while only other records are known.
+        progress: newest recorded progress, if any.
+        cancelled: a cancellation is stored.
+    """
+
+    __slots__ = ("cancelled", "progress", "submission")
+
+    def __init__(self) -> None:
+        self.submission: Submission | None = None
+        self.progress: Progress | None = None
+        self.cancelled = False
+
+    @property
+    def state(self) -> JobState:
+        """The state that callers are shown."""
+        recorded = self.progress.state if self.progress else JobState.PENDING
+        if self.cancelled and recorded not in ENDED_STATES:
+            return JobState.CANCELLED
+        return recorded
+
+    @property
+    def started(self) -> bool:
+        """Whether a task has been started."""
+        return self.progress is not None and self.progress.started
+
+
+class JobCatalogue:
+    """The known jobs, by id.
+
+    Attributes:
+        observer: told the id of a job with a new submission or cancellation.
+    """
+
+    def __init__(self) -> None:
+        self.known_by_id: dict[JobId, KnownJob] = {}
+        self.observer: Callable[[JobId], None] | None = None
+
+    def find(self, job_id: JobId) -> KnownJob | None:
+        """Returns a submitted job, or None."""
+        known = self.known_by_id.get(job_id)
+        return known if known and known.submission else None
+
+    def waiting_count(self, queue_id: QueueId) -> int:
+        """Returns the jobs of a queue of which no task was started."""
+        return sum(
+            1
+            for known in self.known_by_id.values()
+            if known.submission is not None
+            and known.submission.queue_id == queue_id
+            and not known.started
+            and known.state is JobState.PENDING
+        )
+
+    def take_submission(self, submission: Submission) -> None:
+        """Takes over a job; the first submission of an id counts."""
+        known = self.known_by_id.setdefault(submission.job_id, KnownJob())
+        if known.submission is None:
+            known.submission = submission
+            self._notify(submission.job_id)
+
+    def take(self, key: str, value: bytes | None) -> None:
+        """Takes over a record of the store."""
+        letter, _, name = key.partition("/")
+        job_id = JobId(name)
+        if letter not in _LETTERS:
+            return
+        if value is None:
+            self._forget(KeyKind(letter), job_id)
+            return
+        known = self.known_by_id.setdefault(job_id, KnownJob())
+        match KeyKind(letter):
+            case KeyKind.SUBMISSION:
+                self.take_submission(_submission_decoder.decode(value))
+            case KeyKind.CANCEL:
+                known.cancelled = True
+                self._notify(job_id)
+            case KeyKind.PROGRESS:
+                known.progress = _progress_decoder.decode(value)
+
+    def _forget(self, kind: KeyKind, job_id: JobId) -> None:
+        if kind is KeyKind.SUBMISSION:
+            self.known_by_id.pop(job_id, None)
+
+    def _notify(self, job_id: JobId) -> None:
+        if self.observer is not None:
+            self.observer(job_id)
--- /dev/null
+++ b/sardinedrift/engine/control.py
@@ -0,0 +1,205 @@
+"""What a controller knows during its term, and its basic transitions."""
+
+import asyncio
+from collections.abc import Callable
+
+from sardinedrift.engine.catalogue import JobCatalogue
+from sardinedrift.engine.clock import Clock
+from sardinedrift.engine.events import Event, EventLog
+from sardinedrift.engine.fleet import Fleet, Worker
+from sardinedrift.engine.metrics import Metrics
+from sardinedrift.engine.model import (
+    Queue,
+    RunEnd,
+    Submission,
+    Token,
+)
+from sardinedrift.engine.placement import TeamUse
+from sardinedrift.engine.ports import Published
+from sardinedrift.engine.progresswriter import ProgressWriter
+from sardinedrift.engine.term import Term
+from sardinedrift.engine.work import Job, Run, Task
+from sardinedrift.identifiers import JobId, QueueId
+
+
+class Control:
+    """State of one term.
+
+    Args:
+        term: its token and bounds.
+        catalogue: the jobs as recorded.
+        writer: makes decisions durable.
+        published: what operators ask for.
+        clock: current times.
+        log: takes log lines.
+        metrics: counts outcomes.
+
+    Attributes:
+        fleet: the workers.
+        job_by_id: jobs that have not ended, or still have runs.
+        stop: set by the controller; called with a run that is to be stopped.
+    """
+
+    def __init__(
+        self,
+        term: Term,
+        catalogue: JobCatalogue,
+        writer: ProgressWriter,
+        published: Published,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+    ):
+        self.term = term
+        self.catalogue = catalogue
+        self.writer = writer
+        self.clock = clock
+        self.log = log
+        self.metrics = metrics
+        self.fleet = Fleet()
+        self.job_by_id: dict[JobId, Job] = {}
+        self.changed = asyncio.Event()
+        self.stop: Callable[[Run], None] = lambda run: None
+        self.published = published
+        self._last_queue_by_id: dict[QueueId, Queue] = {}
+        self.use = TeamUse({})
+
+    @property
+    def token(self) -> Token:
+        """Fencing token of the term."""
+        return self.term.token
+
+    def queues(self) -> dict[QueueId, Queue]:
+        """Returns the queues; those no longer published keep their last form.
+
+        Jobs accepted on a queue are finished after it was withdrawn.
+        """
+        configuration = self.published.current()
+        if configuration is not None:
+            self._last_queue_by_id.update(configuration.queue_by_id)
+        return self._last_queue_by_id
+
+    def admit(self, submission: Submission) -> Job | None:
+        """Takes over a recorded job, with its progress if there is any."""
+        known = self.catalogue.find(submission.job_id)
+        if known is None or submission.job_id in self.job_by_id:
+            return None
+        job = Job(submission)
+        if known.progress is not None:
+            job.restore(known.progress, self.clock.boot())
+        if known.cancelled and not job.ended:
+            job.cancel(self.clock.unix_ms())
+            self.writer.touch(job)
+        if job.ended and not job.active:
+            return None
+        self.job_by_id[job.job_id] = job
+        job.open_due(self.clock.unix_ms())
+        self.changed.set()
+        return job
+
+    def cancel(self, job: Job) -> None:
+        """Ends a job at its caller's wish."""
+        if job.cancelled:
+            return
+        job.cancel(self.clock.unix_ms())
+        self._note_job_end(job)
+        self.writer.touch(job)
+        self._stop_all(job)
+        self._forget_if_over(job)
+
+    def place(self, task: Task, worker: Worker, now: float) -> Run:
+        """Decides on a run of a task; the start follows once it is durable."""
+        job = task.job
+        run = job.place(task, worker.worker_id, worker.born_ms, now)
+        self.attach(run, worker)
+        self.writer.touch(job)
+        self.log.write(
+            Event.PLACED,
+            job=job.job_id,
+            task=task.task_id[1:],
+            run=run.number,
+            worker=worker.worker_id,
+            pool=worker.pool_id,
+            free_cpu=worker.free.cpu,
+            waited_ms=self.clock.unix_ms() - job.submission.accepted_ms,
+        )
+        return run
+
+    def attach(self, run: Run, worker: Worker) -> None:
+        """Accounts a run to its worker and client account."""
+        worker.add(run)
+        job = run.task.job
+        self.use.add(job.submission.team_id, run.task.step.size)
+
+    def finish(self, run: Run, how: RunEnd, checkpoint: str = "") -> None:
+        """Applies the end of a run."""
+        task, job = run.task, run.task.job
+        if task.run is not run:
+            return
+        queue = self.queues().get(job.submission.queue_id)
+        attempts = queue.max_attempts if queue else 1
+        now_ms = self.clock.unix_ms()
+        was_ended = job.ended
+        for over in job.end_run(task, how, checkpoint, attempts, now_ms):
+            self._detach(over)
+        self.log.write(
+            Event.RUN_ENDED,
+            job=job.job_id,
+            task=task.task_id[1:],
+            run=run.number,
+            worker=run.worker_id,
+            how=how.value,
+            ran_s=round(self.clock.boot() - run.decided_at, 3),
+            failures=task.failures,
+        )
+        self.metrics.runs_ended.labels(how.value).inc()
+        if how in (RunEnd.DONE, RunEnd.FAILED):
+            self._note_health(run, how)
+        if job.ended and not was_ended:
+            self._note_job_end(job)
+            self._stop_all(job)
+        self.writer.touch(job)
+        self._forget_if_over(job)
+        self.changed.set()
+
+    def retract(self, run: Run) -> None:
+        """Takes back a run of which no order was ever sent."""
+        self.finish(run, RunEnd.LAPSED)
+
+    def worker_of(self, run: Run) -> Worker | None:
+        """Returns the worker of a run."""
+        return self.fleet.worker_by_id.get(run.worker_id)
+
+    def _detach(self, run: Run) -> None:
+        worker = self.worker_of(run)
+        if worker is not None:
+            worker.remove(run)
+        job = run.task.job
+        self.use.add(job.submission.team_id, run.task.step.size, -1)
+
+    def _note_health(self, run: Run, how: RunEnd) -> None:
+        worker = self.worker_of(run)
+        if worker is not None:
+            worker.note_outcome(how is RunEnd.DONE, self.clock.boot())
+
+    def _note_job_end(self, job: Job) -> None:
+        submission = job.submission
+        taken_ms = job.ended_ms - submission.accepted_ms
+        self.metrics.jobs_ended.labels(job.state.value).inc()
+        self.metrics.job_seconds.observe(max(0, taken_ms) / 1000)
+        self.log.write(
+            Event.JOB_ENDED,
+            job=job.job_id,
+            state=job.state.value,
+            queue=submission.queue_id,
+            taken_ms=taken_ms,
+        )
+
+    def _stop_all(self, job: Job) -> None:
+        for task in list(job.active.values()):
+            if task.run is not None:
+                self.stop(task.run)
+
+    def _forget_if_over(self, job: Job) -> None:
+        if job.ended and not job.active:
+            self.job_by_id.pop(job.job_id, None)
--- /dev/null
+++ b/sardinedrift/engine/controller.py
@@ -0,0 +1,322 @@
+"""The controller: takes over the recorded state, then plans until its end."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from sardinedrift.engine.catalogue import JobCatalogue
+from sardinedrift.engine.clock import Clock
+from sardinedrift.engine.control import Control
+from sardinedrift.engine.events import Event, EventLog
+from sardinedrift.engine.feed import Feed
+from sardinedrift.engine.fleet import SLOW_CLOCK_SHARE, Worker
+from sardinedrift.engine.metrics import Metrics
+from sardinedrift.engine.model import (
+    MachineId,
+    RunEnd,
+    Size,
+    WorkerId,
+)
+from sardinedrift.engine.orders import LEASE_MS, Orders
+from sardinedrift.engine.placement import (
+    Assignment,
+    group_by_pool,
+    order_jobs,
+    plan_pool,
+)
+from sardinedrift.engine.ports import (
+    AdviceService,
+    MachineService,
+    Published,
+    RecordStore,
+    RegisteredWorker,
+    WorkerOrders,
+)
+from sardinedrift.engine.progresswriter import ProgressWriter
+from sardinedrift.engine.sessions import Session
+from sardinedrift.engine.term import RENEWAL_S, Term
+from sardinedrift.engine.work import Job, Run, Task
+from sardinedrift.identifiers import DataCentreId, JobId, Offset, PoolId
+
+# Decisions are reviewed at least this often, for due times and ages.
+REVIEW_S = 0.25
+# Until then an earlier controller may have renewed leases where we could not.
+FOREIGN_S = RENEWAL_S + LEASE_MS / 1000 * (1 + 2 * SLOW_CLOCK_SHARE)
+
+
+class Outside:
+    """What a controller reaches: one object of each port.
+
+    Attributes:
+        registrations: makes a feed of workers for a listener, which is told
+            each worker id with its registration, or None when it is gone.
+    """
+
+    def __init__(
+        self,
+        store: RecordStore,
+        workers: WorkerOrders,
+        registrations: Callable[
+            [Callable[[WorkerId, RegisteredWorker | None], None]], Feed
+        ],
+        machines: MachineService,
+        advice: AdviceService,
+    ):
+        self.store = store
+        self.workers = workers
+        self.registrations = registrations
+        self.machines = machines
+        self.advice = advice
+
+
+class Controller:
+    """Runs one term.
+
+    Args:
+        topic: keyed topic of the jobs.
+        jobs: feed of the jobs, into the catalogue.
+        catalogue: the jobs.
+        published: what operators ask for.
+        outside: the ports.
+        clock: current times.
+        log: takes log lines.
+        metrics: counts.
+    """
+
+    def __init__(
+        self,
+        topic: str,
+        jobs: Feed,
+        catalogue: JobCatalogue,
+        published: Published,
+        outside: Outside,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+    ):
+        self._topic = topic
+        self._jobs = jobs
+        self._catalogue = catalogue
+        self._published = published
+        self._outside = outside
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+
+    async def run(self, term: Term) -> None:
+        """Controls until the term ends.
+
+        Raises:
+            StoreFenced: another controller has taken over.
+        """
+        await _Reign(self, term).run()
+
+
+class _Reign:
+    """One term of the controller, with everything that ends with it."""
+
+    def __init__(self, controller: Controller, term: Term):
+        made = controller
+        self._made = made
+        self._term = term
+        self._clock = made._clock
+        self._writer = ProgressWriter(made._outside.store, made._topic, term)
+        self._control = Control(
+            term,
+            made._catalogue,
+            self._writer,
+            made._published,
+            made._clock,
+            made._log,
+            made._metrics,
+        )
+        self._orders = Orders(
+            self._control, made._outside.workers, self._wake_session
+        )
+        self._control.stop = self._orders.stop_soon
+        self._session_by_id: dict[WorkerId, Session] = {}
+        self._group: asyncio.TaskGroup | None = None
+        self._foreign_until = term.begun_at + FOREIGN_S
+
+    async def run(self) -> None:
+        """Takes over, then plans until the term ends."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                self._group = group
+                await self._take_over(group)
+                group.create_task(self._plan_forever())
+                await self._term.wait_end()
+                raise _TermEnded
+        except* _TermEnded:
+            pass
+        finally:
+            self._made._catalogue.observer = None
+            self._orders.close()
+
+    async def _take_over(self, group: asyncio.TaskGroup) -> None:
+        end = await self._writer.fence()
+        await self._made._jobs.reach(end)
+        registrations = self._made._outside.registrations(self._on_worker)
+        group.create_task(registrations.run())
+        await registrations.reach(Offset(0))
+        self._made._catalogue.observer = self._on_job
+        for job_id in list(self._made._catalogue.known_by_id):
+            self._on_job(job_id)
+        group.create_task(self._writer.run())
+
+    def _on_job(self, job_id: JobId) -> None:
+        known = self._made._catalogue.find(job_id)
+        if known is None:
+            return
+        job = self._control.job_by_id.get(job_id)
+        if job is None:
+            if not self._is_over(job_id):
+                job = self._control.admit(known.submission)
+            if job is not None:
+                self._attach_restored(job)
+        elif known.cancelled:
+            self._control.cancel(job)
+
+    def _is_over(self, job_id: JobId) -> bool:
+        known = self._made._catalogue.find(job_id)
+        progress = known.progress if known else None
+        return (
+            progress is not None
+            and progress.ended_ms > 0
+            and not any(record.worker_id for record in progress.tasks)
+        )
+
+    def _attach_restored(self, job: Job) -> None:
+        now = self._clock.boot()
+        for task in list(job.active.values()):
+            run = task.run
+            worker = self._control.fleet.worker_by_id.get(run.worker_id)
+            if worker is None:
+                worker = self._add_worker(_unlisted(run.worker_id))
+                worker.listed = False
+            self._control.attach(run, worker)
+            # The token fences off every order of an earlier controller.
+            run.settled_at = now
+            if run.born_ms and run.born_ms != worker.born_ms and worker.listed:
+                self._control.finish(run, RunEnd.LAPSED)
+            elif job.ended:
+                self._orders.stop_soon(run)
+            self._wake_session(worker)
+
+    def _on_worker(
+        self, worker_id: WorkerId, registered: RegisteredWorker | None
+    ) -> None:
+        worker = self._control.fleet.worker_by_id.get(worker_id)
+        if registered is None:
+            if worker is not None:
+                worker.listed = False
+                self._wake_session(worker)
+            return
+        if worker is None:
+            self._add_worker(registered)
+        else:
+            self._replace_registration(worker, registered)
+        self._control.changed.set()
+
+    def _replace_registration(
+        self, worker: Worker, registered: RegisteredWorker
+    ) -> None:
+        if registered.born_ms and registered.born_ms != worker.born_ms:
+            # A new life under the same id holds and knows nothing.
+            worker.contacted = False
+        worker.registered = registered
+        worker.listed = True
+        self._wake_session(worker)
+
+    def _add_worker(self, registered: RegisteredWorker) -> Worker:
+        worker = Worker(registered, self._foreign_until)
+        self._control.fleet.worker_by_id[worker.worker_id] = worker
+        session = Session(
+            worker, self._control, self._orders, self._made._outside.workers
+        )
+        self._session_by_id[worker.worker_id] = session
+        self._group.create_task(self._follow(worker, session))
+        return worker
+
+    async def _follow(self, worker: Worker, session: Session) -> None:
+        await session.run()
+        self._session_by_id.pop(worker.worker_id, None)
+        self._control.fleet.worker_by_id.pop(worker.worker_id, None)
+        self._made._log.write(
+            Event.WORKER_LOST, worker=worker.worker_id, pool=worker.pool_id
+        )
+
+    def _wake_session(self, worker: Worker) -> None:
+        session = self._session_by_id.get(worker.worker_id)
+        if session is not None:
+            session.wake()
+
+    async def _plan_forever(self) -> None:
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(REVIEW_S):
+                    await self._control.changed.wait()
+            self._control.changed.clear()
+            self._open_due()
+            if self._term.may_order:
+                self._plan()
+
+    def _open_due(self) -> None:
+        now_ms = self._clock.unix_ms()
+        for job in self._control.job_by_id.values():
+            job.open_due(now_ms)
+
+    def _plan(self) -> None:
+        control = self._control
+        now = self._clock.boot()
+        queue_by_id = control.queues()
+        self._refresh_use()
+        jobs_by_pool = group_by_pool(control.job_by_id.values(), queue_by_id)
+        workers_by_pool = control.fleet.by_pool()
+        placed: list[Run] = []
+        for pool_id, jobs in jobs_by_pool.items():
+            ordered = order_jobs(jobs, queue_by_id, control.use)
+            workers = workers_by_pool.get(pool_id, [])
+            for chosen in plan_pool(
+                ordered, workers, control.use, now, _any_worker
+            ):
+                placed.append(self._place(chosen, now))
+        if placed:
+            self._writer.after(lambda: self._start_all(placed))
+
+    def _refresh_use(self) -> None:
+        configuration = self._control.published.current()
+        if configuration is not None:
+            self._control.use.team_by_id = configuration.team_by_id
+
+    def _place(self, chosen: Assignment, now: float) -> Run:
+        worker = self._control.fleet.worker_by_id[chosen.worker_id]
+        return self._control.place(chosen.task, worker, now)
+
+    def _start_all(self, placed: list[Run]) -> None:
+        for run in placed:
+            self._orders.start_soon(run)
+
+
+class _TermEnded(Exception):  # noqa: N818
+    """Ends the task group of a term."""
+
+
+def _any_worker(task: Task) -> None:
+    return None
+
+
+def _unlisted(worker_id: WorkerId) -> RegisteredWorker:
+    """Returns a stand-in for a worker that is recorded but not registered."""
+    return RegisteredWorker(
+        worker_id,
+        PoolId(""),
+        "",
+        DataCentreId(""),
+        0,
+        True,
+        Size(),
+        frozenset(),
+        "",
+        MachineId(""),
+    )
--- /dev/null
+++ b/sardinedrift/engine/events.py
@@ -0,0 +1,135 @@
+"""Log events: the catalogue, and a writer that never blocks.
+
+Each line is one JSON object on standard output: `time` (unix seconds),
+`event`, `node`, then the fields of the event.
+"""
+
+import collections
+import enum
+import os
+import time
+from typing import Any
+
+import msgspec
+import prometheus_client as prometheus
+
+# Lines of one event in a second; a burst of jobs stays explainable, and the
+# volume is bounded under load.
+LINES_PER_SECOND = 400
+# Bytes that wait for a slow reader before lines are left out.
+BUFFER_BYTES = 1 << 20
+
+_LEFT_OUT = prometheus.Counter(
+    "sardinedrift_log_lines_left_out", "Log lines not written", ["event"]
+)
+
+
+class Event(enum.Enum):
+    """What a line tells.
+
+    Process: STARTED, STOPPING, STOPPED, RELOADED, FAULT, DEPENDENCY_LOST,
+    DEPENDENCY_BACK.
+    Calls: ACCEPTED, ANSWERED, REFUSED, CANCEL_STORED.
+    Beliefs: CONFIGURATION, TERM_BEGUN, TERM_ENDED, WORKER_SEEN, WORKER_LOST,
+    WORKER_SUSPECT, WORKER_BACK, ENTRY_IGNORED.
+    Tasks: PLACED, STARTED_RUN, START_FAILED, RUN_ENDED, STOP_ORDERED,
+    JOB_ENDED, WAITING, PACED.
+    Machines: MACHINE_MOVED, MACHINE_REFUSED, UPKEEP_BEGUN, WAVE, RESERVED.
+    """
+
+    STARTED = "started"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+    RELOADED = "reloaded"
+    DEPENDENCY_LOST = "dependency_lost"
+    DEPENDENCY_BACK = "dependency_back"
+    FAULT = "fault"
+    ACCEPTED = "accepted"
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    CANCEL_STORED = "cancel_stored"
+    CONFIGURATION = "configuration"
+    TERM_BEGUN = "term_begun"
+    TERM_ENDED = "term_ended"
+    WORKER_SEEN = "worker_seen"
+    WORKER_LOST = "worker_lost"
+    WORKER_SUSPECT = "worker_suspect"
+    WORKER_BACK = "worker_back"
+    ENTRY_IGNORED = "entry_ignored"
+    PLACED = "placed"
+    STARTED_RUN = "started_run"
+    START_FAILED = "start_failed"
+    RUN_ENDED = "run_ended"
+    STOP_ORDERED = "stop_ordered"
+    JOB_ENDED = "job_ended"
+    WAITING = "waiting"
+    PACED = "paced"
+    RESERVED = "reserved"
+    MACHINE_MOVED = "machine_moved"
+    MACHINE_REFUSED = "machine_refused"
+    UPKEEP_BEGUN = "upkeep_begun"
+    WAVE = "wave"
+
+
+class EventLog:
+    """Writes log lines to a file descriptor without ever waiting.
+
+    Args:
+        node: name of this process in every line.
+        descriptor: where lines go; it is set to non-blocking.
+    """
+
+    def __init__(self, node: str, descriptor: int = 1):
+        self._node = node
+        self._descriptor = descriptor
+        self._pending = bytearray()
+        self._second = 0
+        self._written: collections.Counter[Event] = collections.Counter()
+        self._left_out: collections.Counter[Event] = collections.Counter()
+        os.set_blocking(descriptor, False)
+
+    def write(self, event: Event, **fields: Any) -> None:
+        """Writes one line, or counts it as left out."""
+        now = time.time()
+        if int(now) != self._second:
+            self._begin_second(int(now))
+        self._written[event] += 1
+        if self._written[event] > LINES_PER_SECOND:
+            self._leave_out(event)
+            return
+        self._emit(now, event.value, fields, event)
+
+    def _begin_second(self, second: int) -> None:
+        self._second = second
+        self._written.clear()
+        left_out, self._left_out = self._left_out, collections.Counter()
+        for event, count in left_out.items():
+            fields = {"kind": event.value, "count": count}
+            self._emit(time.time(), "lines_left_out", fields, event)
+
+    def _emit(
+        self, now: float, name: str, fields: dict[str, Any], event: Event
+    ) -> None:
+        line = {"time": now, "event": name, "node": self._node, **fields}
+        data = msgspec.json.encode(line, enc_hook=str) + b"\n"
+        if len(self._pending) + len(data) > BUFFER_BYTES:
+            self._leave_out(event)
+            return
+        self._pending += data
+        self.flush()
+
+    def flush(self) -> None:
+        """Hands over as much as the reader takes now."""
+        try:
+            while self._pending:
+                written = os.write(self._descriptor, self._pending)
+                del self._pending[:written]
+        except BlockingIOError:
+            return
+        except OSError:
+            # Without a reader there is nobody to tell; the count remains.
+            self._pending.clear()
+
+    def _leave_out(self, event: Event) -> None:
+        self._left_out[event] += 1
+        _LEFT_OUT.labels(event.value).inc()
--- /dev/null
+++ b/sardinedrift/engine/fleet.py
@@ -0,0 +1,228 @@
+"""Workers in the controller's memory: room, runs, leases and health."""
+
+import collections
+from collections.abc import Iterable
+
+from sardinedrift.engine.model import Size, TaskId, WorkerId
+from sardinedrift.engine.ports import RegisteredWorker
+from sardinedrift.engine.work import Run, Task
+from sardinedrift.identifiers import PoolId
+
+# A worker's clock may run this much slower than ours.
+SLOW_CLOCK_SHARE = 0.02
+# Recent ends that tell whether a worker fails what it starts.
+HEALTH_WINDOW = 6
+# Among these, so many failures without a success make it a bad worker.
+BAD_FAILURES = 2
+# A bad worker is tried again with one task after this long.
+PROBATION_S = 4.0
+
+
+class WorkerClock:
+    """A lower bound of a worker's own clock, from its last reading."""
+
+    __slots__ = ("at", "clock_ms")
+
+    def __init__(self, clock_ms: int, at: float):
+        self.clock_ms = clock_ms
+        self.at = at
+
+    def estimate(self, now: float) -> int:
+        """Returns the reading at a normal pace, in ms."""
+        return int(self.clock_ms + (now - self.at) * 1000)
+
+    def least(self, now: float) -> float:
+        """Returns the lowest reading that is possible now, in ms."""
+        passed_ms = (now - self.at) * 1000
+        return self.clock_ms + passed_ms * (1 - SLOW_CLOCK_SHARE)
+
+
+class Worker:
+    """One life of a worker, as the controller knows it.
+
+    Attributes:
+        registered: its registration, replaced when that changes.
+        listed: the registration is present.
+        contacted: it has answered in this term, and so has the fence.
+        suspect: its last answer failed to come.
+        born_ms: start of its life as last stated.
+        clock: its clock, once contacted.
+        lease_ms: latest deadline sent, on its own clock.
+        foreign_lease_until: when a lease of an earlier controller has ended
+            for certain, by the boot-time clock.
+        seen: ends up to this number are stored.
+        reserved: it is to be emptied for a move or an upkeep.
+        gone: everything on it has ended for good.
+    """
+
+    def __init__(self, registered: RegisteredWorker, foreign: float):
+        self.registered = registered
+        self.worker_id: WorkerId = registered.worker_id
+        self.listed = True
+        self.contacted = False
+        self.suspect = False
+        self.born_ms = registered.born_ms
+        self.clock: WorkerClock | None = None
+        self.lease_ms = 0
+        self.foreign_lease_until = foreign
+        self.seen = 0
+        self.reserved = False
+        self.gone = False
+        self.run_by_task: dict[TaskId, Run] = {}
+        self.used_cpu = 0
+        self.used_memory = 0
+        self.used_accelerators = 0
+        self._outcomes: collections.deque[bool] = collections.deque(
+            maxlen=HEALTH_WINDOW
+        )
+        self._bad_since = 0.0
+        self._count_by_step: dict[TaskId, int] = {}
+
+    @property
+    def pool_id(self) -> PoolId:
+        """The pool it serves."""
+        return self.registered.pool_id
+
+    @property
+    def free(self) -> Size:
+        """What is free on it."""
+        capacity = self.registered.capacity
+        return Size(
+            capacity.cpu - self.used_cpu,
+            capacity.memory_mb - self.used_memory,
+            capacity.accelerators - self.used_accelerators,
+        )
+
+    def may_take(self, now: float) -> bool:
+        """Whether new work may be placed on it."""
+        return (
+            self.listed
+            and self.contacted
+            and not self.suspect
+            and not self.reserved
+            and not self.gone
+            and not self.registered.draining
+            and self._trusted(now)
+        )
+
+    def has_room(self, task: Task) -> bool:
+        """Whether a task fits into what is free, and its step's spread."""
+        step, capacity = task.step, self.registered.capacity
+        size = step.size
+        cpu = 0 if step.fills else size.cpu
+        return (
+            self.used_cpu + cpu <= capacity.cpu
+            and self.used_memory + size.memory_mb <= capacity.memory_mb
+            and self.used_accelerators + size.accelerators
+            <= capacity.accelerators
+            and (
+                not step.max_per_worker
+                or self.count_of_step(task) < step.max_per_worker
+            )
+        )
+
+    def could_hold(self, task: Task) -> bool:
+        """Whether a task would fit if the worker were empty."""
+        step, capacity = task.step, self.registered.capacity
+        labels = self.registered.labels
+        return (
+            (step.fills or step.size.cpu <= capacity.cpu)
+            and step.size.memory_mb <= capacity.memory_mb
+            and step.size.accelerators <= capacity.accelerators
+            and (not step.label or step.label in labels)
+        )
+
+    def count_of_step(self, task: Task) -> int:
+        """Returns how many tasks of the same step and occurrence it runs."""
+        return self._count_by_step.get(_step_key(task.task_id), 0)
+
+    def add(self, run: Run) -> None:
+        """Takes a run into account."""
+        self.run_by_task[run.task.task_id] = run
+        self._account(run, 1)
+
+    def remove(self, run: Run) -> None:
+        """Frees what a run takes."""
+        if self.run_by_task.get(run.task.task_id) is run:
+            del self.run_by_task[run.task.task_id]
+            self._account(run, -1)
+
+    def note_outcome(self, succeeded: bool, now: float) -> None:
+        """Remembers how a run ended, for the health of the worker."""
+        if not succeeded and self._outcomes and not any(self._outcomes):
+            self._bad_since = now
+        self._outcomes.append(succeeded)
+        if not succeeded and list(self._outcomes).count(False) == BAD_FAILURES:
+            self._bad_since = now
+
+    @property
+    def bad(self) -> bool:
+        """Whether it failed what it ran lately."""
+        return len(self._outcomes) >= BAD_FAILURES and not any(self._outcomes)
+
+    @property
+    def doubtful(self) -> bool:
+        """Whether its last run failed, or nothing has ended well there."""
+        return bool(self._outcomes) and not self._outcomes[-1]
+
+    def leases_over(self, now: float) -> bool:
+        """Whether every lease on it has ended for certain."""
+        if now < self.foreign_lease_until and not self.contacted:
+            return False
+        if self.clock is None:
+            return now >= self.foreign_lease_until
+        return self.clock.least(now) > self.lease_ms
+
+    def _trusted(self, now: float) -> bool:
+        if not self.bad:
+            return True
+        return not self.run_by_task and now - self._bad_since > PROBATION_S
+
+    def _account(self, run: Run, sign: int) -> None:
+        step = run.task.step
+        self.used_cpu += 0 if step.fills else sign * step.size.cpu
+        self.used_memory += sign * step.size.memory_mb
+        self.used_accelerators += sign * step.size.accelerators
+        key = _step_key(run.task.task_id)
+        count = self._count_by_step.get(key, 0) + sign
+        if count:
+            self._count_by_step[key] = count
+        else:
+            del self._count_by_step[key]
+
+
+def _step_key(task_id: TaskId) -> TaskId:
+    return task_id._replace(index=0)
+
+
+class Fleet:
+    """All workers, by id."""
+
+    def __init__(self) -> None:
+        self.worker_by_id: dict[WorkerId, Worker] = {}
+
+    def of_pool(self, pool_id: PoolId) -> list[Worker]:
+        """Returns the workers of a pool."""
+        return [
+            worker
+            for worker in self.worker_by_id.values()
+            if worker.pool_id == pool_id
+        ]
+
+    def by_pool(self) -> dict[PoolId, list[Worker]]:
+        """Returns all workers, by their pool."""
+        workers_by_pool: dict[PoolId, list[Worker]] = {}
+        for worker in self.worker_by_id.values():
+            workers_by_pool.setdefault(worker.pool_id, []).append(worker)
+        return workers_by_pool
+
+
+def total_size(runs: Iterable[Run]) -> Size:
+    """Returns the sum of what runs ask for."""
+    cpu = memory = accelerators = 0
+    for run in runs:
+        size = run.task.step.size
+        cpu += size.cpu
+        memory += size.memory_mb
+        accelerators += size.accelerators
+    return Size(cpu, memory, accelerators)
--- /dev/null
+++ b/sardinedrift/engine/metrics.py
@@ -0,0 +1,66 @@
+"""Metrics of batch work."""
+
+import prometheus_client as prometheus
+
+_SECONDS = (0.01, 0.03, 0.1, 0.3, 0.6, 1.2, 2.5, 5.0, 10.0, 30.0)
+
+
+class Metrics:
+    """Counters and latency histograms of one entry.
+
+    Attributes:
+        calls: calls of callers, by operation and outcome.
+        call_seconds: their latency, by operation.
+        store_calls: calls to the store, by operation and outcome.
+        store_seconds: their latency, by operation.
+        runs_ended: ended runs, by how.
+        start_failures: starts without a confirmation, by error.
+        jobs_ended: ended jobs, by state.
+        job_seconds: time from acceptance to the end of a job.
+        ignored_entries: entries of others that could not be used, by kind.
+        gauges: current values, by name.
+    """
+
+    def __init__(self) -> None:
+        self.registry = prometheus.CollectorRegistry()
+        self.calls = self._counter("calls", "Calls", "operation", "outcome")
+        self.call_seconds = self._histogram("call_seconds", "operation")
+        self.store_calls = self._counter(
+            "store_calls", "Calls to the store", "operation", "outcome"
+        )
+        self.store_seconds = self._histogram("store_seconds", "operation")
+        self.runs_ended = self._counter("runs_ended", "Ended runs", "how")
+        self.start_failures = self._counter(
+            "start_failures", "Starts without confirmation", "error"
+        )
+        self.jobs_ended = self._counter("jobs_ended", "Ended jobs", "state")
+        self.job_seconds = self._histogram("job_seconds")
+        self.ignored_entries = self._counter(
+            "ignored_entries", "Entries that could not be used", "kind"
+        )
+        self.gauges = prometheus.Gauge(
+            "sardinedrift_current",
+            "Current values",
+            ["name"],
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return prometheus.generate_latest(
+            self.registry
+        ) + prometheus.generate_latest(prometheus.REGISTRY)
+
+    def _counter(self, name: str, text: str, *labels: str):
+        return prometheus.Counter(
+            f"sardinedrift_{name}", text, labels, registry=self.registry
+        )
+
+    def _histogram(self, name: str, *labels: str):
+        return prometheus.Histogram(
+            f"sardinedrift_{name}",
+            f"Latency: {name}",
+            labels,
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
--- /dev/null
+++ b/sardinedrift/engine/placement.py
@@ -0,0 +1,249 @@
+"""Choice of the tasks to start and of their workers, without a network."""
+
+from collections.abc import Callable, Iterable, Iterator
+
+import msgspec
+
+from sardinedrift.engine.fleet import Worker
+from sardinedrift.engine.model import Queue, Size, Team, WorkerId
+from sardinedrift.engine.work import Job, Task, longest_chain_ms
+from sardinedrift.identifiers import PoolId, QueueId, TeamId
+
+
+class Assignment(msgspec.Struct, frozen=True):
+    """Decision to start a task on a worker."""
+
+    task: Task
+    worker_id: WorkerId
+
+
+class TeamUse:
+    """What each client account has running, against its upper limit.
+
+    Attributes:
+        team_by_id: the client accounts with their limits and weights.
+    """
+
+    def __init__(self, team_by_id: dict[TeamId, Team]):
+        self.team_by_id = team_by_id
+        self._use_by_team: dict[TeamId, list[int]] = {}
+
+    def add(self, team_id: TeamId, size: Size, sign: int = 1) -> None:
+        """Adds what a task takes."""
+        use = self._use_by_team.setdefault(team_id, [0, 0, 0])
+        use[0] += sign * size.cpu
+        use[1] += sign * size.memory_mb
+        use[2] += sign * size.accelerators
+
+    def allows(self, team_id: TeamId, size: Size) -> bool:
+        """Whether the limit of a client account admits one more task."""
+        team = self.team_by_id.get(team_id)
+        if team is None:
+            return True
+        use = self._use_by_team.get(team_id, (0, 0, 0))
+        limit = team.limit
+        return all(
+            not most or used + more <= most
+            for most, used, more in zip(
+                (limit.cpu, limit.memory_mb, limit.accelerators),
+                use,
+                (size.cpu, size.memory_mb, size.accelerators),
+                strict=True,
+            )
+        )
+
+    def weighted(self, team_id: TeamId) -> float:
+        """Returns the cpu in use, divided by the account's weight."""
+        team = self.team_by_id.get(team_id)
+        weight = team.weight if team and team.weight > 0 else 1.0
+        return self._use_by_team.get(team_id, (0, 0, 0))[0] / weight
+
+
+def group_by_pool(
+    jobs: Iterable[Job], queue_by_id: dict[QueueId, Queue]
+) -> dict[PoolId, list[Job]]:
+    """Returns the jobs with startable tasks, by the pool of their queue."""
+    jobs_by_pool: dict[PoolId, list[Job]] = {}
+    for job in jobs:
+        queue = queue_by_id.get(job.submission.queue_id)
+        if queue is not None and job.waiting and not job.ended:
+            jobs_by_pool.setdefault(queue.pool_id, []).append(job)
+    return jobs_by_pool
+
+
+def order_jobs(
+    jobs: Iterable[Job], queue_by_id: dict[QueueId, Queue], use: TeamUse
+) -> list[Job]:
+    """Returns jobs in the order in which their tasks are to start.
+
+    Lower priority numbers come first, then long-running work, then the client
+    account with the least use for its weight, then the earliest objective.
+    """
+
+    def rank(job: Job) -> tuple:
+        submission = job.submission
+        queue = queue_by_id[submission.queue_id]
+        lasting = any(step.long_running for step in submission.steps)
+        return (
+            queue.priority,
+            not lasting,
+            use.weighted(submission.team_id),
+            objective_ms(job, queue),
+        )
+
+    return sorted(jobs, key=rank)
+
+
+def objective_ms(job: Job, queue: Queue) -> float:
+    """Returns when a job should be completed, in unix milliseconds."""
+    submission = job.submission
+    begin = submission.accepted_ms
+    if submission.repeats:
+        begin = submission.start_ms
+    chain = longest_chain_ms(submission.steps)
+    return begin + queue.stretch * chain + queue.latency_ms
+
+
+def plan_pool(
+    jobs: list[Job],
+    workers: list[Worker],
+    use: TeamUse,
+    now: float,
+    tickets: Callable[[Task], frozenset[WorkerId] | None],
+) -> Iterator[Assignment]:
+    """Yields starts for a pool; the caller applies each before the next.
+
+    Args:
+        jobs: jobs with startable tasks, in order.
+        workers: workers of the pool.
+        use: use of the client accounts, updated by the caller.
+        now: boot-time clock in seconds.
+        tickets: workers that advice permits for a task; None for any.
+    """
+    candidates = [worker for worker in workers if worker.may_take(now)]
+    for job in jobs:
+        refused: set[int] = set()
+        for task in list(job.waiting.values()):
+            if task.task_id not in job.waiting or task.task_id.step in refused:
+                continue
+            if task.step.gang:
+                yield from _plan_gang(task, candidates, use, now, tickets)
+                refused.add(task.task_id.step)
+                continue
+            worker = _choose(task, candidates, use, now, tickets(task))
+            if worker is None:
+                refused.add(task.task_id.step)
+            else:
+                yield Assignment(task, worker.worker_id)
+
+
+def _choose(
+    task: Task,
+    candidates: list[Worker],
+    use: TeamUse,
+    now: float,
+    permitted: frozenset[WorkerId] | None,
+) -> Worker | None:
+    if not use.allows(task.job.submission.team_id, task.step.size):
+        return None
+    fitting = (
+        worker
+        for worker in candidates
+        if worker.may_take(now)
+        and worker.has_room(task)
+        and worker.could_hold(task)
+        and (permitted is None or worker.worker_id in permitted)
+    )
+    return min(fitting, key=lambda each: _cost(task, each), default=None)
+
+
+def _cost(task: Task, worker: Worker) -> tuple:
+    step = task.step
+    away = bool(step.data_rack) and step.data_rack not in (
+        worker.registered.labels
+    )
+    return (
+        worker.worker_id in task.failed_on,
+        away,
+        worker.doubtful,
+        # Workers that are already in use come first, the fullest of them, so
+        # that others stay empty and can be handed over.
+        not worker.run_by_task,
+        worker.free.cpu,
+        worker.worker_id,
+    )
+
+
+def _plan_gang(
+    task: Task,
+    candidates: list[Worker],
+    use: TeamUse,
+    now: float,
+    tickets: Callable[[Task], frozenset[WorkerId] | None],
+) -> Iterator[Assignment]:
+    """Yields starts for all members, or none."""
+    members = [
+        each
+        for each in task.job.siblings(task)
+        if each.task_id in task.job.waiting
+    ]
+    if len(members) < task.step.count:
+        return
+    racks = {worker.registered.rack for worker in candidates}
+    groups = [
+        [worker for worker in candidates if worker.registered.rack == rack]
+        for rack in sorted(racks)
+    ]
+    if not task.step.rack_sensitive:
+        groups = []
+    for group in [*groups, candidates]:
+        chosen = _fit_gang(members, group, use, now, tickets)
+        if chosen:
+            yield from chosen
+            return
+
+
+def _fit_gang(
+    members: list[Task],
+    workers: list[Worker],
+    use: TeamUse,
+    now: float,
+    tickets: Callable[[Task], frozenset[WorkerId] | None],
+) -> list[Assignment]:
+    """Returns places for all members, or an empty list."""
+    step, count = members[0].step, len(members)
+    whole = Size(
+        step.size.cpu * count,
+        step.size.memory_mb * count,
+        step.size.accelerators * count,
+    )
+    if not use.allows(members[0].job.submission.team_id, whole):
+        return []
+    permitted = tickets(members[0])
+    places = (
+        worker
+        for worker in sorted(workers, key=lambda each: _cost(members[0], each))
+        if worker.may_take(now)
+        and worker.could_hold(members[0])
+        and (permitted is None or worker.worker_id in permitted)
+        for _ in range(_room_for(members[0], worker))
+    )
+    chosen = [
+        Assignment(member, worker.worker_id)
+        for member, worker in zip(members, places, strict=False)
+    ]
+    return chosen if len(chosen) == count else []
+
+
+def _room_for(task: Task, worker: Worker) -> int:
+    """Returns how many tasks like this one fit on a worker now."""
+    size, free, step = task.step.size, worker.free, task.step
+    parts = [
+        (0 if step.fills else size.cpu, free.cpu),
+        (size.memory_mb, free.memory_mb),
+        (size.accelerators, free.accelerators),
+    ]
+    counts = [left // each for each, left in parts if each > 0]
+    if step.max_per_worker:
+        counts.append(step.max_per_worker - worker.count_of_step(task))
+    return max(0, min(counts, default=step.count))
--- /dev/null
+++ b/sardinedrift/engine/progresswriter.py
@@ -0,0 +1,104 @@
+"""Writes progress before the orders that follow from it."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from sardinedrift.engine.catalogue import progress_record
+from sardinedrift.engine.exceptions import StoreError, StoreFenced
+from sardinedrift.engine.ports import KeyedRecord, RecordStore
+from sardinedrift.engine.term import Term
+from sardinedrift.engine.work import Job
+from sardinedrift.identifiers import JobId
+
+RETRY_S = 0.1
+MOST_BYTES = 1 << 20
+
+Action = Callable[[], None]
+
+
+class ProgressWriter:
+    """Appends the progress of changed jobs, one call at a time.
+
+    Args:
+        store: where it goes.
+        topic: keyed topic.
+        term: the controller's term, with its token and sequence numbers.
+    """
+
+    def __init__(self, store: RecordStore, topic: str, term: Term):
+        self._store = store
+        self._topic = topic
+        self._term = term
+        self._changed_by_id: dict[JobId, Job] = {}
+        self._extra: list[KeyedRecord] = []
+        self._actions: list[Action] = []
+        self._wake = asyncio.Event()
+
+    def touch(self, job: Job) -> None:
+        """Has the job's progress written."""
+        self._changed_by_id[job.job_id] = job
+        self._wake.set()
+
+    def add(self, record: KeyedRecord) -> None:
+        """Has another record written."""
+        self._extra.append(record)
+        self._wake.set()
+
+    def after(self, action: Action) -> None:
+        """Calls an action once everything given so far is durable."""
+        self._actions.append(action)
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Writes until cancelled.
+
+        Raises:
+            StoreFenced: another controller has taken over.
+        """
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            jobs = list(self._changed_by_id.values())
+            self._changed_by_id.clear()
+            extra, self._extra = self._extra, []
+            actions, self._actions = self._actions, []
+            records = [
+                progress_record(job.job_id, job.record()) for job in jobs
+            ]
+            for group in _in_groups(records + extra):
+                await self._append(group)
+            for action in actions:
+                action()
+
+    async def fence(self) -> int:
+        """Refuses earlier controllers; returns the end of the topic."""
+        return await self._append([])
+
+    async def _append(self, records: list[KeyedRecord]) -> int:
+        sequence = self._term.sequence
+        self._term.sequence += 1
+        while True:
+            try:
+                return await self._store.append_fenced(
+                    self._topic, records, self._term.token, sequence
+                )
+            except StoreFenced:
+                raise
+            except StoreError:
+                # The same sequence number makes the repeat idempotent.
+                await asyncio.sleep(RETRY_S)
+
+
+def _in_groups(
+    records: Iterable[KeyedRecord],
+) -> Iterable[list[KeyedRecord]]:
+    group: list[KeyedRecord] = []
+    size = 0
+    for record in records:
+        size += len(record.key) + len(record.value or b"")
+        if group and size > MOST_BYTES:
+            yield group
+            group, size = [], len(record.value or b"")
+        group.append(record)
+    if group:
+        yield group
--- /dev/null
+++ b/sardinedrift/engine/sessions.py
@@ -0,0 +1,243 @@
+"""One task per worker: renews its lease and takes over its reports."""
+
+import asyncio
+
+from sardinedrift.engine.control import Control
+from sardinedrift.engine.events import Event
+from sardinedrift.engine.exceptions import OrderError, OrderRefused
+from sardinedrift.engine.fleet import Worker, WorkerClock
+from sardinedrift.engine.model import RunEnd, RunPhase
+from sardinedrift.engine.orders import LEASE_MS, Orders
+from sardinedrift.engine.ports import (
+    EndReport,
+    Refusal,
+    RunReport,
+    WorkerOrders,
+    WorkerReport,
+)
+
+# Longest wait of a worker for news; leases are renewed at least so often.
+REPORT_WAIT_MS = 2000
+# A worker on which tasks serve beside others is looked at this often.
+SERVING_WAIT_MS = 1000
+RETRY_S = 0.3
+# Longest lease of an earlier controller, with room for a drift of clocks.
+FOREIGN_LEASE_MS = LEASE_MS * 11 // 10
+# Ends that come close together are recorded in one go.
+ACKNOWLEDGE_WAIT_S = 1.0
+
+
+class Session:
+    """Follows one worker until nothing is left on it.
+
+    Args:
+        worker: the worker.
+        control: state of the term.
+        orders: stops what must not run.
+        port: asks for reports.
+    """
+
+    def __init__(
+        self,
+        worker: Worker,
+        control: Control,
+        orders: Orders,
+        port: WorkerOrders,
+    ):
+        self._worker = worker
+        self._control = control
+        self._orders = orders
+        self._port = port
+        self._wake = asyncio.Event()
+        self._stored = asyncio.Event()
+        self._taken = 0
+        self._acknowledged = 0
+
+    def wake(self) -> None:
+        """Has the worker asked soon."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Follows the worker until it is gone."""
+        while not self._is_over():
+            if not self._needs_report():
+                self._wake.clear()
+                await self._wake.wait()
+                continue
+            await self._ask()
+            if self._taken > self._worker.seen:
+                await self._wait_stored()
+
+    def _is_over(self) -> bool:
+        worker = self._worker
+        over = worker.leases_over(self._control.clock.boot())
+        for run in list(worker.run_by_task.values()):
+            if worker.gone or (over and run.phase is not RunPhase.DECIDED):
+                self._control.finish(run, RunEnd.LAPSED)
+        idle = not worker.run_by_task
+        return idle and (worker.gone or not worker.listed)
+
+    def _needs_report(self) -> bool:
+        worker = self._worker
+        return (
+            not worker.contacted
+            or worker.suspect
+            or worker.seen > self._acknowledged
+            or any(
+                run.phase is not RunPhase.DECIDED
+                for run in worker.run_by_task.values()
+            )
+        )
+
+    async def _ask(self) -> None:
+        worker = self._worker
+        if not worker.registered.address or not self._control.term.may_renew:
+            await asyncio.sleep(RETRY_S)
+            return
+        sent_at = self._control.clock.boot()
+        seen = worker.seen
+        # The first answer of a life tells its clock; leases follow from it.
+        lease_ms = self._orders.next_lease_ms(worker) or None
+        try:
+            report = await self._port.renew(
+                worker.registered,
+                self._control.token,
+                seen,
+                lease_ms,
+                self._wait_ms(),
+            )
+        except OrderRefused as error:
+            self._note_refusal(error.reason)
+            await asyncio.sleep(RETRY_S)
+        except OrderError as error:
+            self._note_silence(error)
+            await asyncio.sleep(RETRY_S)
+        else:
+            self._acknowledged = seen
+            self._take(report, sent_at)
+
+    def _wait_ms(self) -> int:
+        worker = self._worker
+        if not worker.contacted or worker.suspect or not worker.run_by_task:
+            return 0
+        runs = worker.run_by_task.values()
+        if any(
+            run.settled_at is not None and run.phase is not RunPhase.RUNNING
+            for run in runs
+        ):
+            return 0
+        if any(run.task.step.target_ms for run in runs):
+            return SERVING_WAIT_MS
+        return REPORT_WAIT_MS
+
+    def _note_refusal(self, reason: Refusal) -> None:
+        if reason is Refusal.FENCED:
+            self._control.term.end()
+        elif reason is Refusal.OTHER_BOOT:
+            # Another process has the address, so this life is over.
+            self._worker.gone = True
+        else:
+            self._worker.suspect = True
+
+    def _note_silence(self, error: OrderError) -> None:
+        worker = self._worker
+        if not worker.suspect:
+            worker.suspect = True
+            self._control.log.write(
+                Event.WORKER_SUSPECT,
+                worker=worker.worker_id,
+                runs=len(worker.run_by_task),
+                error=repr(error),
+            )
+
+    def _take(self, report: WorkerReport, sent_at: float) -> None:
+        worker = self._worker
+        now = self._control.clock.boot()
+        if report.born_ms and report.born_ms != worker.born_ms:
+            self._begin_life(report.born_ms)
+        if worker.clock is None:
+            # An earlier controller may have renewed up to now.
+            worker.lease_ms = report.clock_ms + FOREIGN_LEASE_MS
+        worker.clock = WorkerClock(report.clock_ms, now)
+        if not worker.contacted or worker.suspect:
+            self._note_contact()
+        for end in report.ended:
+            self._take_end(end)
+        for row in report.running:
+            self._take_run(row, now)
+        self._drop_missing(report, sent_at)
+        self._control.changed.set()
+
+    def _begin_life(self, born_ms: int) -> None:
+        """Takes over that the worker has started again under its id."""
+        worker = self._worker
+        for run in list(worker.run_by_task.values()):
+            if run.born_ms != born_ms:
+                self._control.finish(run, RunEnd.LAPSED)
+        worker.born_ms = born_ms
+        worker.lease_ms = 0
+        worker.clock = None
+        worker.seen = 0
+        self._taken = 0
+        self._acknowledged = 0
+
+    def _note_contact(self) -> None:
+        worker = self._worker
+        event = Event.WORKER_BACK if worker.suspect else Event.WORKER_SEEN
+        worker.contacted = True
+        worker.suspect = False
+        self._control.log.write(
+            event, worker=worker.worker_id, pool=worker.pool_id
+        )
+
+    def _take_end(self, end: EndReport) -> None:
+        if end.number <= self._taken:
+            return
+        self._taken = end.number
+        run = self._current(end.task_id, end.run)
+        if run is not None:
+            self._control.finish(run, end.how, end.checkpoint)
+        self._stored.clear()
+        self._control.writer.after(lambda: self._store(end.number))
+
+    def _store(self, number: int) -> None:
+        self._worker.seen = max(self._worker.seen, number)
+        if self._worker.seen >= self._taken:
+            self._stored.set()
+
+    async def _wait_stored(self) -> None:
+        try:
+            async with asyncio.timeout(ACKNOWLEDGE_WAIT_S):
+                await self._stored.wait()
+        except TimeoutError:
+            # The store is away; the lease must be renewed all the same.
+            return
+
+    def _take_run(self, row: RunReport, now: float) -> None:
+        run = self._current(row.task_id, row.run)
+        if run is None:
+            self._orders.stop_stray(self._worker, row.task_id, row.run)
+            return
+        run.observe(row.percent, row.figure, now)
+        if row.checkpoint:
+            run.task.checkpoint = row.checkpoint
+        if run.phase is RunPhase.ORDERED:
+            run.phase = RunPhase.RUNNING
+            run.settled_at = now
+            if run.stop_wanted or run.task.job.ended:
+                run.stop_wanted = False
+                self._orders.stop_soon(run)
+
+    def _current(self, task_id, number: int):
+        """Returns the run if it is the one known to be on this worker."""
+        run = self._worker.run_by_task.get(task_id)
+        return run if run is not None and run.number == number else None
+
+    def _drop_missing(self, report: WorkerReport, sent_at: float) -> None:
+        """Ends runs whose order is settled and that the worker lacks."""
+        listed = {(row.task_id, row.run) for row in report.running}
+        for run in list(self._worker.run_by_task.values()):
+            if run.settled_at is None or run.settled_at >= sent_at:
+                continue
+            if (run.task.task_id, run.number) not in listed:
+                self._control.finish(run, RunEnd.LAPSED)
--- /dev/null
+++ b/sardinedrift/engine/work.py
@@ -0,0 +1,410 @@
+"""Jobs in the controller's memory: their tasks, runs and transitions."""
+
+from collections.abc import Iterable, Iterator
+
+from sardinedrift.engine.model import (
+    ENDED_STATES,
+    JobState,
+    Progress,
+    RunEnd,
+    RunPhase,
+    Step,
+    Submission,
+    TaskId,
+    TaskRecord,
+    TaskState,
+    WorkerId,
+)
+from sardinedrift.identifiers import JobId
+
+
+class Run:
+    """The current run of a task.
+
+    Attributes:
+        number: rises with each run of the task.
+        worker_id: worker it was placed on.
+        born_ms: start of that worker's life; 0 when unknown.
+        phase: how far it is.
+        settled_at: when it became certain whether the order was received, by
+            the boot-time clock; None while a start may still take effect.
+        stop_wanted: it is to be stopped once that is allowed.
+        percent: last reported progress.
+        moved_at: when the progress last changed, or the run was decided.
+        figure: last reported tail in ms, or cpu in use.
+        pace: share of its speed at which it was told to work, in percent.
+    """
+
+    __slots__ = (
+        "born_ms",
+        "decided_at",
+        "figure",
+        "moved_at",
+        "number",
+        "pace",
+        "percent",
+        "phase",
+        "settled_at",
+        "stop_wanted",
+        "task",
+        "worker_id",
+    )
+
+    def __init__(
+        self,
+        task: "Task",
+        number: int,
+        worker_id: WorkerId,
+        born_ms: int,
+        now: float,
+    ):
+        self.task = task
+        self.number = number
+        self.worker_id = worker_id
+        self.born_ms = born_ms
+        self.phase = RunPhase.DECIDED
+        self.settled_at: float | None = None
+        self.stop_wanted = False
+        self.decided_at = now
+        self.moved_at = now
+        self.percent = 0.0
+        self.figure = 0.0
+        self.pace = 100
+
+    @property
+    def at_work(self) -> bool:
+        """Whether a long-running task serves."""
+        return self.phase is RunPhase.RUNNING and self.percent >= 100
+
+    def observe(self, percent: float, figure: float, now: float) -> None:
+        """Takes over what a worker reported."""
+        if percent != self.percent:
+            self.percent = percent
+            self.moved_at = now
+        self.figure = figure
+
+
+class Task:
+    """One task and its state.
+
+    Attributes:
+        number: number of its last run.
+        run: its current run, if any.
+        failed_on: workers on which a run failed or stood still.
+        away_since: when a long-running task last stopped working.
+    """
+
+    __slots__ = (
+        "away_since",
+        "checkpoint",
+        "failed_on",
+        "failures",
+        "job",
+        "number",
+        "run",
+        "state",
+        "step",
+        "task_id",
+    )
+
+    def __init__(self, job: "Job", task_id: TaskId, step: Step):
+        self.job = job
+        self.task_id = task_id
+        self.step = step
+        self.state = TaskState.WAITING
+        self.number = 0
+        self.run: Run | None = None
+        self.failures = 0
+        self.checkpoint = ""
+        self.failed_on: set[WorkerId] = set()
+        self.away_since = 0.0
+
+    @property
+    def touched(self) -> bool:
+        """Whether it differs from a new task."""
+        return self.number > 0
+
+    def place(
+        self, number: int, worker_id: WorkerId, born_ms: int, now: float
+    ) -> Run:
+        """Begins a new run."""
+        self.number = number
+        self.state = TaskState.ACTIVE
+        self.run = Run(self, self.number, worker_id, born_ms, now)
+        return self.run
+
+    def release(self) -> None:
+        """Gives up the current run, which has ended or never started."""
+        self.run = None
+        self.state = TaskState.WAITING
+
+    def record(self) -> TaskRecord:
+        """Returns what is to be recorded."""
+        run = self.run
+        return TaskRecord(
+            self.task_id.occurrence,
+            self.task_id.step,
+            self.task_id.index,
+            self.state,
+            self.number,
+            run.worker_id if run else WorkerId(""),
+            run.born_ms if run else 0,
+            self.failures,
+            self.checkpoint,
+        )
+
+
+class Occurrence:
+    """One occurrence of a job: its tasks by step."""
+
+    def __init__(self, job: "Job", number: int):
+        self.number = number
+        steps = job.submission.steps
+        self.tasks_by_step = [
+            [
+                Task(job, TaskId(job.job_id, number, at, index), step)
+                for index in range(step.count)
+            ]
+            for at, step in enumerate(steps)
+        ]
+        self.left_by_step = [step.count for step in steps]
+        self.opened = [False] * len(steps)
+
+    @property
+    def done(self) -> bool:
+        """Whether all its tasks are done."""
+        return not any(self.left_by_step)
+
+
+class Job:
+    """A job that has not ended, and its tasks.
+
+    Attributes:
+        waiting: tasks that may be started, by id.
+        active: tasks with a run, by id.
+        cancelled: a caller asked for its end.
+    """
+
+    def __init__(self, submission: Submission):
+        self.submission = submission
+        self.job_id: JobId = submission.job_id
+        self.state = JobState.PENDING
+        self.started = False
+        self.cancelled = False
+        self.ended_ms = 0
+        self.occurrence_by_number: dict[int, Occurrence] = {}
+        self.waiting: dict[TaskId, Task] = {}
+        self.active: dict[TaskId, Task] = {}
+
+    @property
+    def ended(self) -> bool:
+        """Whether it has its final state."""
+        return self.state in ENDED_STATES
+
+    def next_due_ms(self) -> float | None:
+        """Returns when the next occurrence is due, in unix ms, if any."""
+        submission = self.submission
+        number = len(self.occurrence_by_number)
+        if self.ended or number >= max(1, submission.repeats):
+            return None
+        if not submission.repeats:
+            return 0.0
+        return submission.start_ms + number * submission.interval_ms
+
+    def open_due(self, now_ms: float) -> bool:
+        """Creates the occurrences that are due; returns whether any was."""
+        opened = False
+        while (due := self.next_due_ms()) is not None and due <= now_ms:
+            self._open_occurrence()
+            opened = True
+        return opened
+
+    def task(self, task_id: TaskId) -> Task | None:
+        """Returns a task, or None when the job has no such task."""
+        occurrence = self.occurrence_by_number.get(task_id.occurrence)
+        if occurrence is None or task_id.step >= len(occurrence.tasks_by_step):
+            return None
+        tasks = occurrence.tasks_by_step[task_id.step]
+        return tasks[task_id.index] if task_id.index < len(tasks) else None
+
+    def siblings(self, task: Task) -> list[Task]:
+        """Returns the tasks of the same step and occurrence."""
+        occurrence = self.occurrence_by_number[task.task_id.occurrence]
+        return occurrence.tasks_by_step[task.task_id.step]
+
+    def tasks(self) -> Iterator[Task]:
+        """Yields all tasks of the opened occurrences."""
+        for occurrence in self.occurrence_by_number.values():
+            for tasks in occurrence.tasks_by_step:
+                yield from tasks
+
+    def place(
+        self, task: Task, worker_id: WorkerId, born_ms: int, now: float
+    ) -> Run:
+        """Begins a run of a waiting task."""
+        del self.waiting[task.task_id]
+        self.active[task.task_id] = task
+        self.started = True
+        if self.state is JobState.PENDING:
+            self.state = JobState.RUNNING
+        number = self._next_number(task, now)
+        return task.place(number, worker_id, born_ms, now)
+
+    def end_run(
+        self,
+        task: Task,
+        how: RunEnd,
+        checkpoint: str,
+        max_attempts: int,
+        now_ms: int,
+    ) -> list[Run]:
+        """Applies the end of a task's current run.
+
+        Returns:
+            The runs that are over: this one, and when a gang is done, those of
+            its other members.
+        """
+        over = [task.run] if task.run else []
+        worker_id = task.run.worker_id if task.run else WorkerId("")
+        self.active.pop(task.task_id, None)
+        task.release()
+        if checkpoint:
+            task.checkpoint = checkpoint
+        if how is RunEnd.FAILED:
+            task.failures += 1
+            task.failed_on.add(worker_id)
+        if self.ended:
+            return over
+        if how is RunEnd.DONE and not task.step.long_running:
+            over += self._finish(task, now_ms)
+        elif self._exhausted(task, max_attempts):
+            self._end(JobState.FAILED, now_ms)
+        elif not self.cancelled:
+            self.waiting[task.task_id] = task
+        return over
+
+    def cancel(self, now_ms: int) -> None:
+        """Ends the job at the caller's wish; active runs are to be stopped."""
+        self.cancelled = True
+        if not self.ended:
+            self._end(JobState.CANCELLED, now_ms)
+
+    def record(self) -> Progress:
+        """Returns what is to be recorded."""
+        return Progress(
+            self.state,
+            self.started,
+            tuple(task.record() for task in self.tasks() if task.touched),
+            self.ended_ms,
+        )
+
+    def restore(self, progress: Progress, now: float) -> None:
+        """Takes over the progress that an earlier controller recorded.
+
+        Active runs become ORDERED: whether they started shows at the worker.
+        """
+        self.state = progress.state
+        self.started = progress.started
+        self.ended_ms = progress.ended_ms
+        occurrences = 1 + max(
+            (record.occurrence for record in progress.tasks), default=-1
+        )
+        for _ in range(occurrences):
+            self._open_occurrence()
+        for record in progress.tasks:
+            self._restore_task(record, now)
+        for occurrence in self.occurrence_by_number.values():
+            self._open_steps(occurrence)
+
+    def _restore_task(self, record: TaskRecord, now: float) -> None:
+        task_id = TaskId(
+            self.job_id, record.occurrence, record.step, record.index
+        )
+        task = self.task(task_id)
+        if task is None:
+            return
+        task.number = record.run
+        task.failures = record.failures
+        task.checkpoint = record.checkpoint
+        task.state = record.state
+        occurrence = self.occurrence_by_number[record.occurrence]
+        if record.state is TaskState.DONE:
+            occurrence.left_by_step[record.step] -= 1
+            self.waiting.pop(task_id, None)
+        elif record.state is TaskState.ACTIVE:
+            run = Run(task, record.run, record.worker_id, record.born_ms, now)
+            run.phase = RunPhase.ORDERED
+            task.run = run
+            self.active[task_id] = task
+            self.waiting.pop(task_id, None)
+
+    def _open_occurrence(self) -> None:
+        number = len(self.occurrence_by_number)
+        occurrence = Occurrence(self, number)
+        self.occurrence_by_number[number] = occurrence
+        self._open_steps(occurrence)
+
+    def _open_steps(self, occurrence: Occurrence) -> None:
+        left = occurrence.left_by_step
+        for at, step in enumerate(self.submission.steps):
+            if occurrence.opened[at] or any(left[each] for each in step.after):
+                continue
+            occurrence.opened[at] = True
+            self.waiting.update(
+                (task.task_id, task)
+                for task in occurrence.tasks_by_step[at]
+                if task.state is TaskState.WAITING
+            )
+
+    def _next_number(self, task: Task, now: float) -> int:
+        """Returns the number of a new run; members of a gang share it."""
+        if not task.step.gang:
+            return task.number + 1
+        siblings = self.siblings(task)
+        highest = max(each.number for each in siblings)
+        placed_now = any(
+            each.run and each.run.decided_at == now for each in siblings
+        )
+        return highest if placed_now else highest + 1
+
+    def _finish(self, task: Task, now_ms: int) -> list[Run]:
+        over: list[Run] = []
+        occurrence = self.occurrence_by_number[task.task_id.occurrence]
+        for each in self.siblings(task) if task.step.gang else (task,):
+            if each.state is not TaskState.DONE:
+                if each.run:
+                    over.append(each.run)
+                each.state = TaskState.DONE
+                each.run = None
+                self.active.pop(each.task_id, None)
+                self.waiting.pop(each.task_id, None)
+                occurrence.left_by_step[task.task_id.step] -= 1
+        self._open_steps(occurrence)
+        if self._all_done():
+            self._end(JobState.COMPLETED, now_ms)
+        return over
+
+    def _all_done(self) -> bool:
+        expected = max(1, self.submission.repeats)
+        return len(self.occurrence_by_number) >= expected and all(
+            each.done for each in self.occurrence_by_number.values()
+        )
+
+    def _exhausted(self, task: Task, max_attempts: int) -> bool:
+        members = self.siblings(task) if task.step.gang else (task,)
+        failures = sum(each.failures for each in members)
+        return failures >= max_attempts and not task.step.long_running
+
+    def _end(self, state: JobState, now_ms: int) -> None:
+        self.state = state
+        self.ended_ms = now_ms
+        self.waiting.clear()
+
+
+def longest_chain_ms(steps: Iterable[Step]) -> int:
+    """Returns the estimated length of the longest chain of steps."""
+    ends: list[int] = []
+    for step in steps:
+        begin = max((ends[each] for each in step.after), default=0)
+        ends.append(begin + step.estimate_ms)
+    return max(ends, default=0)
--- /dev/null
+++ b/sardinedrift/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the operators' platform; nothing outside knows its names."""
--- /dev/null
+++ b/sardinedrift/platform/daemon.py
@@ -0,0 +1,196 @@
+"""One entry process: its parts, their life and its settings."""
+
+import asyncio
+import gc
+import os
+import signal
+
+from sardinedrift.engine.appends import GroupAppender
+from sardinedrift.engine.catalogue import JobCatalogue
+from sardinedrift.engine.clock import SystemClock
+from sardinedrift.engine.controller import Controller, Outside
+from sardinedrift.engine.entry import ConfigurationView, Entry
+from sardinedrift.engine.events import Event, EventLog
+from sardinedrift.engine.feed import Feed
+from sardinedrift.engine.metrics import Metrics
+from sardinedrift.engine.term import Candidate
+from sardinedrift.exceptions import SettingsError
+from sardinedrift.platform.http import HttpClient
+from sardinedrift.platform.machines import HttpMachines
+from sardinedrift.platform.published import OperatorView, Registrations
+from sardinedrift.platform.server import Server
+from sardinedrift.platform.settings import Settings, load
+from sardinedrift.platform.store import JOBS_TOPIC, OPERATOR_TOPIC, LogStore
+from sardinedrift.platform.workers import HttpAdvice, HttpWorkerOrders
+
+# Keyed calls stop at this share of the time in which a withdrawn key must
+# stop working, so that a slow clock or a late read does not pass the bound.
+KEYS_AGE_SHARE = 0.6
+# The settings file may also change without a signal.
+SETTINGS_CHECK_S = 1.0
+# Long polls and appends of one entry to the store.
+STORE_CONNECTIONS = 12
+ORDER_CONNECTIONS = 4
+# Readiness is withdrawn this long before listening ends, so that the balancer
+# sends no more connections.
+UNREADY_S = 0.5
+METRICS_PORT = 7000
+
+
+class Daemon:
+    """One entry.
+
+    Args:
+        path: settings file.
+        settings: what it held at the start.
+    """
+
+    def __init__(self, path: str, settings: Settings):
+        self._path = path
+        self._settings = settings
+        self._modified = _modified(path)
+        self._clock = SystemClock()
+        self._log = EventLog(settings.node)
+        self._metrics = Metrics()
+        self._stop = asyncio.Event()
+
+    async def run(self) -> None:
+        """Runs until SIGTERM or SIGINT."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload, "signal")
+        store_client = HttpClient(STORE_CONNECTIONS)
+        order_client = HttpClient(ORDER_CONNECTIONS)
+        try:
+            await self._run_parts(store_client, order_client)
+        finally:
+            await store_client.aclose()
+            await order_client.aclose()
+
+    async def _run_parts(
+        self, store_client: HttpClient, order_client: HttpClient
+    ) -> None:
+        store = LogStore(
+            store_client,
+            lambda: self._settings.store.address,
+            self._settings.node,
+            self._metrics,
+        )
+        catalogue = JobCatalogue()
+        jobs = self._feed(store, JOBS_TOPIC, catalogue.take)
+        operator = OperatorView(self._log, self._metrics)
+        published = self._feed(store, OPERATOR_TOPIC, operator.take)
+        appender = GroupAppender(store, JOBS_TOPIC)
+        keys_age_s = self._settings.bounds.revoke_ms / 1000 * KEYS_AGE_SHARE
+        view = ConfigurationView(operator.current, published, keys_age_s)
+        entry = Entry(view, catalogue, jobs, appender, self._clock, self._log)
+        controller = self._controller(
+            store, order_client, jobs, catalogue, operator
+        )
+        candidate = Candidate(store, controller.run, self._clock, self._log)
+        server = Server(entry, self._clock, self._log, self._metrics)
+        listen = self._settings.listen
+        await server.listen_callers(listen.front)
+        if listen.ready:
+            await server.listen_ready(listen.ready)
+        await server.listen_metrics(f"{self._settings.ip}:{METRICS_PORT}")
+        tasks = [
+            asyncio.create_task(work)
+            for work in (
+                jobs.run(),
+                published.run(),
+                candidate.run(),
+                self._watch_settings(),
+            )
+        ]
+        gc.freeze()
+        self._log.write(Event.STARTED, zone=self._settings.zone)
+        await self._wait(tasks)
+        self._log.write(Event.STOPPING)
+        server.draining = True
+        tasks[2].cancel()
+        await asyncio.wait([tasks[2]])
+        await candidate.leave()
+        await asyncio.sleep(UNREADY_S)
+        await server.aclose(self._settings.bounds.grace_s * 0.6)
+        await appender.aclose()
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        self._log.write(Event.STOPPED)
+
+    async def _wait(self, tasks: list[asyncio.Task]) -> None:
+        """Waits for a signal; a part that ends by itself is an error."""
+        stop = asyncio.create_task(self._stop.wait())
+        done, _ = await asyncio.wait(
+            [stop, *tasks], return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done - {stop}:
+            self._log.write(Event.FAULT, where="entry", error=repr(task))
+            task.result()
+
+    def _feed(self, store: LogStore, topic: str, listener) -> Feed:
+        return Feed(store, topic, listener, self._clock, self._log)
+
+    def _controller(
+        self,
+        store: LogStore,
+        client: HttpClient,
+        jobs: Feed,
+        catalogue: JobCatalogue,
+        operator: OperatorView,
+    ) -> Controller:
+        registrations = Registrations(
+            store, self._clock, self._log, self._metrics
+        )
+        outside = Outside(
+            store,
+            HttpWorkerOrders(client),
+            registrations.feed,
+            HttpMachines(
+                client,
+                lambda: self._settings.machines.address,
+                self._settings.node,
+            ),
+            HttpAdvice(client, lambda: self._settings.advice),
+        )
+        return Controller(
+            JOBS_TOPIC,
+            jobs,
+            catalogue,
+            operator,
+            outside,
+            self._clock,
+            self._log,
+            self._metrics,
+        )
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_S)
+            if _modified(self._path) != self._modified:
+                self._reload("file")
+
+    def _reload(self, cause: str) -> None:
+        self._modified = _modified(self._path)
+        try:
+            settings = load(self._path)
+        except SettingsError as error:
+            # The settings in force stay; a later change is read again.
+            self._log.write(Event.FAULT, where="settings", error=str(error))
+            return
+        changed = [
+            name
+            for name in Settings.__struct_fields__
+            if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        self._settings = settings
+        self._log.write(Event.RELOADED, cause=cause, changed=changed)
+
+
+def _modified(path: str) -> int:
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError:
+        return 0
--- /dev/null
+++ b/sardinedrift/platform/jobs.py
@@ -0,0 +1,154 @@
+"""Jobs as callers send them, and names of tasks on the wire."""
+
+import re
+
+import msgspec
+
+from sardinedrift.engine.exceptions import CallError
+from sardinedrift.engine.model import Size, Step, Submission, TaskId
+from sardinedrift.identifiers import JobId, QueueId, TeamId
+
+_JOB_ID = re.compile(r"[0-9a-f]{16}", re.IGNORECASE)
+MOST_PAYLOAD_BYTES = 4000
+# A job with more tasks than this is a mistake, and would hold up the others.
+MOST_TASKS = 10_000
+
+
+class _Step(msgspec.Struct, frozen=True):
+    count: int = 1
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    gang: bool = False
+    rack_sensitive: bool = False
+    required_label: str = ""
+    data_rack: str = ""
+    max_per_server: int = 0
+    checkpoints: bool = False
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    # Bound on the tail of the response times of a task that serves users.
+    target_ms: int = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Job(msgspec.Struct, frozen=True):
+    steps: tuple[_Step, ...]
+    spec: str = ""
+    repeats: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+
+_decoder = msgspec.json.Decoder(_Job)
+
+
+def parse_job_id(text: str) -> JobId:
+    """Returns the id of a job in a path.
+
+    Raises:
+        CallError: it isn't 16 hexadecimal digits.
+    """
+    if not _JOB_ID.fullmatch(text):
+        raise CallError(400, "bad_job_id")
+    return JobId(text)
+
+
+def decode_job(
+    body: bytes,
+    job_id: JobId,
+    queue_id: QueueId,
+    team_id: TeamId,
+    accepted_ms: int,
+) -> Submission:
+    """Returns the job in the body of a call.
+
+    Raises:
+        CallError: it can't be understood.
+    """
+    try:
+        read = _decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise CallError(400, "bad_job", str(error)) from error
+    except UnicodeDecodeError as error:
+        raise CallError(400, "bad_job", str(error)) from error
+    _check(read)
+    return Submission(
+        job_id,
+        queue_id,
+        team_id,
+        accepted_ms,
+        read.spec,
+        tuple(_step(step) for step in read.steps),
+        read.repeats,
+        read.start_at_ms,
+        read.interval_ms,
+    )
+
+
+def _check(read: _Job) -> None:
+    if len(read.spec.encode()) > MOST_PAYLOAD_BYTES:
+        raise CallError(400, "bad_job", "spec is too long")
+    if not read.steps:
+        raise CallError(400, "bad_job", "a job needs a step")
+    if min(read.repeats, read.start_at_ms, read.interval_ms) < 0:
+        raise CallError(400, "bad_job", "times must not be negative")
+    if sum(step.count for step in read.steps) > MOST_TASKS:
+        raise CallError(400, "bad_job", "too many tasks")
+    for number, step in enumerate(read.steps):
+        sizes = (
+            step.cpu,
+            step.mem_mb,
+            step.gpu,
+            step.estimate_ms,
+            step.max_per_server,
+            step.target_ms,
+            step.may_miss,
+        )
+        if step.count < 1 or min(sizes) < 0:
+            raise CallError(400, "bad_job", f"step {number}: bad number")
+        if any(not 0 <= each < number for each in step.after):
+            raise CallError(
+                400, "bad_job", f"step {number}: after names no earlier step"
+            )
+
+
+def _step(step: _Step) -> Step:
+    return Step(
+        step.count,
+        Size(step.cpu, step.mem_mb, step.gpu),
+        step.estimate_ms,
+        step.after,
+        step.gang,
+        step.rack_sensitive,
+        step.required_label,
+        step.data_rack,
+        step.max_per_server,
+        step.checkpoints,
+        step.speculative,
+        step.long_running,
+        step.image,
+        step.target_ms,
+        step.fills,
+        step.may_miss,
+    )
+
+
+def task_name(task_id: TaskId) -> str:
+    """Returns the name of a task on the wire."""
+    return ".".join(str(part) for part in task_id)
+
+
+def step_name(task_id: TaskId) -> str:
+    """Returns the name of a task's step on the wire."""
+    return ".".join(str(part) for part in task_id[:3])
+
+
+def parse_task_name(name: str) -> TaskId:
+    """Returns the task of a name; raises ValueError when it is none."""
+    job_id, occurrence, step, index = name.split(".")
+    return TaskId(JobId(job_id), int(occurrence), int(step), int(index))
--- /dev/null
+++ b/sardinedrift/platform/server.py
@@ -0,0 +1,166 @@
+"""Calls of callers, readiness and metrics over HTTP."""
+
+import time
+
+import msgspec
+import prometheus_client as prometheus
+from aiohttp import web
+
+from sardinedrift.engine.clock import Clock
+from sardinedrift.engine.entry import Entry
+from sardinedrift.engine.events import Event, EventLog
+from sardinedrift.engine.exceptions import CallError
+from sardinedrift.engine.metrics import Metrics
+from sardinedrift.platform.jobs import decode_job, parse_job_id
+
+KEY_HEADER = "Credential"
+WAIT_HEADER = "Deadline-Ms"
+# A caller that does not say how long it waits is taken to wait this long.
+DEFAULT_WAIT_MS = 3000
+# Bodies are read within this time.
+BODY_S = 3.0
+
+_METHODS = ("GET", "POST", "DELETE")
+
+
+class Server:
+    """Listens for callers, for the readiness check and for metrics.
+
+    Args:
+        entry: serves the calls.
+        configuration: returns the newest configuration, or None.
+        clock: current times.
+        log: takes log lines.
+        metrics: counts calls.
+    """
+
+    def __init__(
+        self, entry: Entry, clock: Clock, log: EventLog, metrics: Metrics
+    ):
+        self._entry = entry
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._runners: list[web.ServerRunner] = []
+        self.draining = False
+
+    async def listen_callers(self, address: str) -> None:
+        """Takes calls of callers at "host:port"."""
+        await self._listen(address, self._serve_caller)
+
+    async def listen_ready(self, address: str) -> None:
+        """Answers the readiness check at "host:port"."""
+        await self._listen(address, self._serve_ready)
+
+    async def listen_metrics(self, address: str) -> None:
+        """Serves metrics at "host:port"."""
+        await self._listen(address, self._serve_metrics)
+
+    async def aclose(self, grace_s: float) -> None:
+        """Stops listening and waits for the calls on their way."""
+        self.draining = True
+        for runner in self._runners:
+            runner._shutdown_timeout = grace_s
+            await runner.cleanup()
+
+    async def _listen(self, address: str, handler) -> None:
+        host, _, port = address.rpartition(":")
+        runner = web.ServerRunner(web.Server(handler, access_log=None))
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port), backlog=512).start()
+        self._runners.append(runner)
+
+    async def _serve_ready(self, request: web.BaseRequest) -> web.Response:
+        ready = self._entry.ready and not self.draining
+        return web.Response(status=200 if ready else 503)
+
+    async def _serve_metrics(self, request: web.BaseRequest) -> web.Response:
+        return web.Response(
+            body=self._metrics.render(),
+            headers={"Content-Type": prometheus.CONTENT_TYPE_LATEST},
+        )
+
+    async def _serve_caller(self, request: web.BaseRequest) -> web.Response:
+        begin = time.monotonic()
+        try:
+            response = await self._dispatch(request)
+        except CallError as error:
+            response = self._refuse(request, error)
+        operation = request.method if request.method in _METHODS else "other"
+        self._metrics.calls.labels(operation, str(response.status)).inc()
+        self._metrics.call_seconds.labels(operation).observe(
+            time.monotonic() - begin
+        )
+        return response
+
+    async def _dispatch(self, request: web.BaseRequest) -> web.Response:
+        host = request.headers.get("Host", "").rpartition(":")
+        name = host[0] if host[1] and host[2].isdigit() else host[2]
+        path = request.path
+        queue = self._entry.find_queue(name, path)
+        team_id = self._entry.identify(queue, request.headers.get(KEY_HEADER))
+        rest = path[len(queue.prefix) :]
+        if not rest and request.method == "GET":
+            count = self._entry.waiting_count(queue)
+            return _json(200, {"waiting": count})
+        job_id = parse_job_id(rest)
+        match request.method:
+            case "POST":
+                body = await self._read_body(request)
+                submission = decode_job(
+                    body, job_id, queue.queue_id, team_id, self._clock.unix_ms()
+                )
+                await self._entry.accept(submission, self._deadline(request))
+                return _json(200, {})
+            case "GET":
+                state = await self._entry.state(job_id)
+                self._log.write(Event.ANSWERED, job=job_id, state=state.value)
+                return _json(200, {"state": state.value})
+            case "DELETE":
+                await self._entry.cancel(job_id, self._deadline(request))
+                return _json(200, {})
+        raise CallError(405, "method_not_allowed")
+
+    def _deadline(self, request: web.BaseRequest) -> float:
+        text = request.headers.get(WAIT_HEADER, "")
+        wait_ms = int(text) if text.isdigit() else DEFAULT_WAIT_MS
+        return self._clock.boot() + wait_ms / 1000
+
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        most = self._entry.max_body_bytes
+        if (request.content_length or 0) > most:
+            raise CallError(413, "body_too_large")
+        body = bytearray()
+        async for chunk in request.content.iter_any():
+            body += chunk
+            if len(body) > most:
+                raise CallError(413, "body_too_large")
+        return bytes(body)
+
+    def _refuse(
+        self, request: web.BaseRequest, error: CallError
+    ) -> web.Response:
+        self._log.write(
+            Event.REFUSED,
+            method=request.method,
+            path=request.path,
+            status=error.status,
+            code=error.code,
+            configuration_age_s=round(self._entry.configuration_age, 3),
+            feed_age_s=round(self._entry.feed_age, 3),
+        )
+        headers = {}
+        if error.retry_after_s is not None:
+            headers["Retry-After"] = str(error.retry_after_s)
+        body = {"code": error.code, "message": str(error)}
+        return _json(error.status, body, headers)
+
+
+def _json(
+    status: int, body: dict, headers: dict[str, str] | None = None
+) -> web.Response:
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(body),
+        headers={"Content-Type": "application/json", **(headers or {})},
+    )
--- /dev/null
+++ b/sardinedrift/platform/settings.py
@@ -0,0 +1,105 @@
+"""The settings file that the platform writes for each process."""
+
+import pathlib
+from typing import Any
+
+import msgspec
+
+from sardinedrift.exceptions import SettingsError
+
+VARIABLE = "SARDINEDRIFT_CONFIG"
+# A settings file has a few kilobytes; anything larger is not one.
+MOST_BYTES = 1 << 20
+
+
+class Listen(msgspec.Struct, frozen=True):
+    """Addresses to listen on, as "host:port"; `front` is for callers."""
+
+    front: str
+    ready: str = msgspec.field(name="readiness_addr", default="")
+    control: str = ""
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Time bounds that operators promise to callers."""
+
+    revoke_ms: int = 5000
+    config_apply_ms: int = 2000
+    grace_s: float = 6.0
+    lease_ms: int = 3000
+    notice_ms: int = 4500
+    harm_ms: int = 4000
+    status_s: float = 120.0
+    move_s: float = 1.5
+    upkeep_s: float = 2.0
+    max_hold_ms: int = 6000
+
+
+class Store(msgspec.Struct, frozen=True):
+    """Where the store is."""
+
+    address: str
+    ttl_min_ms: int = 1000
+
+
+class MachineApi(msgspec.Struct, frozen=True):
+    """Where the machine service is, and how often it may be called."""
+
+    address: str = ""
+    rate_per_s: float = 10.0
+    duties_per_s: float = 10.0
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """Settings of one process.
+
+    Attributes:
+        node: name of this process, unique in the deployment.
+        advice: address of the advice service, or "".
+    """
+
+    node: str
+    zone: str
+    ip: str
+    listen: Listen
+    store: Store = msgspec.field(name="platform")
+    machines: MachineApi = msgspec.field(name="cloud", default=MachineApi())
+    bounds: Bounds = Bounds()
+    advice: str = ""
+    heartbeat_ms: int = 1500
+
+
+def load(path: str | pathlib.Path) -> Settings:
+    """Reads a settings file of lines "a.b=value".
+
+    Raises:
+        SettingsError: it can't be read, is too large or lacks a field.
+    """
+    try:
+        with open(path, "rb") as file:
+            data = file.read(MOST_BYTES + 1)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error}") from error
+    if len(data) > MOST_BYTES:
+        raise SettingsError(f"{path}: larger than {MOST_BYTES} bytes")
+    return parse(data.decode(errors="replace"), str(path))
+
+
+def parse(text: str, path: str) -> Settings:
+    """Returns the settings in a text; unknown fields are passed over."""
+    table: dict[str, Any] = {}
+    for line in text.splitlines():
+        name, equals, value = line.strip().partition("=")
+        if not equals or name.startswith("#"):
+            continue
+        *parents, last = name.strip().split(".")
+        inner = table
+        for parent in parents:
+            inner = inner.setdefault(parent, {})
+            if not isinstance(inner, dict):
+                raise SettingsError(f"{path}: {name}: both value and table")
+        inner[last] = value.strip()
+    try:
+        return msgspec.convert(table, Settings, strict=False)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{path}: {error}") from error
