--- a/sardinedrift/engine/catalogue.py
+++ b/sardinedrift/engine/catalogue.py
@@ -8,8 +8,11 @@
 from sardinedrift.engine.model import (
     ENDED_STATES,
     JobState,
+    MachineId,
     Progress,
     Submission,
+    Token,
+    WaveNumber,
 )
 from sardinedrift.engine.ports import KeyedRecord
 from sardinedrift.identifiers import JobId, QueueId
@@ -21,11 +24,35 @@
     SUBMISSION = "j"
     CANCEL = "c"
     PROGRESS = "p"
+    WAVE = "w"
+    TERM = "t"
+
+
+class WaveRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Recorded progress of a wave: the machines whose upkeep has begun."""
+
+    begun: tuple[MachineId, ...]
+    completed: bool
+
+
+class TermRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The newest term of a controller.
+
+    Attributes:
+        closed: it has ended in order; no order was sent after this record.
+        stopping: its entry was told to stop.
+    """
+
+    token: Token
+    closed: bool = False
+    stopping: bool = False
 
 
 _LETTERS = frozenset(kind.value for kind in KeyKind)
 _submission_decoder = msgspec.msgpack.Decoder(Submission)
 _progress_decoder = msgspec.msgpack.Decoder(Progress)
+_wave_decoder = msgspec.msgpack.Decoder(WaveRecord)
+_term_decoder = msgspec.msgpack.Decoder(TermRecord)
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -51,6 +78,18 @@
     return KeyedRecord(key, _encoder.encode(progress))
 
 
+def wave_record(number: WaveNumber, record: WaveRecord) -> KeyedRecord:
+    """Returns the record of a wave's progress."""
+    return KeyedRecord(
+        f"{KeyKind.WAVE.value}/{number}", _encoder.encode(record)
+    )
+
+
+def term_record(record: TermRecord) -> KeyedRecord:
+    """Returns the record of the newest term."""
+    return KeyedRecord(f"{KeyKind.TERM.value}/newest", _encoder.encode(record))
+
+
 class KnownJob:
     """Records of one job, as far as they are known.
 
@@ -82,14 +121,18 @@
 
 
 class JobCatalogue:
-    """The known jobs, by id.
+    """The known jobs, by id, and what controllers recorded beside them.
 
     Attributes:
+        wave_by_number: recorded progress of the waves.
+        newest_term: the newest recorded term, or None.
         observer: told the id of a job with a new submission or cancellation.
     """
 
     def __init__(self) -> None:
         self.known_by_id: dict[JobId, KnownJob] = {}
+        self.wave_by_number: dict[WaveNumber, WaveRecord] = {}
+        self.newest_term: TermRecord | None = None
         self.observer: Callable[[JobId], None] | None = None
 
     def find(self, job_id: JobId) -> KnownJob | None:
@@ -121,11 +164,20 @@
         job_id = JobId(name)
         if letter not in _LETTERS:
             return
+        kind = KeyKind(letter)
         if value is None:
-            self._forget(KeyKind(letter), job_id)
-            return
+            self._forget(kind, job_id)
+        elif kind is KeyKind.WAVE:
+            number = WaveNumber(int(name))
+            self.wave_by_number[number] = _wave_decoder.decode(value)
+        elif kind is KeyKind.TERM:
+            self.newest_term = _term_decoder.decode(value)
+        else:
+            self._take_job(kind, job_id, value)
+
+    def _take_job(self, kind: KeyKind, job_id: JobId, value: bytes) -> None:
         known = self.known_by_id.setdefault(job_id, KnownJob())
-        match KeyKind(letter):
+        match kind:
             case KeyKind.SUBMISSION:
                 self.take_submission(_submission_decoder.decode(value))
             case KeyKind.CANCEL:
--- a/sardinedrift/engine/control.py
+++ b/sardinedrift/engine/control.py
@@ -5,6 +5,7 @@
 
 from sardinedrift.engine.catalogue import JobCatalogue
 from sardinedrift.engine.clock import Clock
+from sardinedrift.engine.demand import ArrivalMeter
 from sardinedrift.engine.events import Event, EventLog
 from sardinedrift.engine.fleet import Fleet, Worker
 from sardinedrift.engine.metrics import Metrics
@@ -37,6 +38,8 @@
     Attributes:
         fleet: the workers.
         job_by_id: jobs that have not ended, or still have runs.
+        use: what the client accounts have running.
+        arrivals: work that arrived lately.
         stop: set by the controller; called with a run that is to be stopped.
     """
 
@@ -63,6 +66,7 @@
         self.published = published
         self._last_queue_by_id: dict[QueueId, Queue] = {}
         self.use = TeamUse({})
+        self.arrivals = ArrivalMeter()
 
     @property
     def token(self) -> Token:
@@ -87,6 +91,8 @@
         job = Job(submission)
         if known.progress is not None:
             job.restore(known.progress, self.clock.boot())
+        else:
+            self._note_arrival(submission)
         if known.cancelled and not job.ended:
             job.cancel(self.clock.unix_ms())
             self.writer.touch(job)
@@ -97,6 +103,11 @@
         self.changed.set()
         return job
 
+    def _note_arrival(self, submission: Submission) -> None:
+        queue = self.queues().get(submission.queue_id)
+        if queue is not None:
+            self.arrivals.note(queue.pool_id, submission, self.clock.boot())
+
     def cancel(self, job: Job) -> None:
         """Ends a job at its caller's wish."""
         if job.cancelled:
--- a/sardinedrift/engine/controller.py
+++ b/sardinedrift/engine/controller.py
@@ -4,12 +4,14 @@
 import contextlib
 from collections.abc import Callable
 
-from sardinedrift.engine.catalogue import JobCatalogue
+from sardinedrift.engine.catalogue import JobCatalogue, TermRecord
 from sardinedrift.engine.clock import Clock
 from sardinedrift.engine.control import Control
 from sardinedrift.engine.events import Event, EventLog
-from sardinedrift.engine.feed import Feed
+from sardinedrift.engine.exceptions import StoreError
+from sardinedrift.engine.feed import CONTROL_GAP_S, FOLLOW_GAP_S, Feed
 from sardinedrift.engine.fleet import SLOW_CLOCK_SHARE, Worker
+from sardinedrift.engine.machinery import Machinery
 from sardinedrift.engine.metrics import Metrics
 from sardinedrift.engine.model import (
     MachineId,
@@ -30,6 +32,7 @@
     Published,
     RecordStore,
     RegisteredWorker,
+    WaveReports,
     WorkerOrders,
 )
 from sardinedrift.engine.progresswriter import ProgressWriter
@@ -43,6 +46,8 @@
 # Until then an earlier controller may have renewed leases where we could not.
 FOREIGN_S = RENEWAL_S + LEASE_MS / 1000 * (1 + 2 * SLOW_CLOCK_SHARE)
 
+CLOSED_LEASE_S = LEASE_MS / 1000 * (1 + 2 * SLOW_CLOCK_SHARE)
+
 
 class Outside:
     """What a controller reaches: one object of each port.
@@ -61,12 +66,14 @@
         ],
         machines: MachineService,
         advice: AdviceService,
+        reports: WaveReports,
     ):
         self.store = store
         self.workers = workers
         self.registrations = registrations
         self.machines = machines
         self.advice = advice
+        self.reports = reports
 
 
 class Controller:
@@ -81,6 +88,8 @@
         clock: current times.
         log: takes log lines.
         metrics: counts.
+        machine_quiet_s: no orders for machines this long after a change of
+            controllers.
     """
 
     def __init__(
@@ -93,6 +102,7 @@
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
+        machine_quiet_s: float,
     ):
         self._topic = topic
         self._jobs = jobs
@@ -102,6 +112,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._machine_quiet_s = machine_quiet_s
 
     async def run(self, term: Term) -> None:
         """Controls until the term ends.
@@ -137,25 +148,47 @@
         self._session_by_id: dict[WorkerId, Session] = {}
         self._group: asyncio.TaskGroup | None = None
         self._foreign_until = term.begun_at + FOREIGN_S
+        self._quiet_until = term.begun_at + made._machine_quiet_s
 
     async def run(self) -> None:
         """Takes over, then plans until the term ends."""
+        self._made._jobs.gap_s = CONTROL_GAP_S
         try:
             async with asyncio.TaskGroup() as group:
                 self._group = group
                 await self._take_over(group)
                 group.create_task(self._plan_forever())
+                group.create_task(self._machinery().run())
                 await self._term.wait_end()
                 raise _TermEnded
         except* _TermEnded:
-            pass
+            await self._close()
         finally:
+            self._made._jobs.gap_s = FOLLOW_GAP_S
             self._made._catalogue.observer = None
             self._orders.close()
 
+    def _machinery(self) -> Machinery:
+        return Machinery(
+            self._control,
+            self._made._outside.machines,
+            self._made._outside.reports,
+            self._wake_session,
+            self._quiet_until,
+        )
+
+    async def _close(self) -> None:
+        """Tells the successor that no order of this term is on its way."""
+        self._orders.close()
+        record = TermRecord(self._term.token, True, self._term.stopping)
+        with contextlib.suppress(StoreError):
+            await self._writer.close_term(record)
+
     async def _take_over(self, group: asyncio.TaskGroup) -> None:
         end = await self._writer.fence()
         await self._made._jobs.reach(end)
+        self._judge_predecessor(self._made._catalogue.newest_term)
+        await self._writer.record_term(TermRecord(self._term.token))
         registrations = self._made._outside.registrations(self._on_worker)
         group.create_task(registrations.run())
         await registrations.reach(Offset(0))
@@ -164,6 +197,16 @@
             self._on_job(job_id)
         group.create_task(self._writer.run())
 
+    def _judge_predecessor(self, predecessor: TermRecord | None) -> None:
+        """Shortens the waits when the last controller ended in order."""
+        if predecessor is None:
+            self._foreign_until = self._quiet_until = self._term.begun_at
+        elif predecessor.closed:
+            now = self._clock.boot()
+            self._foreign_until = now + CLOSED_LEASE_S
+            if predecessor.stopping:
+                self._quiet_until = self._term.begun_at
+
     def _on_job(self, job_id: JobId) -> None:
         known = self._made._catalogue.find(job_id)
         if known is None:
--- /dev/null
+++ b/sardinedrift/engine/demand.py
@@ -0,0 +1,102 @@
+"""How many machines each pool needs, from its jobs; without a network."""
+
+import collections
+import math
+from collections.abc import Iterable
+
+import msgspec
+
+from sardinedrift.engine.model import Queue, Submission
+from sardinedrift.engine.work import Job
+from sardinedrift.identifiers import PoolId, QueueId
+
+# Work that arrives is averaged over this span: shorter than the time a machine
+# needs to come, so that a burst is met while it still grows.
+ARRIVAL_WINDOW_S = 1.0
+# Tasks do not fill machines to the last core.
+FILL_SHARE = 0.9
+# Free machines beyond the need, so that the first jobs of a burst start.
+HEADROOM = 1
+
+
+class PoolDemand(msgspec.Struct):
+    """What the jobs of a pool ask for now.
+
+    Attributes:
+        cpu: thousandths of cores of active and startable tasks.
+        memory_mb: their memory.
+        used: any job of the pool has not ended.
+    """
+
+    cpu: int = 0
+    memory_mb: int = 0
+    used: bool = False
+
+
+class ArrivalMeter:
+    """Work that arrived lately, by pool."""
+
+    def __init__(self) -> None:
+        self._arrivals_by_pool: dict[
+            PoolId, collections.deque[tuple[float, float]]
+        ] = {}
+
+    def note(self, pool_id: PoolId, submission: Submission, at: float) -> None:
+        """Takes a new job into account."""
+        arrivals = self._arrivals_by_pool.setdefault(
+            pool_id, collections.deque()
+        )
+        arrivals.append((at, work_of(submission)))
+
+    def arriving_cpu(self, pool_id: PoolId, now: float) -> float:
+        """Returns the cpu that the present arrivals keep busy."""
+        arrivals = self._arrivals_by_pool.get(pool_id)
+        if not arrivals:
+            return 0.0
+        while arrivals and now - arrivals[0][0] > ARRIVAL_WINDOW_S:
+            arrivals.popleft()
+        return sum(work for _, work in arrivals) / ARRIVAL_WINDOW_S
+
+
+def work_of(submission: Submission) -> float:
+    """Returns the estimated work of a job, in seconds of cpu thousandths."""
+    return sum(
+        step.count * step.size.cpu * step.estimate_ms / 1000
+        for step in submission.steps
+        if not step.long_running and not step.fills
+    )
+
+
+def measure(
+    jobs: Iterable[Job], queue_by_id: dict[QueueId, Queue]
+) -> dict[PoolId, PoolDemand]:
+    """Returns the demand of each pool."""
+    demand_by_pool: dict[PoolId, PoolDemand] = {}
+    for job in jobs:
+        queue = queue_by_id.get(job.submission.queue_id)
+        if queue is None:
+            continue
+        demand = demand_by_pool.setdefault(queue.pool_id, PoolDemand())
+        demand.used = True
+        for tasks in (job.waiting, job.active):
+            for task in tasks.values():
+                step = task.step
+                demand.cpu += 0 if step.fills else step.size.cpu
+                demand.memory_mb += step.size.memory_mb
+    return demand_by_pool
+
+
+def machines_needed(
+    demand: PoolDemand, arriving_cpu: float, cpu: int, memory_mb: int
+) -> int:
+    """Returns how many machines of a size a pool needs.
+
+    Args:
+        demand: what its jobs ask for.
+        arriving_cpu: cpu that the present arrivals keep busy.
+        cpu: thousandths of cores of one machine.
+        memory_mb: memory of one machine.
+    """
+    wanted = max(demand.cpu, arriving_cpu) / max(1.0, cpu * FILL_SHARE)
+    memory = demand.memory_mb / max(1.0, memory_mb * FILL_SHARE)
+    return math.ceil(max(wanted, memory)) + HEADROOM
--- a/sardinedrift/engine/exceptions.py
+++ b/sardinedrift/engine/exceptions.py
@@ -20,6 +20,18 @@
     """A controller with a higher token has written."""
 
 
+class SequenceExpected(StoreError):  # noqa: N818
+    """An append was out of order.
+
+    Attributes:
+        expected: the sequence number that comes next.
+    """
+
+    def __init__(self, expected: int):
+        super().__init__(f"sequence number {expected} comes next")
+        self.expected = expected
+
+
 class RecordsExpired(StoreError):  # noqa: N818
     """The requested records are no longer kept."""
 
--- a/sardinedrift/engine/feed.py
+++ b/sardinedrift/engine/feed.py
@@ -13,6 +13,11 @@
 # what is known in a quiet time.
 POLL_MS = 1000
 RETRY_S = 0.1
+# Polls are at least this far apart, so that a busy topic costs a bounded
+# number of calls.
+FOLLOW_GAP_S = 0.1
+# The controller's own feed is asked again sooner: starts wait for it.
+CONTROL_GAP_S = 0.01
 
 Listener = Callable[[str, bytes | None], None]
 
@@ -31,6 +36,7 @@
         confirmed_at: boot-time clock at which the last successful read was
             sent; what the feed holds is no older than that.
         loaded: the newest records were read once.
+        gap_s: least seconds between polls.
     """
 
     def __init__(
@@ -51,6 +57,7 @@
         self._moved = asyncio.Event()
         self.confirmed_at = float("-inf")
         self.loaded = False
+        self.gap_s = FOLLOW_GAP_S
         self._lost = False
 
     @property
@@ -71,6 +78,7 @@
                     await self._load()
                 await self._poll(POLL_MS)
                 self._note_contact()
+                await self._pause()
             except RecordsExpired:
                 self.loaded = False
             except StoreError as error:
@@ -93,6 +101,12 @@
             self._moved.clear()
             await self._moved.wait()
 
+    async def _pause(self) -> None:
+        """Waits until the next poll may be sent."""
+        left = self.confirmed_at + self.gap_s - self._clock.boot()
+        if left > 0:
+            await asyncio.sleep(left)
+
     async def _load(self) -> None:
         sent_at = self._clock.boot()
         after, end, seen = "", None, set()
--- a/sardinedrift/engine/ports.py
+++ b/sardinedrift/engine/ports.py
@@ -303,6 +303,14 @@
         """Begins the upkeep of a machine in a wave."""
 
 
+class WaveReports(abc.ABC):
+    """Tells operators how their waves are."""
+
+    @abc.abstractmethod
+    async def report_wave(self, number: WaveNumber, completed: bool) -> None:
+        """Reports a wave as running or completed; raises StoreError."""
+
+
 class Ticket(msgspec.Struct, frozen=True):
     """Permission to run the tasks of a step on a worker."""
 
--- a/sardinedrift/engine/progresswriter.py
+++ b/sardinedrift/engine/progresswriter.py
@@ -3,14 +3,24 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from sardinedrift.engine.catalogue import progress_record
-from sardinedrift.engine.exceptions import StoreError, StoreFenced
+from sardinedrift.engine.catalogue import (
+    TermRecord,
+    progress_record,
+    term_record,
+)
+from sardinedrift.engine.exceptions import (
+    SequenceExpected,
+    StoreError,
+    StoreFenced,
+)
 from sardinedrift.engine.ports import KeyedRecord, RecordStore
 from sardinedrift.engine.term import Term
 from sardinedrift.engine.work import Job
 from sardinedrift.identifiers import JobId
 
 RETRY_S = 0.1
+# Changes that come close together share one call.
+GAP_S = 0.01
 MOST_BYTES = 1 << 20
 
 Action = Callable[[], None]
@@ -69,25 +79,45 @@
                 await self._append(group)
             for action in actions:
                 action()
+            await asyncio.sleep(GAP_S)
 
     async def fence(self) -> int:
         """Refuses earlier controllers; returns the end of the topic."""
         return await self._append([])
 
+    async def record_term(self, record: TermRecord) -> None:
+        """Records the beginning of this term."""
+        await self._append([term_record(record)])
+
+    async def close_term(self, record: TermRecord) -> None:
+        """Records the end of this term, after `run` was cancelled.
+
+        Raises:
+            StoreError: it may not be recorded; a successor then waits longer.
+        """
+        try:
+            await self._send([term_record(record)], self._term.sequence)
+        except SequenceExpected as error:
+            # The append that was cancelled has not arrived, and won't.
+            await self._send([term_record(record)], error.expected)
+
     async def _append(self, records: list[KeyedRecord]) -> int:
         sequence = self._term.sequence
         self._term.sequence += 1
         while True:
             try:
-                return await self._store.append_fenced(
-                    self._topic, records, self._term.token, sequence
-                )
-            except StoreFenced:
+                return await self._send(records, sequence)
+            except (StoreFenced, SequenceExpected):
                 raise
             except StoreError:
                 # The same sequence number makes the repeat idempotent.
                 await asyncio.sleep(RETRY_S)
 
+    async def _send(self, records: list[KeyedRecord], sequence: int) -> int:
+        return await self._store.append_fenced(
+            self._topic, records, self._term.token, sequence
+        )
+
 
 def _in_groups(
     records: Iterable[KeyedRecord],
--- a/sardinedrift/engine/sessions.py
+++ b/sardinedrift/engine/sessions.py
@@ -187,7 +187,13 @@
         worker.contacted = True
         worker.suspect = False
         self._control.log.write(
-            event, worker=worker.worker_id, pool=worker.pool_id
+            event,
+            worker=worker.worker_id,
+            pool=worker.pool_id,
+            machine=worker.registered.machine_id,
+            rack=worker.registered.rack,
+            born_ms=worker.born_ms,
+            runs=len(worker.run_by_task),
         )
 
     def _take_end(self, end: EndReport) -> None:
--- a/sardinedrift/engine/term.py
+++ b/sardinedrift/engine/term.py
@@ -13,9 +13,12 @@
 # The store takes a member as gone this long after its last join.
 MEMBER_TIMEOUT_MS = 1500
 JOIN_EVERY_S = 0.35
-# Leases are renewed this long after the last join, so that work survives an
-# outage of the store; a successor waits for it where it cannot reach a worker.
-RENEWAL_S = 9.0
+# Leases are renewed this long after the last join; a successor waits for it
+# where it cannot reach a worker, unless the term was closed in order.
+RENEWAL_S = 2.5
+# Time for the last words of a term before its entry gives it up.
+CLOSE_S = 0.5
+STOPPING = "stopping"
 
 
 class Term:
@@ -29,6 +32,7 @@
     Attributes:
         sequence: number of its next append.
         ended: it was refused by a higher token, or the group gave it away.
+        stopping: its entry was told to stop.
     """
 
     def __init__(self, token: Token, clock: Clock, joined_at: float):
@@ -36,6 +40,7 @@
         self.begun_at = clock.boot()
         self.sequence = 0
         self.ended = False
+        self.stopping = False
         self._clock = clock
         self._joined_at = joined_at
         self._end = asyncio.Event()
@@ -100,11 +105,11 @@
                 await self._join()
                 await asyncio.sleep(JOIN_EVERY_S)
         finally:
-            await self._end_term("stopping")
+            await self._end_term(STOPPING)
 
     async def leave(self) -> None:
         """Gives up control, so that another entry is elected at once."""
-        await self._end_term("leaving")
+        await self._end_term(STOPPING)
         with contextlib.suppress(StoreError):
             await self._election.leave()
 
@@ -156,12 +161,13 @@
         term, self._term = self._term, None
         if term is None:
             return
+        term.stopping = reason == STOPPING
         term.end()
         self._log.write(Event.TERM_ENDED, token=term.token, reason=reason)
         if self._task is not None:
+            await asyncio.wait([self._task], timeout=CLOSE_S)
             self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+            await asyncio.wait([self._task])
 
     def _log_lost_join(self, error: StoreError) -> None:
         term = self._term
--- a/sardinedrift/platform/daemon.py
+++ b/sardinedrift/platform/daemon.py
@@ -154,6 +154,7 @@
                 self._settings.node,
             ),
             HttpAdvice(client, lambda: self._settings.advice),
+            store,
         )
         return Controller(
             JOBS_TOPIC,
@@ -164,6 +165,7 @@
             self._clock,
             self._log,
             self._metrics,
+            self._settings.bounds.lease_ms / 1000,
         )
 
     async def _watch_settings(self) -> None:
--- a/sardinedrift/platform/store.py
+++ b/sardinedrift/platform/store.py
@@ -9,12 +9,14 @@
 
 from sardinedrift.engine.exceptions import (
     RecordsExpired,
+    SequenceExpected,
+    StoreError,
     StoreFenced,
     StoreRefused,
     StoreUnknown,
 )
 from sardinedrift.engine.metrics import Metrics
-from sardinedrift.engine.model import Token
+from sardinedrift.engine.model import Token, WaveNumber
 from sardinedrift.engine.ports import (
     Election,
     KeyedRecord,
@@ -22,9 +24,14 @@
     ReadPage,
     RecordStore,
     Standing,
+    WaveReports,
 )
 from sardinedrift.engine.term import MEMBER_TIMEOUT_MS
 from sardinedrift.identifiers import Offset
+from sardinedrift.platform.configuration import (
+    WAVE_PREFIX,
+    encode_wave_state,
+)
 from sardinedrift.platform.http import Answer, HttpClient, NoAnswer, NotSent
 
 JOBS_TOPIC = "keyed.sardinedrift"
@@ -75,7 +82,7 @@
     parts: tuple[tuple[str, int, int], ...]
 
 
-class LogStore(RecordStore, Election):
+class LogStore(RecordStore, Election, WaveReports):
     """Client of the store; the only one in a process.
 
     Args:
@@ -183,9 +190,11 @@
         )
         return Token(_decode(answer, _Appended).offset + 1)
 
-    async def write_status(self, name: str, value: bytes) -> None:
-        """Writes a record that operators read."""
-        await self.append(STATUS_TOPIC, [KeyedRecord(name, value)])
+    async def report_wave(self, number: WaveNumber, completed: bool) -> None:
+        """Reports a wave as running or completed."""
+        value = encode_wave_state(completed)
+        record = KeyedRecord(f"{WAVE_PREFIX}{number}", value)
+        await self.append(STATUS_TOPIC, [record])
 
     async def _append(
         self, query: dict[str, str], records: Sequence[KeyedRecord]
@@ -226,12 +235,19 @@
         return
     text = f"{answer.status}: {answer.body[:200]!r}"
     if answer.status == 409:
-        raise StoreFenced(text)
+        raise _conflict(answer, text)
     if answer.status == 410:
         raise RecordsExpired(text)
     raise StoreRefused(text)
 
 
+def _conflict(answer: Answer, text: str) -> StoreError:
+    conflict = _decode(answer, _Conflict)
+    if conflict.reason == "seq":
+        return SequenceExpected(conflict.seq)
+    return StoreFenced(text)
+
+
 def _decode(answer: Answer, kind: type):
     try:
         return msgspec.json.decode(answer.body, type=kind)
