End the leases of workers that do not answer

Change: a suspect worker is asked without a deadline and over a new connection; the state of the run itself no longer excuses a stop; a machine whose registration is missing keeps its worker. Ruled out: delayed answers and clocks (traced on the wire times).

--- a/sardinedrift/engine/machinery.py
+++ b/sardinedrift/engine/machinery.py
@@ -212,11 +212,19 @@
         return next((pool.pool_id for pool in pools if pool.spare), None)
 
     def _worker_by_machine(self) -> dict[MachineId, Worker]:
-        return {
-            worker.registered.machine_id: worker
-            for worker in self._control.fleet.worker_by_id.values()
-            if worker.listed and not worker.gone
-        }
+        """Returns the present worker of each machine.
+
+        A worker whose registration is missing may run on: the store can lose
+        registrations for a while.
+        """
+        worker_by_machine: dict[MachineId, Worker] = {}
+        for worker in self._control.fleet.worker_by_id.values():
+            machine_id = worker.registered.machine_id
+            if not worker.gone and (
+                worker.listed or machine_id not in worker_by_machine
+            ):
+                worker_by_machine[machine_id] = worker
+        return worker_by_machine
 
     def _idle_span(
         self,
--- a/sardinedrift/engine/ports.py
+++ b/sardinedrift/engine/ports.py
@@ -235,6 +235,7 @@
         seen: int,
         lease_ms: int | None,
         wait_ms: int,
+        fresh: bool = False,
     ) -> WorkerReport:
         """Renews the lease and returns what runs and what ended.
 
@@ -244,6 +245,7 @@
             seen: ends up to this number need not be listed again.
             lease_ms: new deadline on the worker's clock, if any.
             wait_ms: how long the answer may wait for a new end.
+            fresh: ask over a new connection, as open ones may be silent.
         """
 
     @abc.abstractmethod
--- a/sardinedrift/engine/sessions.py
+++ b/sardinedrift/engine/sessions.py
@@ -4,7 +4,11 @@
 
 from sardinedrift.engine.control import Control
 from sardinedrift.engine.events import Event
-from sardinedrift.engine.exceptions import OrderError, OrderRefused
+from sardinedrift.engine.exceptions import (
+    OrderError,
+    OrderNotSent,
+    OrderRefused,
+)
 from sardinedrift.engine.fleet import Worker, WorkerClock
 from sardinedrift.engine.model import RunEnd, RunPhase
 from sardinedrift.engine.orders import LEASE_MS, Orders
@@ -17,7 +21,7 @@
 )
 
 # Longest wait of a worker for news; leases are renewed at least so often.
-REPORT_WAIT_MS = 2000
+REPORT_WAIT_MS = 1500
 # A worker on which tasks serve beside others is looked at this often.
 SERVING_WAIT_MS = 1000
 RETRY_S = 0.3
@@ -96,26 +100,39 @@
             return
         sent_at = self._control.clock.boot()
         seen = worker.seen
-        # The first answer of a life tells its clock; leases follow from it.
-        lease_ms = self._orders.next_lease_ms(worker) or None
+        before_ms = worker.lease_ms
         try:
             report = await self._port.renew(
                 worker.registered,
                 self._control.token,
                 seen,
-                lease_ms,
+                self._next_lease(),
                 self._wait_ms(),
+                fresh=worker.suspect,
             )
         except OrderRefused as error:
             self._note_refusal(error.reason)
             await asyncio.sleep(RETRY_S)
         except OrderError as error:
+            if isinstance(error, OrderNotSent):
+                worker.lease_ms = before_ms
             self._note_silence(error)
             await asyncio.sleep(RETRY_S)
         else:
             self._acknowledged = seen
             self._take(report, sent_at)
 
+    def _next_lease(self) -> int | None:
+        """Returns the deadline to ask for, if any.
+
+        A worker that does not answer gets none: what it may have received
+        counts, and would put off the end of its leases for ever. The first
+        answer of a life tells its clock, from which deadlines follow.
+        """
+        if self._worker.suspect:
+            return None
+        return self._orders.next_lease_ms(self._worker) or None
+
     def _wait_ms(self) -> int:
         worker = self._worker
         if not worker.contacted or worker.suspect or not worker.run_by_task:
--- a/sardinedrift/engine/upkeep.py
+++ b/sardinedrift/engine/upkeep.py
@@ -49,10 +49,11 @@
     """Whether stopping a long-running task keeps its step available.
 
     Tasks that we stopped, and those that are not at work for any other cause,
-    count against the number that may be away.
+    count against the number that may be away. Whether the run itself is at
+    work does not matter, since a report of it may be on its way.
     """
     task = run.task
-    if not task.step.may_miss or not run.at_work:
+    if not task.step.may_miss:
         return True
     away = sum(
         1
--- a/sardinedrift/platform/http.py
+++ b/sardinedrift/platform/http.py
@@ -1,6 +1,7 @@
 """Calls to the platform's services over HTTP."""
 
 import socket
+from typing import Any
 
 import aiohttp
 import msgspec
@@ -36,17 +37,10 @@
     """
 
     def __init__(self, per_host: int):
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0,
-                limit_per_host=per_host,
-                keepalive_timeout=KEEPALIVE_S,
-                socket_factory=_make_socket,
-            ),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            trust_env=False,
-            auto_decompress=False,
+        self._session = _make_session(
+            limit_per_host=per_host, keepalive_timeout=KEEPALIVE_S
         )
+        self._fresh = _make_session(force_close=True)
 
     async def call(
         self,
@@ -57,9 +51,12 @@
         body: bytes = b"",
         params: dict[str, str] | None = None,
         headers: dict[str, str] | None = None,
+        fresh: bool = False,
     ) -> Answer:
         """Sends one call and returns the whole answer.
 
+        With `fresh` it goes over a new connection.
+
         Raises:
             NotSent: no connection was opened.
             NoAnswer: the outcome is unknown.
@@ -68,8 +65,9 @@
             total=timeout_s, sock_connect=CONNECT_S, ceil_threshold=3600
         )
         all_headers = {"Content-Type": "application/json", **(headers or {})}
+        session = self._fresh if fresh else self._session
         try:
-            async with self._session.request(
+            async with session.request(
                 method,
                 f"http://{address}{path}",
                 data=body or None,
@@ -87,6 +85,18 @@
     async def aclose(self) -> None:
         """Closes the connections."""
         await self._session.close()
+        await self._fresh.close()
+
+
+def _make_session(**options: Any) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0, socket_factory=_make_socket, **options
+        ),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        trust_env=False,
+        auto_decompress=False,
+    )
 
 
 def _make_socket(info: tuple) -> socket.socket:
--- a/sardinedrift/platform/workers.py
+++ b/sardinedrift/platform/workers.py
@@ -158,6 +158,7 @@
         seen: int,
         lease_ms: int | None,
         wait_ms: int,
+        fresh: bool = False,
     ) -> WorkerReport:
         """Renews the lease and returns the lists of the worker."""
         body: dict[str, int] = {"fencing_token": token, "last_seen": seen}
@@ -166,7 +167,7 @@
         if wait_ms:
             body["wait_ms"] = wait_ms
         timeout_s = wait_ms / 1000 + REPORT_MARGIN_S
-        answer = await self._order(worker, "/hold", body, timeout_s)
+        answer = await self._order(worker, "/hold", body, timeout_s, fresh)
         return _decode_report(answer.body)
 
     async def pace(
@@ -192,10 +193,11 @@
         path: str,
         body: dict[str, Any],
         timeout_s: float = ORDER_S,
+        fresh: bool = False,
     ) -> Answer:
         headers = {"Expected-Instance": worker.worker_id}
         return await send_order(
-            self._client, worker.address, path, body, headers, timeout_s
+            self._client, worker.address, path, body, headers, timeout_s, fresh
         )
 
 
@@ -231,6 +233,7 @@
     body: dict[str, Any],
     headers: dict[str, str],
     timeout_s: float,
+    fresh: bool = False,
 ) -> Answer:
     """Posts an order and returns its answer.
 
@@ -247,6 +250,7 @@
             timeout_s,
             msgspec.json.encode(body),
             headers=headers,
+            fresh=fresh,
         )
     except NotSent as error:
         raise OrderNotSent(str(error)) from error
