Trust only recent reports, and keep the lease in force at a start

Change: a run serves only by a report younger than 2 s; a start uses the lease in force while 2 s of it are left; reports are asked for each second. Ruled out: wrong counts of tasks that were stopped (the log shows one stop).

--- a/sardinedrift/engine/machinery.py
+++ b/sardinedrift/engine/machinery.py
@@ -387,7 +387,7 @@
         while worker.run_by_task and not worker.gone:
             runs = worker.run_by_task.values()
             for run in upkeep.runs_to_stop(
-                list(runs), operation.urgent, upkeep.may_stop
+                list(runs), operation.urgent, self._control.clock.boot()
             ):
                 self._control.stop(run)
             await asyncio.sleep(REVIEW_S)
--- a/sardinedrift/engine/orders.py
+++ b/sardinedrift/engine/orders.py
@@ -19,6 +19,8 @@
 # Leases reach this far ahead: beyond the election of a successor and its
 # first renewals, and no longer, since a lost worker blocks its tasks so long.
 LEASE_MS = 4500
+# A start relies on a lease that lasts at least this long.
+START_LEASE_MS = 2000
 # Starts without an answer are repeated at once, then the run is stopped.
 START_TRIES = 2
 RETRY_S = 0.25
@@ -57,7 +59,7 @@
         worker = self._control.worker_of(run)
         if worker is not None:
             # The lease counts from here on, also before the order is sent.
-            self.next_lease_ms(worker)
+            self._start_lease_ms(worker)
         self._spawn(self._start(run))
 
     def stop_soon(self, run: Run) -> None:
@@ -85,6 +87,21 @@
         worker.lease_ms = max(worker.lease_ms, lease_ms)
         return lease_ms
 
+    def _start_lease_ms(self, worker: Worker) -> int:
+        """Returns the deadline for a start.
+
+        The one in force is kept while it lasts long enough, so that starts at
+        a worker that no longer answers do not put off the end of its leases.
+        """
+        clock = worker.clock
+        if clock is not None:
+            left_ms = worker.lease_ms - clock.estimate(
+                self._control.clock.boot()
+            )
+            if left_ms >= START_LEASE_MS:
+                return worker.lease_ms
+        return self.next_lease_ms(worker)
+
     async def _start(self, run: Run) -> None:
         worker = self._control.worker_of(run)
         if worker is None:
@@ -107,6 +124,7 @@
                 return
             except OrderUnknown as error:
                 sent = True
+                worker.suspect = True
                 self._note_failure(run, error)
             else:
                 self._confirm(run)
@@ -123,7 +141,7 @@
             task.task_id,
             run.number,
             task.job.submission.payload,
-            self.next_lease_ms(worker),
+            self._start_lease_ms(worker),
             self._control.token,
             task.checkpoint,
             self.ticket_for(task.task_id, worker.worker_id),
--- a/sardinedrift/engine/sessions.py
+++ b/sardinedrift/engine/sessions.py
@@ -21,9 +21,7 @@
 )
 
 # Longest wait of a worker for news; leases are renewed at least so often.
-REPORT_WAIT_MS = 1500
-# A worker on which tasks serve beside others is looked at this often.
-SERVING_WAIT_MS = 1000
+REPORT_WAIT_MS = 1000
 RETRY_S = 0.3
 # Longest lease of an earlier controller, with room for a drift of clocks.
 FOREIGN_LEASE_MS = LEASE_MS * 11 // 10
@@ -143,8 +141,6 @@
             for run in runs
         ):
             return 0
-        if any(run.task.step.target_ms for run in runs):
-            return SERVING_WAIT_MS
         return REPORT_WAIT_MS
 
     def _note_refusal(self, reason: Refusal) -> None:
--- a/sardinedrift/engine/upkeep.py
+++ b/sardinedrift/engine/upkeep.py
@@ -1,6 +1,6 @@
 """Which machines of a wave come next, and which runs may be stopped."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import msgspec
 
@@ -45,7 +45,7 @@
     return [machine.machine_id for machine in ready[:room]]
 
 
-def may_stop(run: Run) -> bool:
+def may_stop(run: Run, now: float) -> bool:
     """Whether stopping a long-running task keeps its step available.
 
     Tasks that we stopped, and those that are not at work for any other cause,
@@ -58,14 +58,12 @@
     away = sum(
         1
         for sibling in task.job.siblings(task)
-        if sibling is not task and not _serves(sibling)
+        if sibling is not task and not _serves(sibling, now)
     )
     return away < task.step.may_miss
 
 
-def runs_to_stop(
-    runs: Iterable[Run], urgent: bool, allowed: Callable[[Run], bool]
-) -> list[Run]:
+def runs_to_stop(runs: Iterable[Run], urgent: bool, now: float) -> list[Run]:
     """Returns the runs to stop so that a machine becomes empty.
 
     Short tasks end by themselves, unless time is short.
@@ -76,7 +74,7 @@
             continue
         step = run.task.step
         short = not step.long_running and not step.fills
-        if (urgent or not short) and allowed(run):
+        if (urgent or not short) and may_stop(run, now):
             chosen.append(run)
             # One at a time: the others of its step are judged afresh once it
             # works elsewhere.
@@ -85,6 +83,5 @@
     return chosen
 
 
-def _serves(task: Task) -> bool:
-    run = task.run
-    return run is not None and run.at_work and not run.stop_wanted
+def _serves(task: Task, now: float) -> bool:
+    return task.run is not None and task.run.serves(now)
--- a/sardinedrift/engine/work.py
+++ b/sardinedrift/engine/work.py
@@ -17,6 +17,9 @@
 )
 from sardinedrift.identifiers import JobId
 
+# A report is as old as the longest wait for the next one, and its time-out.
+REPORT_LIFETIME_S = 2.0
+
 
 class Run:
     """The current run of a task.
@@ -29,6 +32,7 @@
         settled_at: when it became certain whether the order was received, by
             the boot-time clock; None while a start may still take effect.
         stop_wanted: it is to be stopped once that is allowed.
+        reported_at: when the worker last listed it, or None.
         percent: last reported progress.
         moved_at: when the progress last changed, or the run was decided.
         figure: last reported tail in ms, or cpu in use.
@@ -44,6 +48,7 @@
         "pace",
         "percent",
         "phase",
+        "reported_at",
         "settled_at",
         "stop_wanted",
         "task",
@@ -67,17 +72,24 @@
         self.stop_wanted = False
         self.decided_at = now
         self.moved_at = now
+        self.reported_at: float | None = None
         self.percent = 0.0
         self.figure = 0.0
         self.pace = 100
 
-    @property
-    def at_work(self) -> bool:
-        """Whether a long-running task serves."""
-        return self.phase is RunPhase.RUNNING and self.percent >= 100
+    def serves(self, now: float) -> bool:
+        """Whether a long-running task is at work, by a recent report."""
+        return (
+            self.phase is RunPhase.RUNNING
+            and self.percent >= 100
+            and not self.stop_wanted
+            and self.reported_at is not None
+            and now - self.reported_at < REPORT_LIFETIME_S
+        )
 
     def observe(self, percent: float, figure: float, now: float) -> None:
         """Takes over what a worker reported."""
+        self.reported_at = now
         if percent != self.percent:
             self.percent = percent
             self.moved_at = now
