--- a/sardinedrift/engine/demand.py
+++ b/sardinedrift/engine/demand.py
@@ -25,12 +25,12 @@
     Attributes:
         cpu: thousandths of cores of active and startable tasks.
         memory_mb: their memory.
-        used: any job of the pool has not ended.
+        spread: workers that the widest step needs at least.
     """
 
     cpu: int = 0
     memory_mb: int = 0
-    used: bool = False
+    spread: int = 0
 
 
 class ArrivalMeter:
@@ -77,7 +77,7 @@
         if queue is None:
             continue
         demand = demand_by_pool.setdefault(queue.pool_id, PoolDemand())
-        demand.used = True
+        demand.spread = max(demand.spread, _spread_of(job))
         for tasks in (job.waiting, job.active):
             for task in tasks.values():
                 step = task.step
@@ -86,6 +86,18 @@
     return demand_by_pool
 
 
+def _spread_of(job: Job) -> int:
+    """Returns on how many workers the tasks of a step must stand at least."""
+    return max(
+        (
+            math.ceil(step.count / step.max_per_worker)
+            for step in job.submission.steps
+            if step.max_per_worker
+        ),
+        default=0,
+    )
+
+
 def machines_needed(
     demand: PoolDemand, arriving_cpu: float, cpu: int, memory_mb: int
 ) -> int:
@@ -99,4 +111,4 @@
     """
     wanted = max(demand.cpu, arriving_cpu) / max(1.0, cpu * FILL_SHARE)
     memory = demand.memory_mb / max(1.0, memory_mb * FILL_SHARE)
-    return math.ceil(max(wanted, memory)) + HEADROOM
+    return max(math.ceil(max(wanted, memory)) + HEADROOM, demand.spread)
--- a/sardinedrift/engine/machinery.py
+++ b/sardinedrift/engine/machinery.py
@@ -301,6 +301,15 @@
         ):
             operation = Operation(machine_id, wave=wave.number, urgent=urgent)
             self._operation_by_id[machine_id] = operation
+            self._control.log.write(
+                Event.RESERVED,
+                machine=machine_id,
+                pool=self._machine_by_id[machine_id].pool_id,
+                wave=wave.number,
+                left=len(left),
+                down=down,
+                most=wave.max_down,
+            )
             self._spawn(operation)
 
     def _down_before(self, wave: WaveOrder) -> int:
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the operators' platform, by its published protocol."""
