--- a/tests/engine_world.py
+++ b/tests/engine_world.py
@@ -552,13 +552,10 @@
         self.name = name
         self._world = world
         self.store = FakeStore(world, name)
-        log = EventLog(
-            name,
-            
-                os.environ.get("ENGINE_LOG", os.devnull),
-                os.O_WRONLY | os.O_CREAT | os.O_APPEND,
-            ),
-        )
+        # Set to a file's name, the variable shows what the entries decided.
+        path = os.environ.get("ENGINE_LOG", os.devnull)
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        log = EventLog(name, os.open(path, flags))
         metrics = Metrics()
         self.catalogue = JobCatalogue()
         self.feed = Feed(
