Hold back only machines that an earlier controller ordered lately

Cause: with entries restarted each 2 s, every new controller waited 3 s before it moved any machine, so a pool in its peak stayed at three machines for 7 s. Change: a closed term names the machines it ordered in its last 3 s, and only these wait; after an unclosed term all do. Ruled out: slow handovers (0.2 s each).

--- a/sardinedrift/engine/catalogue.py
+++ b/sardinedrift/engine/catalogue.py
@@ -40,12 +40,12 @@
 
     Attributes:
         closed: it has ended in order; no order was sent after this record.
-        stopping: its entry was told to stop.
+        ordered: machines that got an order shortly before its end.
     """
 
     token: Token
     closed: bool = False
-    stopping: bool = False
+    ordered: tuple[MachineId, ...] = ()
 
 
 _LETTERS = frozenset(kind.value for kind in KeyKind)
--- a/sardinedrift/engine/controller.py
+++ b/sardinedrift/engine/controller.py
@@ -11,7 +11,7 @@
 from sardinedrift.engine.exceptions import StoreError
 from sardinedrift.engine.feed import CONTROL_GAP_S, FOLLOW_GAP_S, Feed
 from sardinedrift.engine.fleet import SLOW_CLOCK_SHARE, Worker
-from sardinedrift.engine.machinery import Machinery
+from sardinedrift.engine.machinery import Machinery, QuietMachines
 from sardinedrift.engine.metrics import Metrics
 from sardinedrift.engine.model import (
     MachineId,
@@ -148,7 +148,8 @@
         self._session_by_id: dict[WorkerId, Session] = {}
         self._group: asyncio.TaskGroup | None = None
         self._foreign_until = term.begun_at + FOREIGN_S
-        self._quiet_until = term.begun_at + made._machine_quiet_s
+        self._quiet = QuietMachines(term.begun_at + made._machine_quiet_s, None)
+        self._machinery: Machinery | None = None
 
     async def run(self) -> None:
         """Takes over, then plans until the term ends."""
@@ -158,7 +159,8 @@
                 self._group = group
                 await self._take_over(group)
                 group.create_task(self._plan_forever())
-                group.create_task(self._machinery().run())
+                self._machinery = self._make_machinery()
+                group.create_task(self._machinery.run())
                 await self._term.wait_end()
                 raise _TermEnded
         except* _TermEnded:
@@ -168,19 +170,21 @@
             self._made._catalogue.observer = None
             self._orders.close()
 
-    def _machinery(self) -> Machinery:
+    def _make_machinery(self) -> Machinery:
         return Machinery(
             self._control,
             self._made._outside.machines,
             self._made._outside.reports,
             self._wake_session,
-            self._quiet_until,
+            self._quiet,
         )
 
     async def _close(self) -> None:
         """Tells the successor that no order of this term is on its way."""
         self._orders.close()
-        record = TermRecord(self._term.token, True, self._term.stopping)
+        since = self._clock.boot() - self._made._machine_quiet_s
+        ordered = self._machinery.ordered_since(since)
+        record = TermRecord(self._term.token, True, ordered)
         with contextlib.suppress(StoreError):
             await self._writer.close_term(record)
 
@@ -200,12 +204,13 @@
     def _judge_predecessor(self, predecessor: TermRecord | None) -> None:
         """Shortens the waits when the last controller ended in order."""
         if predecessor is None:
-            self._foreign_until = self._quiet_until = self._term.begun_at
+            self._foreign_until = self._term.begun_at
+            self._quiet = QuietMachines(self._term.begun_at, frozenset())
         elif predecessor.closed:
-            now = self._clock.boot()
-            self._foreign_until = now + CLOSED_LEASE_S
-            if predecessor.stopping:
-                self._quiet_until = self._term.begun_at
+            self._foreign_until = self._clock.boot() + CLOSED_LEASE_S
+            self._quiet = QuietMachines(
+                self._quiet.until, frozenset(predecessor.ordered)
+            )
 
     def _on_job(self, job_id: JobId) -> None:
         known = self._made._catalogue.find(job_id)
--- a/sardinedrift/engine/machinery.py
+++ b/sardinedrift/engine/machinery.py
@@ -60,6 +60,25 @@
     urgent: bool = False
 
 
+class QuietMachines(msgspec.Struct, frozen=True):
+    """Machines that get no order for a while after a change of controllers.
+
+    Orders of two controllers for one machine must not follow each other
+    closely.
+
+    Attributes:
+        until: boot-time clock.
+        machine_ids: the machines; None for all.
+    """
+
+    until: float
+    machine_ids: frozenset[MachineId] | None
+
+    def covers(self, machine_id: MachineId) -> bool:
+        """Whether a machine is among them."""
+        return self.machine_ids is None or machine_id in self.machine_ids
+
+
 class Machinery:
     """Decides on operations and carries them out.
 
@@ -68,8 +87,8 @@
         service: takes the orders.
         reports: tells operators how waves are.
         wake: wakes the session of a worker.
-        quiet_until: no orders before, by the boot-time clock, as an earlier
-            controller may still have given some.
+        quiet: machines that an earlier controller may have given orders
+            lately, and until when they get none.
     """
 
     def __init__(
@@ -78,13 +97,14 @@
         service: MachineService,
         reports: WaveReports,
         wake: Callable[[Worker], None],
-        quiet_until: float,
+        quiet: QuietMachines,
     ):
         self._control = control
         self._service = service
         self._reports = reports
         self._wake = wake
-        self._quiet_until = quiet_until
+        self._quiet = quiet
+        self._ordered_at: dict[MachineId, float] = {}
         self._machine_by_id: dict[MachineId, Machine] = {}
         self._operation_by_id: dict[MachineId, Operation] = {}
         self._idle_since: dict[MachineId, float] = {}
@@ -105,14 +125,22 @@
             self._group = group
             while True:
                 await self._refresh_list()
-                if self._may_order() and self._machine_by_id:
+                if self._control.term.may_order and self._machine_by_id:
                     self._review_waves()
                     self._review_pools()
                 await asyncio.sleep(REVIEW_S)
 
-    def _may_order(self) -> bool:
+    def ordered_since(self, at: float) -> tuple[MachineId, ...]:
+        """Returns the machines that got an order since a time."""
+        return tuple(
+            machine_id
+            for machine_id, ordered_at in self._ordered_at.items()
+            if ordered_at >= at
+        )
+
+    def _is_quiet(self, machine_id: MachineId) -> bool:
         now = self._control.clock.boot()
-        return self._control.term.may_order and now >= self._quiet_until
+        return now < self._quiet.until and self._quiet.covers(machine_id)
 
     async def _refresh_list(self) -> None:
         now = self._control.clock.boot()
@@ -154,6 +182,8 @@
                 have[pool_id] = have.get(pool_id, 0) + 1
             if operation is not None or machine.state is not MachineState.UP:
                 continue
+            if self._is_quiet(machine.machine_id):
+                continue
             idle_s = self._idle_span(machine.machine_id, worker_by_machine, now)
             off = machine.pool_id == spare
             views.append(
@@ -295,6 +325,7 @@
             self._wave_machine(machine_id, worker_by_machine)
             for machine_id in left
             if machine_id not in self._operation_by_id
+            and not self._is_quiet(machine_id)
         ]
         for machine_id in upkeep.choose_next(
             machines, preparing, down, wave.max_down
@@ -408,6 +439,7 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             operation.ordered = True
+            self._ordered_at[operation.machine_id] = self._control.clock.boot()
             try:
                 await self._send(operation)
             except OrderRefused as error:
--- a/sardinedrift/engine/term.py
+++ b/sardinedrift/engine/term.py
@@ -32,7 +32,6 @@
     Attributes:
         sequence: number of its next append.
         ended: it was refused by a higher token, or the group gave it away.
-        stopping: its entry was told to stop.
     """
 
     def __init__(self, token: Token, clock: Clock, joined_at: float):
@@ -40,7 +39,6 @@
         self.begun_at = clock.boot()
         self.sequence = 0
         self.ended = False
-        self.stopping = False
         self._clock = clock
         self._joined_at = joined_at
         self._end = asyncio.Event()
@@ -161,7 +159,6 @@
         term, self._term = self._term, None
         if term is None:
             return
-        term.stopping = reason == STOPPING
         term.end()
         self._log.write(Event.TERM_ENDED, token=term.token, reason=reason)
         if self._task is not None:
--- a/tests/test_engine_failover.py
+++ b/tests/test_engine_failover.py
@@ -455,6 +455,31 @@
 
         self.play(scenario, workers=4, work_s=lambda task: None)
 
+    def test_a_successor_leaves_alone_only_machines_ordered_lately(self):
+        """Guards against a pool that stays small while entries restart.
+
+        Found on joyjugal-shared trouble-2.
+        """
+
+        async def scenario(world, nodes):
+            await asyncio.sleep(3.0)
+            await self.accept(world, nodes[0], submission("a", short(16)))
+            await asyncio.sleep(0.5)
+            first = list(world.moves)
+            await self.controller(world, nodes).stop()
+            await asyncio.sleep(0.8)
+            moved_at = world.clock.boot()
+            job = submission("b", short(60))
+            successor = self.controller(world, nodes)
+            await self.accept(world, successor, job)
+            await self.wait_for(lambda: len(world.moves) > len(first), 1.0)
+            self.assertLess(world.clock.boot(), moved_at + 1.0)
+            lately = {machine for machine, _ in first[-1:]}
+            later = {machine for machine, _ in world.moves[len(first) :]}
+            self.assertFalse(lately & later)
+
+        self.play(scenario, workers=6)
+
     def test_a_wave_is_completed_by_a_successor(self):
         """Guards against a wave that ends with its controller."""
 
