Judge arrivals by several jobs and keep lasting tasks together

Change: a rate needs four arrivals, the beginning of a burst is judged by its first 0.3 s, and workers that lasting tasks hold are filled first. Ruled out: memory as the bound of the pool sizes.

--- a/sardinedrift/engine/demand.py
+++ b/sardinedrift/engine/demand.py
@@ -10,9 +10,12 @@
 from sardinedrift.engine.work import Job
 from sardinedrift.identifiers import PoolId, QueueId
 
-# Work that arrives is averaged over this span: shorter than the time a machine
-# needs to come, so that a burst is met while it still grows.
+# Work that arrives is averaged over the last second, and at the beginning of a
+# burst over its first part: a machine takes longer than that to come.
 ARRIVAL_WINDOW_S = 1.0
+ONSET_WINDOW_S = 0.3
+# Fewer jobs than this say nothing about a rate.
+LEAST_ARRIVALS = 4
 # Tasks do not fill machines to the last core.
 FILL_SHARE = 0.9
 # Free machines beyond the need, so that the first jobs of a burst start.
@@ -33,29 +36,39 @@
     spread: int = 0
 
 
+class Arrival(msgspec.Struct, frozen=True):
+    """A job that came; `work` in seconds of cpu thousandths."""
+
+    at: float
+    work: float
+
+
 class ArrivalMeter:
     """Work that arrived lately, by pool."""
 
     def __init__(self) -> None:
-        self._arrivals_by_pool: dict[
-            PoolId, collections.deque[tuple[float, float]]
-        ] = {}
+        self._arrivals_by_pool: dict[PoolId, collections.deque[Arrival]] = {}
 
     def note(self, pool_id: PoolId, submission: Submission, at: float) -> None:
         """Takes a new job into account."""
         arrivals = self._arrivals_by_pool.setdefault(
             pool_id, collections.deque()
         )
-        arrivals.append((at, work_of(submission)))
+        arrivals.append(Arrival(at, work_of(submission)))
 
     def arriving_cpu(self, pool_id: PoolId, now: float) -> float:
         """Returns the cpu that the present arrivals keep busy."""
         arrivals = self._arrivals_by_pool.get(pool_id)
         if not arrivals:
             return 0.0
-        while arrivals and now - arrivals[0][0] > ARRIVAL_WINDOW_S:
+        while arrivals and now - arrivals[0].at > ARRIVAL_WINDOW_S:
             arrivals.popleft()
-        return sum(work for _, work in arrivals) / ARRIVAL_WINDOW_S
+        onset = [each for each in arrivals if now - each.at <= ONSET_WINDOW_S]
+        if len(onset) >= LEAST_ARRIVALS and 2 * len(onset) > len(arrivals):
+            return sum(each.work for each in onset) / ONSET_WINDOW_S
+        if len(arrivals) >= LEAST_ARRIVALS:
+            return sum(each.work for each in arrivals) / ARRIVAL_WINDOW_S
+        return 0.0
 
 
 def work_of(submission: Submission) -> float:
--- a/sardinedrift/engine/fleet.py
+++ b/sardinedrift/engine/fleet.py
@@ -52,6 +52,7 @@
             for certain, by the boot-time clock.
         seen: ends up to this number are stored.
         reserved: it is to be emptied for a move or an upkeep.
+        lasting: long-running tasks on it.
         gone: everything on it has ended for good.
     """
 
@@ -72,6 +73,7 @@
         self.used_cpu = 0
         self.used_memory = 0
         self.used_accelerators = 0
+        self.lasting = 0
         self._outcomes: collections.deque[bool] = collections.deque(
             maxlen=HEALTH_WINDOW
         )
@@ -183,6 +185,7 @@
         self.used_cpu += 0 if step.fills else sign * step.size.cpu
         self.used_memory += sign * step.size.memory_mb
         self.used_accelerators += sign * step.size.accelerators
+        self.lasting += sign if step.long_running else 0
         key = _step_key(run.task.task_id)
         count = self._count_by_step.get(key, 0) + sign
         if count:
--- a/sardinedrift/engine/machinery.py
+++ b/sardinedrift/engine/machinery.py
@@ -33,7 +33,7 @@
 )
 from sardinedrift.identifiers import PoolId
 
-REVIEW_S = 0.15
+REVIEW_S = 0.08
 # The list of machines is read this often while an operation is on its way,
 BUSY_LIST_S = 0.4
 # and this often otherwise.
--- a/sardinedrift/engine/placement.py
+++ b/sardinedrift/engine/placement.py
@@ -166,8 +166,9 @@
         worker.worker_id in task.failed_on,
         away,
         worker.doubtful,
-        # Workers that are already in use come first, the fullest of them, so
-        # that others stay empty and can be handed over.
+        # Workers that long-running tasks hold come first, then those in use,
+        # the fullest of them, so that others become empty and can be lent.
+        not worker.lasting,
         not worker.run_by_task,
         worker.free.cpu,
         worker.worker_id,
