Count arrivals from their acceptance

Cause: jobs that were seen late came in one batch, counted as the onset of a burst and drew 29 machines. Change: an arrival counts from the time at which its job was accepted.

--- a/sardinedrift/engine/control.py
+++ b/sardinedrift/engine/control.py
@@ -105,8 +105,12 @@
 
     def _note_arrival(self, submission: Submission) -> None:
         queue = self.queues().get(submission.queue_id)
-        if queue is not None:
-            self.arrivals.note(queue.pool_id, submission, self.clock.boot())
+        if queue is None:
+            return
+        # Jobs that were seen late still count from their acceptance.
+        age_s = (self.clock.unix_ms() - submission.accepted_ms) / 1000
+        at = self.clock.boot() - max(0.0, age_s)
+        self.arrivals.note(queue.pool_id, submission, at)
 
     def cancel(self, job: Job) -> None:
         """Ends a job at its caller's wish."""
--- a/sardinedrift/engine/controller.py
+++ b/sardinedrift/engine/controller.py
@@ -9,7 +9,7 @@
 from sardinedrift.engine.control import Control
 from sardinedrift.engine.events import Event, EventLog
 from sardinedrift.engine.exceptions import StoreError
-from sardinedrift.engine.feed import CONTROL_GAP_S, FOLLOW_GAP_S, Feed
+from sardinedrift.engine.feed import Feed
 from sardinedrift.engine.fleet import SLOW_CLOCK_SHARE, Worker
 from sardinedrift.engine.machinery import Machinery, QuietMachines
 from sardinedrift.engine.metrics import Metrics
@@ -153,7 +153,10 @@
 
     async def run(self) -> None:
         """Takes over, then plans until the term ends."""
-        self._made._jobs.gap_s = CONTROL_GAP_S
+        with self._made._jobs.urgent():
+            await self._run()
+
+    async def _run(self) -> None:
         try:
             async with asyncio.TaskGroup() as group:
                 self._group = group
@@ -166,7 +169,6 @@
         except* _TermEnded:
             await self._close()
         finally:
-            self._made._jobs.gap_s = FOLLOW_GAP_S
             self._made._catalogue.observer = None
             self._orders.close()
 
--- a/sardinedrift/engine/feed.py
+++ b/sardinedrift/engine/feed.py
@@ -1,7 +1,8 @@
 """Follows a keyed topic: newest records first, then each change."""
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterator
 
 from sardinedrift.engine.clock import Clock
 from sardinedrift.engine.events import Event, EventLog
@@ -70,6 +71,15 @@
         """Seconds since what it holds was known to be the newest."""
         return self._clock.boot() - self.confirmed_at
 
+    @contextlib.contextmanager
+    def urgent(self) -> Iterator[None]:
+        """Follows at the pace of a controller."""
+        self.gap_s = CONTROL_GAP_S
+        try:
+            yield
+        finally:
+            self.gap_s = FOLLOW_GAP_S
+
     async def run(self) -> None:
         """Follows until cancelled."""
         while True:
