--- a/sardinedrift/engine/fleet.py
+++ b/sardinedrift/engine/fleet.py
@@ -45,6 +45,7 @@
         listed: the registration is present.
         contacted: it has answered in this term, and so has the fence.
         suspect: its last answer failed to come.
+        answered_at: boot-time clock of its last answer.
         born_ms: start of its life as last stated.
         clock: its clock, once contacted.
         lease_ms: latest deadline sent, on its own clock.
@@ -62,6 +63,7 @@
         self.listed = True
         self.contacted = False
         self.suspect = False
+        self.answered_at = float("-inf")
         self.born_ms = registered.born_ms
         self.clock: WorkerClock | None = None
         self.lease_ms = 0
--- a/sardinedrift/engine/orders.py
+++ b/sardinedrift/engine/orders.py
@@ -110,6 +110,7 @@
         for _ in range(START_TRIES):
             if not self._control.term.may_order or run.stop_wanted:
                 break
+            sent_at = self._control.clock.boot()
             try:
                 await self._port.start(
                     worker.registered, self._order_for(run, worker)
@@ -124,9 +125,11 @@
                 return
             except OrderUnknown as error:
                 sent = True
-                worker.suspect = True
+                # Other orders that it answered since show that it is there.
+                worker.suspect |= worker.answered_at < sent_at
                 self._note_failure(run, error)
             else:
+                worker.answered_at = self._control.clock.boot()
                 self._confirm(run)
                 return
         if sent:
--- a/sardinedrift/engine/sessions.py
+++ b/sardinedrift/engine/sessions.py
@@ -172,6 +172,7 @@
             # An earlier controller may have renewed up to now.
             worker.lease_ms = report.clock_ms + FOREIGN_LEASE_MS
         worker.clock = WorkerClock(report.clock_ms, now)
+        worker.answered_at = now
         if not worker.contacted or worker.suspect:
             self._note_contact()
         for end in report.ended:
--- a/sardinedrift/engine/term.py
+++ b/sardinedrift/engine/term.py
@@ -11,8 +11,8 @@
 from sardinedrift.engine.ports import Election
 
 # The store takes a member as gone this long after its last join.
-MEMBER_TIMEOUT_MS = 1500
-JOIN_EVERY_S = 0.35
+MEMBER_TIMEOUT_MS = 1200
+JOIN_EVERY_S = 0.25
 # Leases are renewed this long after the last join; a successor waits for it
 # where it cannot reach a worker, unless the term was closed in order.
 RENEWAL_S = 2.5
--- a/tests/engine_world.py
+++ b/tests/engine_world.py
@@ -64,7 +64,7 @@
     WorkerOrders,
     WorkerReport,
 )
-from sardinedrift.engine.term import Candidate
+from sardinedrift.engine.term import MEMBER_TIMEOUT_MS, Candidate
 from sardinedrift.identifiers import (
     DataCentreId,
     JobId,
@@ -84,7 +84,7 @@
 TEAM = TeamId("team")
 ANSWER_S = 0.004
 SILENCE_S = 1.2
-MEMBER_TIMEOUT_S = 1.5
+MEMBER_TIMEOUT_S = MEMBER_TIMEOUT_MS / 1000
 RESTART_S = 1.5
 SIZE = Size(32_000, 64_000)
 ANY_SIZE = Size()
