Add advice, stalls, preemption and pace to the engine

Cause: the engine ignored queues with advice, tasks that stand still, full pools and the targets of serving tasks. Change: one module for each decision, a planner that applies them, and tests. Ruled out: stopping silent runs (a late report is no stall); preemption among equal priorities.

--- /dev/null
+++ b/sardinedrift/engine/advising.py
@@ -0,0 +1,157 @@
+"""Tickets of the advice service, by step and worker."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from sardinedrift.engine.clock import Clock
+from sardinedrift.engine.events import Event, EventLog
+from sardinedrift.engine.exceptions import OrderError
+from sardinedrift.engine.fleet import Worker
+from sardinedrift.engine.model import TaskId, WorkerId
+from sardinedrift.engine.ports import AdviceService
+from sardinedrift.engine.work import Task
+
+# The service takes time for each worker that is named.
+MOST_WORKERS = 30
+# It answers one call at a time; more would wait there.
+MOST_CALLS = 4
+# A ticket that ends sooner than a start arrives is not used.
+MARGIN_S = 0.3
+RETRY_S = 0.2
+
+
+class HeldTicket(msgspec.Struct, frozen=True):
+    """A ticket for one life of a worker, valid until a boot-time clock."""
+
+    ticket: str
+    born_ms: int
+    valid_until: float
+
+
+class Advisor:
+    """Asks for and keeps tickets.
+
+    Args:
+        service: gives them.
+        clock: measures their validity.
+        log: takes log lines.
+        changed: called when new tickets have come.
+    """
+
+    def __init__(
+        self,
+        service: AdviceService,
+        clock: Clock,
+        log: EventLog,
+        changed: Callable[[], None],
+    ):
+        self._service = service
+        self._clock = clock
+        self._log = log
+        self._changed = changed
+        self._ticket_by_step: dict[TaskId, dict[WorkerId, HeldTicket]] = {}
+        self._asked_by_step: dict[TaskId, set[tuple[WorkerId, int]]] = {}
+        self._asking: set[TaskId] = set()
+        self._calls = asyncio.Semaphore(MOST_CALLS)
+        self._tasks: set[asyncio.Task] = set()
+
+    def close(self) -> None:
+        """Cancels the calls on their way."""
+        for task in self._tasks:
+            task.cancel()
+
+    def permitted(
+        self, task: Task, workers: list[Worker]
+    ) -> frozenset[WorkerId]:
+        """Returns workers with a valid ticket, and asks for more if needed."""
+        step = _step_of(task.task_id)
+        born_by_id = {
+            worker.worker_id: worker.born_ms
+            for worker in workers
+            if worker.has_room(task)
+        }
+        valid = frozenset(
+            worker_id
+            for worker_id, held in self._ticket_by_step.get(step, {}).items()
+            if self._is_valid(held)
+            and born_by_id.get(worker_id) == held.born_ms
+        )
+        if not valid and step not in self._asking:
+            self._ask_soon(step, task, workers)
+        return valid
+
+    def ticket(self, task_id: TaskId, worker_id: WorkerId) -> str:
+        """Returns the ticket for a start, or ""."""
+        held = self._ticket_by_step.get(_step_of(task_id), {}).get(worker_id)
+        return held.ticket if held is not None else ""
+
+    def forget(self, task_id: TaskId, worker_id: WorkerId) -> None:
+        """Drops a ticket that a worker refused."""
+        step = _step_of(task_id)
+        self._ticket_by_step.get(step, {}).pop(worker_id, None)
+        self._asked_by_step.pop(step, None)
+
+    def _is_valid(self, held: HeldTicket) -> bool:
+        return self._clock.boot() + MARGIN_S < held.valid_until
+
+    def _ask_soon(
+        self, step: TaskId, task: Task, workers: list[Worker]
+    ) -> None:
+        asked = self._asked_by_step.setdefault(step, set())
+        named = [
+            worker
+            for worker in workers
+            if worker.could_hold(task)
+            and (worker.worker_id, worker.born_ms) not in asked
+        ][:MOST_WORKERS]
+        if not named:
+            # All were asked; tickets may have run out since.
+            asked.clear()
+            return
+        self._asking.add(step)
+        call = asyncio.get_running_loop().create_task(self._ask(step, named))
+        self._tasks.add(call)
+        call.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, step: TaskId, workers: list[Worker]) -> None:
+        born_by_id = {worker.worker_id: worker.born_ms for worker in workers}
+        try:
+            async with self._calls:
+                advice = await self._service.advise(step, list(born_by_id))
+        except OrderError as error:
+            self._log.write(
+                Event.DEPENDENCY_LOST,
+                dependency="advice",
+                job=step.job_id,
+                error=repr(error),
+            )
+            await asyncio.sleep(RETRY_S)
+        else:
+            valid_until = self._clock.boot() + advice.valid_ms / 1000
+            tickets = self._ticket_by_step.setdefault(step, {})
+            for given in advice.tickets:
+                born_ms = born_by_id.get(given.worker_id)
+                if born_ms is not None:
+                    tickets[given.worker_id] = HeldTicket(
+                        given.ticket, born_ms, valid_until
+                    )
+            self._asked_by_step.setdefault(step, set()).update(
+                born_by_id.items()
+            )
+            self._log.write(
+                Event.ADVISED,
+                job=step.job_id,
+                step=step.step,
+                asked=len(born_by_id),
+                permitted=len(advice.tickets),
+                valid_ms=advice.valid_ms,
+            )
+        finally:
+            self._asking.discard(step)
+            self._changed()
+
+
+def _step_of(task_id: TaskId) -> TaskId:
+    return task_id._replace(index=0)
--- a/sardinedrift/engine/controller.py
+++ b/sardinedrift/engine/controller.py
@@ -4,6 +4,7 @@
 import contextlib
 from collections.abc import Callable
 
+from sardinedrift.engine.advising import Advisor
 from sardinedrift.engine.catalogue import JobCatalogue, TermRecord
 from sardinedrift.engine.clock import Clock
 from sardinedrift.engine.control import Control
@@ -20,12 +21,7 @@
     WorkerId,
 )
 from sardinedrift.engine.orders import LEASE_MS, Orders
-from sardinedrift.engine.placement import (
-    Assignment,
-    group_by_pool,
-    order_jobs,
-    plan_pool,
-)
+from sardinedrift.engine.planner import Planner
 from sardinedrift.engine.ports import (
     AdviceService,
     MachineService,
@@ -38,7 +34,7 @@
 from sardinedrift.engine.progresswriter import ProgressWriter
 from sardinedrift.engine.sessions import Session
 from sardinedrift.engine.term import RENEWAL_S, Term
-from sardinedrift.engine.work import Job, Run, Task
+from sardinedrift.engine.work import Job
 from sardinedrift.identifiers import DataCentreId, JobId, Offset, PoolId
 
 # Decisions are reviewed at least this often, for due times and ages.
@@ -145,6 +141,14 @@
             self._control, made._outside.workers, self._wake_session
         )
         self._control.stop = self._orders.stop_soon
+        self._advisor = Advisor(
+            made._outside.advice,
+            made._clock,
+            made._log,
+            self._control.changed.set,
+        )
+        self._orders.tickets = self._advisor
+        self._planner = Planner(self._control, self._orders, self._advisor)
         self._session_by_id: dict[WorkerId, Session] = {}
         self._group: asyncio.TaskGroup | None = None
         self._foreign_until = term.begun_at + FOREIGN_S
@@ -170,6 +174,7 @@
             await self._close()
         finally:
             self._made._catalogue.observer = None
+            self._advisor.close()
             self._orders.close()
 
     def _make_machinery(self) -> Machinery:
@@ -309,53 +314,19 @@
             self._control.changed.clear()
             self._open_due()
             if self._term.may_order:
-                self._plan()
+                self._planner.plan()
+                self._planner.review()
 
     def _open_due(self) -> None:
         now_ms = self._clock.unix_ms()
         for job in self._control.job_by_id.values():
             job.open_due(now_ms)
 
-    def _plan(self) -> None:
-        control = self._control
-        now = self._clock.boot()
-        queue_by_id = control.queues()
-        self._refresh_use()
-        jobs_by_pool = group_by_pool(control.job_by_id.values(), queue_by_id)
-        workers_by_pool = control.fleet.by_pool()
-        placed: list[Run] = []
-        for pool_id, jobs in jobs_by_pool.items():
-            ordered = order_jobs(jobs, queue_by_id, control.use)
-            workers = workers_by_pool.get(pool_id, [])
-            for chosen in plan_pool(
-                ordered, workers, control.use, now, _any_worker
-            ):
-                placed.append(self._place(chosen, now))
-        if placed:
-            self._writer.after(lambda: self._start_all(placed))
-
-    def _refresh_use(self) -> None:
-        configuration = self._control.published.current()
-        if configuration is not None:
-            self._control.use.team_by_id = configuration.team_by_id
-
-    def _place(self, chosen: Assignment, now: float) -> Run:
-        worker = self._control.fleet.worker_by_id[chosen.worker_id]
-        return self._control.place(chosen.task, worker, now)
-
-    def _start_all(self, placed: list[Run]) -> None:
-        for run in placed:
-            self._orders.start_soon(run)
-
 
 class _TermEnded(Exception):  # noqa: N818
     """Ends the task group of a term."""
 
 
-def _any_worker(task: Task) -> None:
-    return None
-
-
 def _unlisted(worker_id: WorkerId) -> RegisteredWorker:
     """Returns a stand-in for a worker that is recorded but not registered."""
     return RegisteredWorker(
--- a/sardinedrift/engine/events.py
+++ b/sardinedrift/engine/events.py
@@ -33,7 +33,7 @@
     Beliefs: CONFIGURATION, TERM_BEGUN, TERM_ENDED, WORKER_SEEN, WORKER_LOST,
     WORKER_SUSPECT, WORKER_BACK, ENTRY_IGNORED.
     Tasks: PLACED, STARTED_RUN, START_FAILED, RUN_ENDED, STOP_ORDERED,
-    JOB_ENDED, WAITING, PACED.
+    JOB_ENDED, WAITING, PACED, ADVISED, STALLED, PREEMPTED.
     Machines: MACHINE_MOVED, MACHINE_REFUSED, UPKEEP_BEGUN, WAVE, RESERVED.
     """
 
@@ -64,6 +64,9 @@
     JOB_ENDED = "job_ended"
     WAITING = "waiting"
     PACED = "paced"
+    ADVISED = "advised"
+    STALLED = "stalled"
+    PREEMPTED = "preempted"
     RESERVED = "reserved"
     MACHINE_MOVED = "machine_moved"
     MACHINE_REFUSED = "machine_refused"
--- a/sardinedrift/engine/fleet.py
+++ b/sardinedrift/engine/fleet.py
@@ -54,6 +54,8 @@
         seen: ends up to this number are stored.
         reserved: it is to be emptied for a move or an upkeep.
         lasting: long-running tasks on it.
+        serving: tasks on it whose response times have a target.
+        filling: tasks on it that use what others leave.
         gone: everything on it has ended for good.
     """
 
@@ -76,6 +78,8 @@
         self.used_memory = 0
         self.used_accelerators = 0
         self.lasting = 0
+        self.serving = 0
+        self.filling = 0
         self._outcomes: collections.deque[bool] = collections.deque(
             maxlen=HEALTH_WINDOW
         )
@@ -188,6 +192,8 @@
         self.used_memory += sign * step.size.memory_mb
         self.used_accelerators += sign * step.size.accelerators
         self.lasting += sign if step.long_running else 0
+        self.serving += sign if step.target_ms else 0
+        self.filling += sign if step.fills else 0
         key = _step_key(run.task.task_id)
         count = self._count_by_step.get(key, 0) + sign
         if count:
--- a/sardinedrift/engine/orders.py
+++ b/sardinedrift/engine/orders.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Coroutine
 
+from sardinedrift.engine.advising import Advisor
 from sardinedrift.engine.control import Control
 from sardinedrift.engine.events import Event
 from sardinedrift.engine.exceptions import (
@@ -33,6 +34,9 @@
         control: state of the term.
         port: sends them.
         wake: called with a worker whose reports are needed.
+
+    Attributes:
+        tickets: gives the tickets of starts, where advice is needed.
     """
 
     def __init__(self, control: Control, port: WorkerOrders, wake):
@@ -41,7 +45,7 @@
         self._wake = wake
         self._tasks: set[asyncio.Task] = set()
         self._strays: set[tuple[TaskId, int]] = set()
-        self.ticket_for = lambda task_id, worker_id: ""
+        self.tickets: Advisor | None = None
 
     def close(self) -> None:
         """Cancels all orders on their way."""
@@ -78,6 +82,38 @@
             self._strays.add((task_id, number))
             self._spawn(self._stop_stray(worker, task_id, number))
 
+    def pace_soon(self, run: Run, percent: int) -> None:
+        """Lets a run work at a share of its speed."""
+        run.pace = percent
+        self._spawn(self._pace(run, percent))
+
+    async def _pace(self, run: Run, percent: int) -> None:
+        worker = self._control.worker_of(run)
+        if worker is None:
+            return
+        task_id = run.task.task_id
+        try:
+            await self._port.pace(
+                worker.registered,
+                task_id,
+                run.number,
+                percent,
+                self._control.token,
+            )
+            outcome = "done"
+        except OrderError as error:
+            # The next review decides again by what the worker reports.
+            outcome = repr(error)
+        self._control.log.write(
+            Event.PACED,
+            job=task_id.job_id,
+            task=task_id[1:],
+            run=run.number,
+            worker=worker.worker_id,
+            percent=percent,
+            outcome=outcome,
+        )
+
     def next_lease_ms(self, worker: Worker) -> int:
         """Returns a new deadline on a worker's clock, and remembers it."""
         clock = worker.clock
@@ -147,9 +183,14 @@
             self._start_lease_ms(worker),
             self._control.token,
             task.checkpoint,
-            self.ticket_for(task.task_id, worker.worker_id),
+            self._ticket_for(task.task_id, worker),
         )
 
+    def _ticket_for(self, task_id: TaskId, worker: Worker) -> str:
+        if self.tickets is None:
+            return ""
+        return self.tickets.ticket(task_id, worker.worker_id)
+
     def _confirm(self, run: Run) -> None:
         if run.task.run is not run:
             return
@@ -184,6 +225,8 @@
             run.settled_at = self._control.clock.boot()
         else:
             self._control.finish(run, RunEnd.LAPSED)
+        if reason is Refusal.TICKET and self.tickets is not None:
+            self.tickets.forget(run.task.task_id, worker.worker_id)
         if reason is Refusal.UNHEALTHY:
             worker.note_outcome(False, self._control.clock.boot())
         if reason is Refusal.OTHER_BOOT:
--- a/sardinedrift/engine/placement.py
+++ b/sardinedrift/engine/placement.py
@@ -166,6 +166,8 @@
         worker.worker_id in task.failed_on,
         away,
         worker.doubtful,
+        step.fills and worker.serving > 0,
+        step.target_ms > 0 and worker.filling > 0,
         # Workers that long-running tasks hold come first, then those in use,
         # the fullest of them, so that others become empty and can be lent.
         not worker.lasting,
--- /dev/null
+++ b/sardinedrift/engine/planner.py
@@ -0,0 +1,140 @@
+"""Applies the decisions on tasks: starts, stalls, preemption and pace."""
+
+from sardinedrift.engine.advising import Advisor
+from sardinedrift.engine.control import Control
+from sardinedrift.engine.events import Event
+from sardinedrift.engine.fleet import Worker
+from sardinedrift.engine.model import Queue, WorkerId
+from sardinedrift.engine.orders import Orders
+from sardinedrift.engine.pacing import decide_paces
+from sardinedrift.engine.placement import (
+    Assignment,
+    group_by_pool,
+    order_jobs,
+    plan_pool,
+)
+from sardinedrift.engine.preemption import Preemption
+from sardinedrift.engine.stalls import stalled
+from sardinedrift.engine.work import Job, Run, Task
+from sardinedrift.identifiers import QueueId
+
+# A change of pace shows in the figures of the next half second.
+PACE_EVERY_S = 0.7
+
+
+class Planner:
+    """Plans for all pools.
+
+    Args:
+        control: state of the term.
+        orders: carries out what is decided.
+        advisor: tells which workers may run a step.
+    """
+
+    def __init__(self, control: Control, orders: Orders, advisor: Advisor):
+        self._control = control
+        self._orders = orders
+        self._advisor = advisor
+        self._paced_at: dict[WorkerId, float] = {}
+
+    def plan(self) -> None:
+        """Decides on starts, and makes room where work waits too long."""
+        control = self._control
+        now = control.clock.boot()
+        queue_by_id = control.queues()
+        self._refresh_teams()
+        jobs_by_pool = group_by_pool(control.job_by_id.values(), queue_by_id)
+        workers_by_pool = control.fleet.by_pool()
+        placed: list[Run] = []
+        for pool_id, jobs in jobs_by_pool.items():
+            ordered = order_jobs(jobs, queue_by_id, control.use)
+            workers = workers_by_pool.get(pool_id, [])
+            placed += self._plan_pool(ordered, workers, queue_by_id, now)
+            self._note_waiting(ordered, now)
+            self._preempt(ordered, workers, queue_by_id, now)
+        if placed:
+            control.writer.after(lambda: self._start_all(placed))
+
+    def review(self) -> None:
+        """Stops what stands still and paces what disturbs."""
+        now = self._control.clock.boot()
+        for worker in self._control.fleet.worker_by_id.values():
+            for run in list(stalled(worker.run_by_task.values(), now)):
+                self._stop_stalled(run, worker, now)
+            self._pace(worker, now)
+
+    def _refresh_teams(self) -> None:
+        configuration = self._control.published.current()
+        if configuration is not None:
+            self._control.use.team_by_id = configuration.team_by_id
+
+    def _plan_pool(
+        self,
+        jobs: list[Job],
+        workers: list[Worker],
+        queue_by_id: dict[QueueId, Queue],
+        now: float,
+    ) -> list[Run]:
+        def permitted(task: Task) -> frozenset[WorkerId] | None:
+            queue = queue_by_id[task.job.submission.queue_id]
+            if not queue.advised:
+                return None
+            return self._advisor.permitted(task, workers)
+
+        chosen = plan_pool(jobs, workers, self._control.use, now, permitted)
+        return [self._place(each, now) for each in chosen]
+
+    def _place(self, chosen: Assignment, now: float) -> Run:
+        worker = self._control.fleet.worker_by_id[chosen.worker_id]
+        chosen.task.waiting_since = 0.0
+        return self._control.place(chosen.task, worker, now)
+
+    def _start_all(self, placed: list[Run]) -> None:
+        for run in placed:
+            self._orders.start_soon(run)
+
+    def _note_waiting(self, jobs: list[Job], now: float) -> None:
+        for job in jobs:
+            for task in job.waiting.values():
+                task.waiting_since = task.waiting_since or now
+
+    def _preempt(
+        self,
+        jobs: list[Job],
+        workers: list[Worker],
+        queue_by_id: dict[QueueId, Queue],
+        now: float,
+    ) -> None:
+        for run in Preemption(queue_by_id, now).choose(jobs, workers):
+            self._control.log.write(
+                Event.PREEMPTED,
+                job=run.task.job.job_id,
+                task=run.task.task_id[1:],
+                run=run.number,
+                worker=run.worker_id,
+                percent=run.percent,
+            )
+            self._orders.stop_soon(run)
+
+    def _stop_stalled(self, run: Run, worker: Worker, now: float) -> None:
+        self._control.log.write(
+            Event.STALLED,
+            job=run.task.job.job_id,
+            task=run.task.task_id[1:],
+            run=run.number,
+            worker=run.worker_id,
+            percent=run.percent,
+            still_s=round(now - run.moved_at, 3),
+        )
+        run.task.failed_on.add(run.worker_id)
+        worker.note_outcome(False, now)
+        self._orders.stop_soon(run)
+
+    def _pace(self, worker: Worker, now: float) -> None:
+        if now - self._paced_at.get(worker.worker_id, 0.0) < PACE_EVERY_S:
+            return
+        changes = decide_paces(worker.run_by_task.values())
+        if changes:
+            self._paced_at[worker.worker_id] = now
+        for change in changes:
+            self._orders.pace_soon(change.run, change.percent)
--- a/sardinedrift/engine/work.py
+++ b/sardinedrift/engine/work.py
@@ -103,11 +103,11 @@
         number: number of its last run.
         run: its current run, if any.
         failed_on: workers on which a run failed or stood still.
-        away_since: when a long-running task last stopped working.
+        waiting_since: boot-time clock at which a plan first found no room for
+            it; 0 when that has not happened.
     """
 
     __slots__ = (
-        "away_since",
         "checkpoint",
         "failed_on",
         "failures",
@@ -117,6 +117,7 @@
         "state",
         "step",
         "task_id",
+        "waiting_since",
     )
 
     def __init__(self, job: "Job", task_id: TaskId, step: Step):
@@ -129,7 +130,7 @@
         self.failures = 0
         self.checkpoint = ""
         self.failed_on: set[WorkerId] = set()
-        self.away_since = 0.0
+        self.waiting_since = 0.0
 
     @property
     def touched(self) -> bool:
--- a/tests/test_engine_decisions.py
+++ b/tests/test_engine_decisions.py
@@ -1,8 +1,21 @@
 """Decisions of batch work on typed state, without a network or a clock."""
 
+import asyncio
+import os
 import unittest
 
-from sardinedrift.engine import capacity, demand, upkeep
+import msgspec
+
+from sardinedrift.engine import (
+    capacity,
+    demand,
+    pacing,
+    preemption,
+    stalls,
+    upkeep,
+)
+from sardinedrift.engine.advising import Advisor
+from sardinedrift.engine.events import EventLog
 from sardinedrift.engine.fleet import Worker, WorkerClock
 from sardinedrift.engine.model import (
     JobState,
@@ -15,9 +28,15 @@
     WorkerId,
 )
 from sardinedrift.engine.placement import TeamUse, order_jobs, plan_pool
-from sardinedrift.engine.ports import RegisteredWorker
+from sardinedrift.engine.ports import (
+    Advice,
+    AdviceService,
+    RegisteredWorker,
+    Ticket,
+)
 from sardinedrift.engine.work import Job, longest_chain_ms
 from sardinedrift.identifiers import DataCentreId, PoolId, TeamId
+from tests import virtual_time
 from tests.engine_world import (
     POOL,
     QUEUE,
@@ -301,3 +320,123 @@
         runs = [task.run for task in job.active.values()]
         self.assertEqual(upkeep.runs_to_stop(runs, False, 0.0), [])
         self.assertEqual(upkeep.runs_to_stop(runs, True, 0.0), runs)
+
+
+class StallTest(unittest.TestCase):
+    def _running(self, step: Step):
+        job = make_job("a", step)
+        plan([job], [make_worker("w0")])
+        (task,) = job.active.values()
+        task.run.phase = RunPhase.RUNNING
+        return task.run
+
+    def test_a_task_that_stands_still_is_found(self):
+        """Guards against a task that never ends on a worker that hangs."""
+        run = self._running(short(1))
+        run.observe(30, 0, 1.0)
+        run.observe(30, 0, 3.4)
+        self.assertEqual(list(stalls.stalled([run], 3.5)), [])
+        run.observe(30, 0, 3.6)
+        self.assertEqual(list(stalls.stalled([run], 3.6)), [run])
+
+    def test_a_slow_task_is_left_alone(self):
+        """Guards against work that is thrown away on a slow worker."""
+        run = self._running(short(1))
+        for tenth in range(100):
+            run.observe(tenth, 0, tenth / 1.0)
+        self.assertEqual(list(stalls.stalled([run], 100.0)), [])
+
+    def test_silence_is_not_a_stall(self):
+        """Guards against a stop because a report is late."""
+        run = self._running(short(1))
+        run.observe(30, 0, 1.0)
+        self.assertEqual(list(stalls.stalled([run], 9.0)), [])
+
+
+class PacingTest(unittest.TestCase):
+    def _runs(self, tail_ms: float, pace: int = 100):
+        serving = make_job("s", lasting(1, target_ms=100))
+        filling = make_job("f", short(1, fills=True))
+        plan([serving, filling], [make_worker("w0")])
+        (first,) = serving.active.values()
+        (second,) = filling.active.values()
+        first.run.observe(100, tail_ms, 1.0)
+        second.run.observe(10, 500, 1.0)
+        second.run.pace = pace
+        return [first.run, second.run]
+
+    def _percents(self, *args, **fields):
+        changes = pacing.decide_paces(self._runs(*args, **fields))
+        return [change.percent for change in changes]
+
+    def test_what_fills_slows_down_before_the_target_is_passed(self):
+        """Guards against users who are harmed by work that fills."""
+        self.assertEqual(self._percents(90), [30])
+        self.assertEqual(self._percents(90, pace=30), [9])
+        self.assertEqual(self._percents(90, pace=9), [0])
+
+    def test_what_fills_speeds_up_when_there_is_room(self):
+        """Guards against work that stays paused after a peak."""
+        self.assertEqual(self._percents(30, pace=0), [20])
+        self.assertEqual(self._percents(70, pace=20), [])
+
+
+class PreemptionTest(unittest.TestCase):
+    def _choose(self, waiting: Step, waited_s: float):
+        queues = configuration().queue_by_id
+        low = msgspec.structs.replace(queues[QUEUE], priority=1)
+        first = make_job("a", short(16))
+        worker = make_worker("w0")
+        plan([first], [worker])
+        for at, task in enumerate(first.active.values()):
+            task.run.phase = RunPhase.RUNNING
+            task.run.percent = 10 * (at + 1)
+        second = make_job("b", waiting)
+        for task in second.waiting.values():
+            task.waiting_since = 10.0 - waited_s
+        chooser = preemption.Preemption({QUEUE: low}, 10.0)
+        return chooser.choose([second], [worker])
+
+    def test_a_lasting_task_takes_the_room_of_the_youngest_run(self):
+        """Guards against a service that stays away in a full pool."""
+        runs = self._choose(lasting(1), 1.0)
+        self.assertEqual([run.percent for run in runs], [10])
+
+    def test_work_of_the_same_priority_waits(self):
+        """Guards against jobs that throw away each other's work."""
+        self.assertEqual(self._choose(short(1), 5.0), [])
+
+    def test_nothing_gives_way_before_a_machine_could_come(self):
+        """Guards against lost work where patience would do."""
+        self.assertEqual(self._choose(lasting(1), 0.5), [])
+
+
+class AdvisorTest(unittest.TestCase):
+    def test_tickets_come_from_the_service_and_run_out(self):
+        """Guards against starts with a ticket that no longer holds."""
+
+        class Service(AdviceService):
+            calls = 0
+
+            async def advise(self, task_id, worker_ids):
+                self.calls += 1
+                return Advice((Ticket(WorkerId("w1"), "t"),), 1000)
+
+        async def scenario():
+            service, clock = Service(), virtual_time.LoopClock()
+            log = EventLog("n", os.open(os.devnull, os.O_WRONLY))
+            advisor = Advisor(service, clock, log, lambda: None)
+            workers = [make_worker("w0"), make_worker("w1")]
+            (task, *_) = make_job("a", short(2)).waiting.values()
+            self.assertEqual(advisor.permitted(task, workers), frozenset())
+            await asyncio.sleep(0.1)
+            self.assertEqual(advisor.permitted(task, workers), {"w1"})
+            self.assertEqual(advisor.ticket(task.task_id, WorkerId("w1")), "t")
+            self.assertEqual(service.calls, 1)
+            await asyncio.sleep(0.7)
+            self.assertEqual(advisor.permitted(task, workers), frozenset())
+            advisor.permitted(task, workers)
+            await asyncio.sleep(0.1)
+            self.assertEqual(advisor.permitted(task, workers), {"w1"})
+
+        virtual_time.run(scenario())
