--- a/sardinedrift/cli.py
+++ b/sardinedrift/cli.py
@@ -4,12 +4,12 @@
 or outcome unknown.
 """
 
-from typing import Any
+from typing import IO, Any
 
 import click
 
 from sardinedrift import changes as ch
-from sardinedrift import commands, desired, jobcommands, workcommands
+from sardinedrift import commands, desired, explain, jobcommands, workcommands
 from sardinedrift.addresses import split_address
 from sardinedrift.context import Context, example, pass_context
 from sardinedrift.output import exit_statuses, print_object, print_rows
@@ -65,6 +65,24 @@
     ctx.obj = Context(addresses, form, change_id)
 
 
+@example("sardinedrift explain 5c0e7a21d94b36f8 --log node-1.log")
+@main.command("explain")
+@click.argument("job_id")
+@click.option(
+    "--log",
+    "logs",
+    multiple=True,
+    required=True,
+    type=click.File("rb"),
+    help="Log of an entry; give one for each.",
+)
+def explain_job(job_id: str, logs: tuple[IO[bytes], ...]) -> None:
+    """Shows what the logs of entries tell about a job."""
+    explanation = explain.explain(job_id, logs)
+    for line in explain.render(job_id, explanation):
+        click.echo(line)
+
+
 @example("sardinedrift entry --config examples/entry.yaml")
 @main.group("entry", invoke_without_command=True)
 @click.option("--config", type=click.Path(dir_okay=False), help="Settings.")
--- a/sardinedrift/engine/catalogue.py
+++ b/sardinedrift/engine/catalogue.py
@@ -39,11 +39,13 @@
     """The newest term of a controller.
 
     Attributes:
+        node: entry that holds it.
         closed: it has ended in order; no order was sent after this record.
         ordered: machines that got an order shortly before its end.
     """
 
     token: Token
+    node: str = ""
     closed: bool = False
     ordered: tuple[MachineId, ...] = ()
 
--- a/sardinedrift/engine/controller.py
+++ b/sardinedrift/engine/controller.py
@@ -191,15 +191,28 @@
         self._orders.close()
         since = self._clock.boot() - self._made._machine_quiet_s
         ordered = self._machinery.ordered_since(since)
-        record = TermRecord(self._term.token, True, ordered)
+        record = TermRecord(
+            self._term.token, self._made._log.node, True, ordered
+        )
         with contextlib.suppress(StoreError):
             await self._writer.close_term(record)
 
     async def _take_over(self, group: asyncio.TaskGroup) -> None:
         end = await self._writer.fence()
         await self._made._jobs.reach(end)
-        self._judge_predecessor(self._made._catalogue.newest_term)
-        await self._writer.record_term(TermRecord(self._term.token))
+        predecessor = self._made._catalogue.newest_term
+        self._judge_predecessor(predecessor)
+        record = TermRecord(self._term.token, self._made._log.node)
+        await self._writer.record_term(record)
+        self._made._log.write(
+            Event.TERM_BEGUN,
+            token=self._term.token,
+            earlier_token=predecessor.token if predecessor else None,
+            earlier_node=predecessor.node if predecessor else None,
+            earlier_closed=predecessor.closed if predecessor else None,
+            jobs=len(self._made._catalogue.known_by_id),
+            records_end=end,
+        )
         registrations = self._made._outside.registrations(self._on_worker)
         group.create_task(registrations.run())
         await registrations.reach(Offset(0))
--- a/sardinedrift/engine/entry.py
+++ b/sardinedrift/engine/entry.py
@@ -32,8 +32,9 @@
 RETRY_APPEND_S = 0.05
 # A job that is unknown here is unknown everywhere if the feed is this young.
 FRESH_S = 0.05
-# An absent route or key counts as such only by a configuration this young.
-CONFIGURATION_FRESH_S = 2.0
+# What an entry knows is this young while the store answers: a poll of 1 s
+# confirms the time at which it was sent, until the next one is answered.
+CURRENT_S = 3.0
 # Answers are given this long before the caller stops waiting.
 ANSWER_MARGIN_S = 0.15
 
@@ -88,7 +89,7 @@
 
     def refuse_absent(self, status: int, code: str) -> CallError:
         """Returns the error for something the configuration lacks."""
-        if self.age > CONFIGURATION_FRESH_S:
+        if self.age > CURRENT_S:
             return CallError(
                 503, "configuration_too_old", retry_after_s=RETRY_AFTER_S
             )
@@ -129,8 +130,8 @@
         return (
             self._view.current() is not None
             and self._feed.loaded
-            and self._feed.age < CONFIGURATION_FRESH_S
-            and self._view.age < CONFIGURATION_FRESH_S
+            and self._feed.age < CURRENT_S
+            and self._view.age < CURRENT_S
         )
 
     @property
--- a/sardinedrift/engine/events.py
+++ b/sardinedrift/engine/events.py
@@ -30,8 +30,8 @@
     Process: STARTED, STOPPING, STOPPED, RELOADED, FAULT, DEPENDENCY_LOST,
     DEPENDENCY_BACK.
     Calls: ACCEPTED, ANSWERED, REFUSED, CANCEL_STORED.
-    Beliefs: CONFIGURATION, TERM_BEGUN, TERM_ENDED, WORKER_SEEN, WORKER_LOST,
-    WORKER_SUSPECT, WORKER_BACK, ENTRY_IGNORED.
+    Beliefs: CONFIGURATION, ELECTED, TERM_BEGUN, TERM_ENDED, WORKER_SEEN,
+    WORKER_LOST, WORKER_SUSPECT, WORKER_BACK, ENTRY_IGNORED.
     Tasks: PLACED, STARTED_RUN, START_FAILED, RUN_ENDED, STOP_ORDERED,
     JOB_ENDED, WAITING, PACED, ADVISED, STALLED, PREEMPTED.
     Machines: MACHINE_MOVED, MACHINE_REFUSED, UPKEEP_BEGUN, WAVE, RESERVED.
@@ -49,6 +49,7 @@
     REFUSED = "refused"
     CANCEL_STORED = "cancel_stored"
     CONFIGURATION = "configuration"
+    ELECTED = "elected"
     TERM_BEGUN = "term_begun"
     TERM_ENDED = "term_ended"
     WORKER_SEEN = "worker_seen"
@@ -80,10 +81,13 @@
     Args:
         node: name of this process in every line.
         descriptor: where lines go; it is set to non-blocking.
+
+    Attributes:
+        node: name of this process.
     """
 
     def __init__(self, node: str, descriptor: int = 1):
-        self._node = node
+        self.node = node
         self._descriptor = descriptor
         self._pending = bytearray()
         self._second = 0
@@ -113,7 +117,7 @@
     def _emit(
         self, now: float, name: str, fields: dict[str, Any], event: Event
     ) -> None:
-        line = {"time": now, "event": name, "node": self._node, **fields}
+        line = {"time": now, "event": name, "node": self.node, **fields}
         data = msgspec.json.encode(line, enc_hook=str) + b"\n"
         if len(self._pending) + len(data) > BUFFER_BYTES:
             self._leave_out(event)
--- a/sardinedrift/engine/term.py
+++ b/sardinedrift/engine/term.py
@@ -140,7 +140,7 @@
             return
         term = Term(token, self._clock, sent_at)
         self._term = term
-        self._log.write(Event.TERM_BEGUN, token=token)
+        self._log.write(Event.ELECTED, token=token)
         self._task = asyncio.create_task(self._run_control(term))
 
     async def _run_control(self, term: Term) -> None:
--- a/sardinedrift/platform/daemon.py
+++ b/sardinedrift/platform/daemon.py
@@ -35,6 +35,8 @@
 # sends no more connections.
 UNREADY_S = 0.5
 METRICS_PORT = 7000
+# Overrides the address of the metrics, for several entries on one machine.
+METRICS_VARIABLE = "SARDINEDRIFT_METRICS"
 
 
 class Daemon:
@@ -94,7 +96,11 @@
         await server.listen_callers(listen.front)
         if listen.ready:
             await server.listen_ready(listen.ready)
-        await server.listen_metrics(f"{self._settings.ip}:{METRICS_PORT}")
+        await server.listen_metrics(
+            os.environ.get(
+                METRICS_VARIABLE, f"{self._settings.ip}:{METRICS_PORT}"
+            )
+        )
         tasks = [
             asyncio.create_task(work)
             for work in (
