Gather lasting tasks after a burst, tell what jobs wait for

Change: a machine with only lasting tasks that fit elsewhere is emptied after 3 s, one at a time; waiting lines with their reason; gauges; explain counts earlier terms when the line of the acceptance is missing. Ruled out: a slow log writer (the line was there, outside the span).

--- a/sardinedrift/engine/capacity.py
+++ b/sardinedrift/engine/capacity.py
@@ -12,6 +12,9 @@
 # and put into the spare pool after this long: a move costs about as much as
 # standing in a pool for a second.
 PARKING_IDLE_S = 1.0
+# Long-running tasks are gathered on fewer machines after this long: each is
+# away for a moment, and a burst would scatter them again.
+GATHERING_S = 3.0
 
 
 class MachineView(msgspec.Struct, frozen=True):
@@ -21,12 +24,15 @@
         idle_s: seconds for which nothing has run on it; None when something
             runs, or its worker is not known yet.
         off: it stands in the spare pool.
+        movable_s: seconds for which only long-running tasks have run on it
+            that others of its pool have room for; None otherwise.
     """
 
     machine_id: MachineId
     pool_id: PoolId
     idle_s: float | None
     off: bool
+    movable_s: float | None = None
 
 
 class Move(msgspec.Struct, frozen=True):
@@ -122,7 +128,28 @@
         ):
             have[machine.pool_id] -= 1
             moves.append(Move(machine.machine_id, spare))
-    return moves
+    return moves + _gather(stock, have, free, spare)
+
+
+def _gather(
+    stock: Stock,
+    have: dict[PoolId, int],
+    free: dict[MachineId, MachineView],
+    spare: PoolId,
+) -> list[Move]:
+    """Returns at most one move a pool, of a machine that can be emptied."""
+    move_by_pool: dict[PoolId, Move] = {}
+    for machine in free.values():
+        if (
+            machine.movable_s is not None
+            and machine.movable_s >= GATHERING_S
+            and _surplus(stock, have, machine.pool_id) > 0
+            and stock.allowed(machine.machine_id, spare)
+        ):
+            move_by_pool.setdefault(
+                machine.pool_id, Move(machine.machine_id, spare)
+            )
+    return list(move_by_pool.values())
 
 
 def _surplus(stock: Stock, have: dict[PoolId, int], pool_id: PoolId) -> int:
--- a/sardinedrift/engine/machinery.py
+++ b/sardinedrift/engine/machinery.py
@@ -21,7 +21,7 @@
     OrderRefused,
     StoreError,
 )
-from sardinedrift.engine.fleet import Worker
+from sardinedrift.engine.fleet import Worker, total_size
 from sardinedrift.engine.model import MachineId, WaveNumber
 from sardinedrift.engine.ports import (
     Machine,
@@ -108,6 +108,7 @@
         self._machine_by_id: dict[MachineId, Machine] = {}
         self._operation_by_id: dict[MachineId, Operation] = {}
         self._idle_since: dict[MachineId, float] = {}
+        self._movable_since: dict[Worker | None, float] = {}
         self._refused: set[tuple[MachineId, PoolId]] = set()
         self._begun_by_wave: dict[WaveNumber, set[MachineId]] = {}
         self._seen_at: dict[WaveNumber, float] = {}
@@ -186,8 +187,15 @@
                 continue
             idle_s = self._idle_span(machine.machine_id, worker_by_machine, now)
             off = machine.pool_id == spare
+            movable_s = self._movable_span(worker, now)
             views.append(
-                MachineView(machine.machine_id, machine.pool_id, idle_s, off)
+                MachineView(
+                    machine.machine_id,
+                    machine.pool_id,
+                    idle_s,
+                    off,
+                    movable_s,
+                )
             )
         return Stock(views, have, self._needs(now), spare, self._is_allowed)
 
@@ -268,6 +276,34 @@
             return None
         return now - self._idle_since.setdefault(machine_id, now)
 
+    def _movable_span(self, worker: Worker | None, now: float) -> float | None:
+        """Returns for how long a worker's tasks could stand elsewhere."""
+        if worker is None or worker.reserved or not worker.run_by_task:
+            self._movable_since.pop(worker, None)
+            return None
+        runs = worker.run_by_task.values()
+        if worker.lasting < len(runs) or not self._fit_elsewhere(worker, now):
+            self._movable_since.pop(worker, None)
+            return None
+        return now - self._movable_since.setdefault(worker, now)
+
+    def _fit_elsewhere(self, worker: Worker, now: float) -> bool:
+        """Whether other workers that long-running tasks hold have the room."""
+        others = [
+            other
+            for other in self._control.fleet.of_pool(worker.pool_id)
+            if other is not worker and other.lasting and other.may_take(now)
+        ]
+        tasks = [run.task for run in worker.run_by_task.values()]
+        size = total_size(worker.run_by_task.values())
+        return any(
+            other.free.cpu >= size.cpu
+            and other.free.memory_mb >= size.memory_mb
+            and other.free.accelerators >= size.accelerators
+            and not any(task.step.max_per_worker for task in tasks)
+            for other in others
+        )
+
     def _is_allowed(self, machine_id: MachineId, pool_id: PoolId) -> bool:
         return (machine_id, pool_id) not in self._refused
 
--- a/sardinedrift/engine/planner.py
+++ b/sardinedrift/engine/planner.py
@@ -1,5 +1,7 @@
 """Applies the decisions on tasks: starts, stalls, preemption and pace."""
 
+import enum
+
 from sardinedrift.engine.advising import Advisor
 from sardinedrift.engine.control import Control
 from sardinedrift.engine.events import Event
@@ -16,10 +18,24 @@
 from sardinedrift.engine.preemption import Preemption
 from sardinedrift.engine.stalls import stalled
 from sardinedrift.engine.work import Job, Run, Task
-from sardinedrift.identifiers import QueueId
+from sardinedrift.identifiers import JobId, QueueId
 
 # A change of pace shows in the figures of the next half second.
 PACE_EVERY_S = 0.7
+# A job that waits is told of in the log this often.
+WAITING_EVERY_S = 1.0
+
+
+class WaitReason(enum.Enum):
+    """What a job waits for.
+
+    NO_WORKER: no worker of the pool could ever hold its task.
+    """
+
+    ROOM = "room"
+    LIMIT = "limit"
+    ADVICE = "advice"
+    NO_WORKER = "no_worker"
 
 
 class Planner:
@@ -36,6 +52,7 @@
         self._orders = orders
         self._advisor = advisor
         self._paced_at: dict[WorkerId, float] = {}
+        self._told_at: dict[JobId, float] = {}
 
     def plan(self) -> None:
         """Decides on starts, and makes room where work waits too long."""
@@ -50,7 +67,7 @@
             ordered = order_jobs(jobs, queue_by_id, control.use)
             workers = workers_by_pool.get(pool_id, [])
             placed += self._plan_pool(ordered, workers, queue_by_id, now)
-            self._note_waiting(ordered, now)
+            self._note_waiting(ordered, workers, now)
             self._preempt(ordered, workers, queue_by_id, now)
         if placed:
             control.writer.after(lambda: self._start_all(placed))
@@ -58,6 +75,10 @@
     def review(self) -> None:
         """Stops what stands still and paces what disturbs."""
         now = self._control.clock.boot()
+        jobs = self._control.job_by_id
+        self._told_at = {
+            job_id: at for job_id, at in self._told_at.items() if job_id in jobs
+        }
         for worker in self._control.fleet.worker_by_id.values():
             for run in list(stalled(worker.run_by_task.values(), now)):
                 self._stop_stalled(run, worker, now)
@@ -93,10 +114,46 @@
         for run in placed:
             self._orders.start_soon(run)
 
-    def _note_waiting(self, jobs: list[Job], now: float) -> None:
+    def _note_waiting(
+        self, jobs: list[Job], workers: list[Worker], now: float
+    ) -> None:
         for job in jobs:
             for task in job.waiting.values():
                 task.waiting_since = task.waiting_since or now
+            first = next(iter(job.waiting.values()), None)
+            if first is None or now - first.waiting_since < WAITING_EVERY_S:
+                continue
+            if now - self._told_at.get(job.job_id, 0.0) < WAITING_EVERY_S:
+                continue
+            self._told_at[job.job_id] = now
+            self._tell_waiting(job, first, workers, now)
+
+    def _tell_waiting(
+        self, job: Job, task: Task, workers: list[Worker], now: float
+    ) -> None:
+        able = [worker for worker in workers if worker.could_hold(task)]
+        ready = [worker for worker in able if worker.may_take(now)]
+        self._control.log.write(
+            Event.WAITING,
+            job=job.job_id,
+            reason=self._reason(task, able, ready).value,
+            tasks=len(job.waiting),
+            workers=len(workers),
+            ready=len(ready),
+            free_cpu=max((each.free.cpu for each in ready), default=0),
+        )
+
+    def _reason(
+        self, task: Task, able: list[Worker], ready: list[Worker]
+    ) -> WaitReason:
+        team_id = task.job.submission.team_id
+        if not self._control.use.allows(team_id, task.step.size):
+            return WaitReason.LIMIT
+        if not able:
+            return WaitReason.NO_WORKER
+        if any(worker.has_room(task) for worker in ready):
+            return WaitReason.ADVICE
+        return WaitReason.ROOM
 
     def _preempt(
         self,
--- a/sardinedrift/engine/term.py
+++ b/sardinedrift/engine/term.py
@@ -96,6 +96,11 @@
         self._term: Term | None = None
         self._task: asyncio.Task | None = None
 
+    @property
+    def controls(self) -> bool:
+        """Whether this entry may give orders."""
+        return self._term is not None and self._term.may_order
+
     async def run(self) -> None:
         """Joins again and again until cancelled, and then leaves."""
         try:
--- a/sardinedrift/explain.py
+++ b/sardinedrift/explain.py
@@ -109,7 +109,10 @@
         for line in lines
         if line.event == "term_begun" and line.fields.get("earlier_token")
     }
-    begin, end = own[0].time, own[-1].time
+    # Without the line of its acceptance the job may be older than its lines.
+    accepted = any(line.event == "accepted" for line in own)
+    begin = own[0].time if accepted else float("-inf")
+    end = own[-1].time
     during = {
         line.fields["earlier_token"]
         for line in lines
--- a/sardinedrift/platform/daemon.py
+++ b/sardinedrift/platform/daemon.py
@@ -28,6 +28,7 @@
 KEYS_AGE_SHARE = 0.6
 # The settings file may also change without a signal.
 SETTINGS_CHECK_S = 1.0
+MEASURE_S = 1.0
 # Long polls and appends of one entry to the store.
 STORE_CONNECTIONS = 12
 ORDER_CONNECTIONS = 4
@@ -108,6 +109,7 @@
                 published.run(),
                 candidate.run(),
                 self._watch_settings(),
+                self._measure(entry, candidate, catalogue),
             )
         ]
         gc.freeze()
@@ -175,6 +177,19 @@
             self._settings.bounds.status_s,
         )
 
+    async def _measure(
+        self, entry: Entry, candidate: Candidate, catalogue: JobCatalogue
+    ) -> None:
+        """Keeps the gauges current."""
+        gauge = self._metrics.gauges.labels
+        while True:
+            gauge("configuration_age_seconds").set(entry.configuration_age)
+            gauge("jobs_age_seconds").set(entry.feed_age)
+            gauge("ready").set(entry.ready)
+            gauge("controls").set(candidate.controls)
+            gauge("known_jobs").set(len(catalogue.known_by_id))
+            await asyncio.sleep(MEASURE_S)
+
     async def _watch_settings(self) -> None:
         while True:
             await asyncio.sleep(SETTINGS_CHECK_S)
--- a/tests/test_engine_decisions.py
+++ b/tests/test_engine_decisions.py
@@ -283,6 +283,15 @@
         moves = capacity.decide_moves(self._stock(machines, {POOL: 1}))
         self.assertEqual([move.pool_id for move in moves], [SPARE, SPARE])
 
+    def test_machines_with_lasting_tasks_are_emptied_one_at_a_time(self):
+        """Guards against tasks that hold a machine each after a burst."""
+        machines = [
+            capacity.MachineView(MachineId(name), POOL, None, False, 5.0)
+            for name in "abc"
+        ]
+        moves = capacity.decide_moves(self._stock(machines, {POOL: 1}))
+        self.assertEqual([move.machine_id for move in moves], ["a"])
+
     def test_arrivals_count_before_their_tasks_do(self):
         """Guards against machines that come after the burst they are for."""
         meter = demand.ArrivalMeter()
