Do not take a refusal by another boot as the end of a worker

Change: such a worker is suspect, and its tasks wait for the end of its leases; the log tells why the runs of a worker were taken as over. Ruled out: machine orders (none for that machine), a lease remembered as too short (mended before).

--- a/sardinedrift/engine/sessions.py
+++ b/sardinedrift/engine/sessions.py
@@ -77,12 +77,30 @@
     def _is_over(self) -> bool:
         worker = self._worker
         over = worker.leases_over(self._control.clock.boot())
+        if (over or worker.gone) and worker.run_by_task:
+            self._log_end(over)
         for run in list(worker.run_by_task.values()):
             if worker.gone or (over and run.phase is not RunPhase.DECIDED):
                 self._control.finish(run, RunEnd.LAPSED)
         idle = not worker.run_by_task
         return idle and (worker.gone or not worker.listed)
 
+    def _log_end(self, over: bool) -> None:
+        worker = self._worker
+        clock = worker.clock
+        now = self._control.clock.boot()
+        self._control.log.write(
+            Event.WORKER_ENDED,
+            worker=worker.worker_id,
+            runs=len(worker.run_by_task),
+            gone=worker.gone,
+            leases_over=over,
+            lease_left_ms=worker.lease_ms - clock.estimate(now)
+            if clock
+            else None,
+            silent_s=round(now - worker.answered_at, 3),
+        )
+
     def _needs_report(self) -> bool:
         worker = self._worker
         return (
@@ -152,11 +170,10 @@
     def _note_refusal(self, reason: Refusal) -> None:
         if reason is Refusal.FENCED:
             self._control.term.end()
-        elif reason is Refusal.OTHER_BOOT:
-            # Another process has the address, so this life is over.
-            self._worker.gone = True
         else:
-            self._worker.suspect = True
+            # Another process may have the address; that says nothing about
+            # what the worker runs until its leases are over.
+            self._note_suspicion(f"refused: {reason.value}")
 
     def _note_silence(self, error: OrderError, sent_at: float) -> None:
         worker = self._worker
@@ -165,14 +182,19 @@
             # Other orders that it answered since show that it is there.
             if worker.answered_at > sent_at:
                 return
-        if not worker.suspect:
-            worker.suspect = True
-            self._control.log.write(
-                Event.WORKER_SUSPECT,
-                worker=worker.worker_id,
-                runs=len(worker.run_by_task),
-                error=repr(error),
-            )
+        self._note_suspicion(repr(error))
+
+    def _note_suspicion(self, cause: str) -> None:
+        worker = self._worker
+        if worker.suspect:
+            return
+        worker.suspect = True
+        self._control.log.write(
+            Event.WORKER_SUSPECT,
+            worker=worker.worker_id,
+            runs=len(worker.run_by_task),
+            error=cause,
+        )
 
     def _take(self, report: WorkerReport, sent_at: float) -> None:
         worker = self._worker
