--- a/sardinedrift/engine/catalogue.py
+++ b/sardinedrift/engine/catalogue.py
@@ -26,6 +26,7 @@
     PROGRESS = "p"
     WAVE = "w"
     TERM = "t"
+    ENTRY = "n"
 
 
 class WaveRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -35,6 +36,18 @@
     completed: bool
 
 
+class Strength(msgspec.Struct, frozen=True, array_like=True):
+    """What an entry's machine can carry.
+
+    Attributes:
+        cores: processor, in cores of the usual speed.
+        link_mbps: megabits a second of its network link.
+    """
+
+    cores: float
+    link_mbps: float
+
+
 class TermRecord(msgspec.Struct, frozen=True, array_like=True):
     """The newest term of a controller.
 
@@ -55,6 +68,7 @@
 _progress_decoder = msgspec.msgpack.Decoder(Progress)
 _wave_decoder = msgspec.msgpack.Decoder(WaveRecord)
 _term_decoder = msgspec.msgpack.Decoder(TermRecord)
+_strength_decoder = msgspec.msgpack.Decoder(Strength)
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -92,6 +106,13 @@
     return KeyedRecord(f"{KeyKind.TERM.value}/newest", _encoder.encode(record))
 
 
+def strength_record(node: str, strength: Strength) -> KeyedRecord:
+    """Returns the record of what an entry's machine can carry."""
+    return KeyedRecord(
+        f"{KeyKind.ENTRY.value}/{node}", _encoder.encode(strength)
+    )
+
+
 class KnownJob:
     """Records of one job, as far as they are known.
 
@@ -128,6 +149,7 @@
     Attributes:
         wave_by_number: recorded progress of the waves.
         newest_term: the newest recorded term, or None.
+        strength_by_node: what the entries that ever started can carry.
         observer: told the id of a job with a new submission or cancellation.
     """
 
@@ -135,6 +157,7 @@
         self.known_by_id: dict[JobId, KnownJob] = {}
         self.wave_by_number: dict[WaveNumber, WaveRecord] = {}
         self.newest_term: TermRecord | None = None
+        self.strength_by_node: dict[str, Strength] = {}
         self.observer: Callable[[JobId], None] | None = None
 
     def find(self, job_id: JobId) -> KnownJob | None:
@@ -176,6 +199,8 @@
         elif kind is KeyKind.WAVE:
             number = WaveNumber(int(name))
             self.wave_by_number[number] = _wave_decoder.decode(value)
+        elif kind is KeyKind.ENTRY:
+            self.strength_by_node[name] = _strength_decoder.decode(value)
         elif kind is KeyKind.TERM:
             self.newest_term = _term_decoder.decode(value)
         else:
--- a/sardinedrift/engine/ports.py
+++ b/sardinedrift/engine/ports.py
@@ -97,6 +97,13 @@
     holds: bool
 
 
+class Members(msgspec.Struct, frozen=True):
+    """Members that the store counts; `controller` is None without one."""
+
+    controller: str | None
+    names: frozenset[str]
+
+
 class Election(abc.ABC):
     """Choice of one controller among the entries, by the store."""
 
@@ -108,6 +115,10 @@
     async def leave(self) -> None:
         """Leaves, so that another member is chosen at once."""
 
+    @abc.abstractmethod
+    async def members(self) -> Members:
+        """Returns the members, also to an entry that has not joined."""
+
     @abc.abstractmethod
     async def take_token(self) -> Token:
         """Returns a token above all that were taken before."""
--- a/sardinedrift/engine/term.py
+++ b/sardinedrift/engine/term.py
@@ -19,6 +19,10 @@
 # Time for the last words of a term before its entry gives it up.
 CLOSE_S = 0.5
 STOPPING = "stopping"
+# A weak entry looks this often whether it is needed, and stands when there
+# was no controller for this long.
+RESERVE_EVERY_S = 0.5
+RESERVE_S = 2.0
 
 
 class Term:
@@ -77,6 +81,7 @@
     Args:
         election: the store's choice.
         control: runs as long as a term lasts; it is cancelled with it.
+        stands: whether an entry, by its name, is strong enough to control.
         clock: measures terms.
         log: takes log lines.
     """
@@ -85,11 +90,15 @@
         self,
         election: Election,
         control: Callable[[Term], Awaitable[None]],
+        stands: Callable[[str], bool],
         clock: Clock,
         log: EventLog,
     ):
         self._election = election
         self._control = control
+        self._stands = stands
+        self._joined = False
+        self._without_controller_since: float | None = None
         self._clock = clock
         self._log = log
         self._generation = 0
@@ -105,17 +114,39 @@
         """Joins again and again until cancelled, and then leaves."""
         try:
             while True:
-                await self._join()
-                await asyncio.sleep(JOIN_EVERY_S)
+                if self._stands(self._log.node) or await self._is_needed():
+                    await self._join()
+                    await asyncio.sleep(JOIN_EVERY_S)
+                else:
+                    if self._joined:
+                        await self.leave()
+                    await asyncio.sleep(RESERVE_EVERY_S)
         finally:
             await self._end_term(STOPPING)
 
     async def leave(self) -> None:
         """Gives up control, so that another entry is elected at once."""
         await self._end_term(STOPPING)
+        self._joined = False
+        self._generation = 0
         with contextlib.suppress(StoreError):
             await self._election.leave()
 
+    async def _is_needed(self) -> bool:
+        """Whether a weak entry must stand, as no strong one does."""
+        try:
+            members = await self._election.members()
+        except StoreError:
+            return self._joined
+        strong = any(self._stands(name) for name in members.names)
+        if strong or members.controller not in (None, self._log.node):
+            self._without_controller_since = None
+            return False
+        now = self._clock.boot()
+        if self._without_controller_since is None:
+            self._without_controller_since = now
+        return now - self._without_controller_since >= RESERVE_S
+
     async def _join(self) -> None:
         sent_at = self._clock.boot()
         try:
@@ -123,6 +154,7 @@
         except StoreError as error:
             self._log_lost_join(error)
             return
+        self._joined = True
         self._generation = standing.generation
         if not standing.holds:
             if self._term is not None:
--- a/sardinedrift/platform/daemon.py
+++ b/sardinedrift/platform/daemon.py
@@ -6,13 +6,19 @@
 import signal
 
 from sardinedrift.engine.appends import GroupAppender
-from sardinedrift.engine.catalogue import JobCatalogue
+from sardinedrift.engine.catalogue import (
+    JobCatalogue,
+    Strength,
+    strength_record,
+)
 from sardinedrift.engine.clock import SystemClock
 from sardinedrift.engine.controller import Controller, Outside
 from sardinedrift.engine.entry import ConfigurationView, Entry
 from sardinedrift.engine.events import Event, EventLog
+from sardinedrift.engine.exceptions import StoreError
 from sardinedrift.engine.feed import Feed
 from sardinedrift.engine.metrics import Metrics
+from sardinedrift.engine.suitability import stands
 from sardinedrift.engine.term import Candidate
 from sardinedrift.exceptions import SettingsError
 from sardinedrift.platform.http import HttpClient
@@ -29,6 +35,7 @@
 # The settings file may also change without a signal.
 SETTINGS_CHECK_S = 1.0
 MEASURE_S = 1.0
+RETRY_S = 0.2
 # Long polls and appends of one entry to the store.
 STORE_CONNECTIONS = 12
 ORDER_CONNECTIONS = 4
@@ -91,7 +98,13 @@
         controller = self._controller(
             store, order_client, jobs, catalogue, operator
         )
-        candidate = Candidate(store, controller.run, self._clock, self._log)
+        candidate = Candidate(
+            store,
+            controller.run,
+            lambda node: stands(node, catalogue.strength_by_node),
+            self._clock,
+            self._log,
+        )
         server = Server(entry, self._clock, self._log, self._metrics)
         listen = self._settings.listen
         await server.listen_callers(listen.front)
@@ -109,6 +122,7 @@
                 published.run(),
                 candidate.run(),
                 self._watch_settings(),
+                self._tell_strength(appender),
                 self._measure(entry, candidate, catalogue),
             )
         ]
@@ -190,6 +204,19 @@
             gauge("known_jobs").set(len(catalogue.known_by_id))
             await asyncio.sleep(MEASURE_S)
 
+    async def _tell_strength(self, appender: GroupAppender) -> None:
+        """Records once what this machine carries; then waits for ever."""
+        limits = self._settings.limits
+        strength = Strength(limits.cpu_share * limits.cores, limits.link_mbps)
+        record = strength_record(self._settings.node, strength)
+        while True:
+            try:
+                await appender.append(record)
+                break
+            except StoreError:
+                await asyncio.sleep(RETRY_S)
+        await asyncio.Event().wait()
+
     async def _watch_settings(self) -> None:
         while True:
             await asyncio.sleep(SETTINGS_CHECK_S)
--- a/sardinedrift/platform/settings.py
+++ b/sardinedrift/platform/settings.py
@@ -41,6 +41,20 @@
     address: str = ""
 
 
+class Limits(msgspec.Struct, frozen=True):
+    """What the machine carries.
+
+    Attributes:
+        cpu_share: share of a core that the process gets.
+        cores: speed of that core; 1 is the usual.
+        link_mbps: megabits a second of the network link.
+    """
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    link_mbps: float = 1000.0
+
+
 class Settings(msgspec.Struct, frozen=True):
     """Settings of one process.
 
@@ -56,6 +70,7 @@
     store: Service = msgspec.field(name="platform")
     machines: Service = msgspec.field(name="cloud", default=Service())
     bounds: Bounds = Bounds()
+    limits: Limits = Limits()
     advice: str = ""
 
 
--- a/sardinedrift/platform/store.py
+++ b/sardinedrift/platform/store.py
@@ -20,6 +20,7 @@
 from sardinedrift.engine.ports import (
     Election,
     KeyedRecord,
+    Members,
     NewestPage,
     ReadPage,
     RecordStore,
@@ -82,6 +83,11 @@
     parts: tuple[tuple[str, int, int], ...]
 
 
+class _Owners(msgspec.Struct, frozen=True):
+    # Rows of topic, partition, member and committed offset.
+    parts: tuple[tuple[str, int, str, int], ...] = ()
+
+
 class LogStore(RecordStore, Election, WaveReports):
     """Client of the store; the only one in a process.
 
@@ -178,6 +184,18 @@
         body = msgspec.json.encode({"group": GROUP, "member": self._node})
         await self._call("POST", "/log-leave", CALL_S, body=body)
 
+    async def members(self) -> Members:
+        """Returns the members of the group."""
+        answer = await self._call(
+            "GET", "/log-owners", CALL_S, {"group": GROUP}
+        )
+        rows = _decode(answer, _Owners).parts
+        names = frozenset(row[2] for row in rows if row[2])
+        controller = next(
+            (row[2] for row in rows if row[:2] == (OWNER_TOPIC, 0)), None
+        )
+        return Members(controller or None, names)
+
     async def take_token(self) -> Token:
         """Appends to the owner topic; the offset makes the token."""
         record = self._node.encode()
--- a/standins/platform/log.py
+++ b/standins/platform/log.py
@@ -151,6 +151,14 @@
             group.generation += 1
         return group.generation, group.owner == member
 
+    def members(
+        self, name: str, ttl_s: float, now: float
+    ) -> tuple[str, list[str]]:
+        """Returns the owner, or "", and all members of a group."""
+        group = self._group_by_name.setdefault(name, Group())
+        self._expire(group, ttl_s, now)
+        return group.owner, list(group.joined_at_by_member)
+
     def leave(self, name: str, member: str) -> None:
         """Leaves a group."""
         group = self._group_by_name.setdefault(name, Group())
--- a/standins/platform/server.py
+++ b/standins/platform/server.py
@@ -55,6 +55,7 @@
                 ("GET", "/log-newest"): self._newest,
                 ("POST", "/log-join"): self._join,
                 ("POST", "/log-leave"): self._leave,
+                ("GET", "/log-owners"): self._owners,
             },
         )
         await self._serve("machines", {("GET", "/machines"): self._machines})
@@ -184,6 +185,13 @@
         self.log.leave(body["group"], body["member"])
         return _json(200, {})
 
+    async def _owners(self, request: web.Request) -> web.Response:
+        owner, _ = self.log.members(
+            request.query["group"], TTL_S, time.monotonic()
+        )
+        parts = [["sardinedrift-owner", 0, owner, 0]] if owner else []
+        return _json(200, {"parts": parts})
+
     async def _machines(self, request: web.Request) -> web.Response:
         machines = [
             {
--- a/tests/engine_world.py
+++ b/tests/engine_world.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Sequence
 
 from sardinedrift.engine.appends import GroupAppender
-from sardinedrift.engine.catalogue import JobCatalogue
+from sardinedrift.engine.catalogue import JobCatalogue, Strength
 from sardinedrift.engine.control import Control
 from sardinedrift.engine.controller import Controller, Outside
 from sardinedrift.engine.entry import ConfigurationView, Entry
@@ -52,6 +52,7 @@
     Machine,
     MachineService,
     MachineState,
+    Members,
     NewestPage,
     Published,
     ReadPage,
@@ -65,6 +66,7 @@
     WorkerOrders,
     WorkerReport,
 )
+from sardinedrift.engine.suitability import stands
 from sardinedrift.engine.term import MEMBER_TIMEOUT_MS, Candidate
 from sardinedrift.identifiers import (
     DataCentreId,
@@ -142,6 +144,9 @@
         self.reports: list[tuple[int, bool]] = []
         self.published = FixedPublished()
         self.controls: list[Control] = []
+        self.strength_by_node = {
+            f"n{number}": Strength(1.0, 1000.0) for number in range(3)
+        }
         self.work_s = work_s
         self.listeners: list = []
         for number in range(workers):
@@ -355,6 +360,12 @@
         await self._reach()
         self._world.log.leave("group", self._node)
 
+    async def members(self) -> Members:
+        await self._reach()
+        now = self._world.clock.boot()
+        owner, names = self._world.log.members("group", MEMBER_TIMEOUT_S, now)
+        return Members(owner or None, frozenset(names))
+
     async def take_token(self) -> Token:
         await self._reach()
         offset, _ = self._world.log.append("owner", [b"\x00x"])
@@ -591,7 +602,13 @@
             MACHINE_QUIET_S,
             STATUS_S,
         )
-        self.candidate = Candidate(self.store, controller.run, world.clock, log)
+        self.candidate = Candidate(
+            self.store,
+            controller.run,
+            lambda node: stands(node, world.strength_by_node),
+            world.clock,
+            log,
+        )
         view = ConfigurationView(world.published.current, self.feed, 3.0)
         self.entry = Entry(
             view,
--- a/tests/test_engine_failover.py
+++ b/tests/test_engine_failover.py
@@ -10,6 +10,7 @@
 from unittest import mock
 
 from sardinedrift.engine import controller
+from sardinedrift.engine.catalogue import Strength
 from sardinedrift.engine.control import Control
 from sardinedrift.engine.exceptions import CallError
 from sardinedrift.engine.model import JobState, WaveNumber
@@ -254,6 +255,41 @@
         )
 
 
+class WeakEntryTest(EngineTest):
+    """Entries whose machines carry less than a controller needs."""
+
+    async def _weaken(self, world: World, *names: str) -> None:
+        for name in names:
+            world.strength_by_node[name] = Strength(0.2, 5.0)
+        await asyncio.sleep(3.0)
+
+    def test_a_strong_entry_controls(self):
+        """Guards against a controller on a machine that cannot carry it.
+
+        Found on ctac-sched-grown quiet-1: leases lapsed beside an overloaded
+        controller with half a core.
+        """
+
+        async def scenario(world, nodes):
+            await self._weaken(world, "n0", "n1")
+            self.assertEqual(self.controller(world, nodes).name, "n2")
+
+        self.play(scenario)
+
+    def test_a_weak_entry_controls_when_no_strong_one_is_left(self):
+        """Guards against a fleet that nobody controls."""
+
+        async def scenario(world, nodes):
+            await self._weaken(world, "n0", "n1")
+            await nodes[2].kill()
+            await self.accept(world, nodes[0], submission("a", short(1)))
+            await asyncio.sleep(8.0)
+            self.assertIs(self.state(nodes[0], "a"), JobState.COMPLETED)
+            self.assertIn(self.controller(world, nodes).name, ("n0", "n1"))
+
+        self.play(scenario)
+
+
 class WorkerLossTest(EngineTest):
     def test_tasks_of_a_silent_worker_run_again(self):
         """Guards against vain renewals that put off the end of a lease.
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -133,6 +133,18 @@
             while not await check():  # noqa: ASYNC110
                 await asyncio.sleep(0.02)
 
+    async def controller(self, programs: list[Program]) -> Program:
+        """Returns the entry that placed the first task."""
+
+        def placed(program: Program) -> bool:
+            return any(e["event"] == "placed" for e in program.events())
+
+        async def found() -> bool:
+            return any(placed(program) for program in programs)
+
+        await self.eventually(found)
+        return next(program for program in programs if placed(program))
+
     async def call(
         self, program: Program, method: str, path: str, body=None, key="key"
     ) -> tuple[int, dict]:
@@ -242,21 +254,16 @@
         programs = await self.start("n0", "n1")
         self.work_s = 1.0
         await self.call(programs[0], "POST", f"/q/{JOB}", {"steps": [STEP]})
-        await asyncio.sleep(0.4)
-        begun = [
-            program
-            for program in programs
-            if any(e["event"] == "placed" for e in program.events())
-        ]
-        begun[0].process.send_signal(signal.SIGTERM)
-        self.assertEqual(await begun[0].process.wait(), 0)
-        (other,) = [each for each in programs if each is not begun[0]]
+        begun = await self.controller(programs)
+        begun.process.send_signal(signal.SIGTERM)
+        self.assertEqual(await begun.process.wait(), 0)
+        (other,) = [each for each in programs if each is not begun]
 
         async def completed() -> bool:
             return await self.state(other) == "completed"
 
         await self.eventually(completed)
-        self.assertEqual(begun[0].events()[-1]["event"], "stopped")
+        self.assertEqual(begun.events()[-1]["event"], "stopped")
         files = [program.log.open("rb") for program in programs]
         for file in files:
             self.addCleanup(file.close)
@@ -264,19 +271,14 @@
         self.assertEqual(told.decision.fields["state"], "completed")
         self.assertEqual(told.missing, [])
         alone = explain.explain(JOB, [other.log.open("rb")])
-        self.assertEqual([each.node for each in alone.missing], [begun[0].name])
+        self.assertEqual([each.node for each in alone.missing], [begun.name])
 
     async def test_a_killed_entry_is_replaced(self):
         """Guards against work that depends on one process."""
         programs = await self.start("n0", "n1")
         self.work_s = 1.0
         await self.call(programs[0], "POST", f"/q/{JOB}", {"steps": [STEP]})
-        await asyncio.sleep(0.4)
-        begun = next(
-            program
-            for program in programs
-            if any(e["event"] == "placed" for e in program.events())
-        )
+        begun = await self.controller(programs)
         begun.process.kill()
         await begun.process.wait()
         (other,) = [each for each in programs if each is not begun]
