--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -57,19 +57,24 @@
 
     def __init__(self, platform: Platform, folder: pathlib.Path, name: str):
         self.name = name
-        self.front, self.ready = free_address(), free_address()
-        self.metrics = free_address()
         self.log = folder / f"{name}.log"
         self.settings = folder / f"{name}.conf"
+        self.process: asyncio.subprocess.Process | None = None
+        self._platform = platform
+        self.choose_addresses()
+
+    def choose_addresses(self) -> None:
+        """Takes addresses that are free now, and writes the settings."""
+        self.front, self.ready = free_address(), free_address()
+        self.metrics = free_address()
         self.settings.write_text(
-            f"node={name}\nzone=zone\nip=127.0.0.1\n"
+            f"node={self.name}\nzone=zone\nip=127.0.0.1\n"
             f"listen.front={self.front}\n"
             f"listen.readiness_addr={self.ready}\n"
-            f"platform.address={platform.addresses['store']}\n"
-            f"cloud.address={platform.addresses['machines']}\n"
+            f"platform.address={self._platform.addresses['store']}\n"
+            f"cloud.address={self._platform.addresses['machines']}\n"
             "new.unknown.field=1\nbounds.revoke_ms=5000\n"
         )
-        self.process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
         with self.log.open("ab") as log:
@@ -117,9 +122,16 @@
             await program.start()
             self.stack.push_async_callback(program.end)
         for program in programs:
-            await self.eventually(lambda p=program: self.is_ready(p))
+            await self.eventually(lambda p=program: self.is_up(p))
         return programs
 
+    async def is_up(self, program: Program) -> bool:
+        # Another process may have taken a port since it was chosen.
+        if program.process.returncode is not None:
+            program.choose_addresses()
+            await program.start()
+        return await self.is_ready(program)
+
     async def is_ready(self, program: Program) -> bool:
         try:
             url = f"http://{program.ready}/ready"
