Carry on the wait for silent workers, and end replaced lives

Change: a closed term names the workers that it could not reach and what is left of their leases; a run is recorded with its machine, and a later life of that machine ends the earlier one.

--- a/sardinedrift/engine/catalogue.py
+++ b/sardinedrift/engine/catalogue.py
@@ -13,6 +13,7 @@
     Submission,
     Token,
     WaveNumber,
+    WorkerId,
 )
 from sardinedrift.engine.ports import KeyedRecord
 from sardinedrift.identifiers import JobId, QueueId
@@ -48,6 +49,17 @@
     link_mbps: float
 
 
+class SilentWorker(msgspec.Struct, frozen=True, array_like=True):
+    """A worker that a controller could not reach when its term ended.
+
+    Attributes:
+        left_ms: after this time its leases are over for certain.
+    """
+
+    worker_id: WorkerId
+    left_ms: int
+
+
 class TermRecord(msgspec.Struct, frozen=True, array_like=True):
     """The newest term of a controller.
 
@@ -55,12 +67,14 @@
         node: entry that holds it.
         closed: it has ended in order; no order was sent after this record.
         ordered: machines that got an order shortly before its end.
+        silent: workers with runs that it could not reach.
     """
 
     token: Token
     node: str = ""
     closed: bool = False
     ordered: tuple[MachineId, ...] = ()
+    silent: tuple[SilentWorker, ...] = ()
 
 
 _LETTERS = frozenset(kind.value for kind in KeyKind)
--- a/sardinedrift/engine/control.py
+++ b/sardinedrift/engine/control.py
@@ -128,6 +128,7 @@
         """Decides on a run of a task; the start follows once it is durable."""
         job = task.job
         run = job.place(task, worker.worker_id, worker.born_ms, now)
+        run.machine_id = worker.registered.machine_id
         self.attach(run, worker)
         self.writer.touch(job)
         self.log.write(
--- a/sardinedrift/engine/controller.py
+++ b/sardinedrift/engine/controller.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from sardinedrift.engine.advising import Advisor
-from sardinedrift.engine.catalogue import JobCatalogue, TermRecord
+from sardinedrift.engine.catalogue import (
+    JobCatalogue,
+    SilentWorker,
+    TermRecord,
+)
 from sardinedrift.engine.clock import Clock
 from sardinedrift.engine.control import Control
 from sardinedrift.engine.events import Event, EventLog
@@ -157,6 +161,7 @@
         self._session_by_id: dict[WorkerId, Session] = {}
         self._group: asyncio.TaskGroup | None = None
         self._foreign_until = term.begun_at + FOREIGN_S
+        self._foreign_until_by_id: dict[WorkerId, float] = {}
         self._quiet = QuietMachines(term.begun_at + made._machine_quiet_s, None)
         self._machinery: Machinery | None = None
 
@@ -198,11 +203,22 @@
         since = self._clock.boot() - self._made._machine_quiet_s
         ordered = self._machinery.ordered_since(since)
         record = TermRecord(
-            self._term.token, self._made._log.node, True, ordered
+            self._term.token,
+            self._made._log.node,
+            True,
+            ordered,
+            tuple(self._silent_workers()),
         )
         with contextlib.suppress(StoreError):
             await self._writer.close_term(record)
 
+    def _silent_workers(self) -> Iterator[SilentWorker]:
+        now = self._clock.boot()
+        for worker in self._control.fleet.worker_by_id.values():
+            if worker.run_by_task and (worker.suspect or not worker.listed):
+                left_s = worker.certain_end(now) - now
+                yield SilentWorker(worker.worker_id, int(left_s * 1000) + 1)
+
     async def _take_over(self, group: asyncio.TaskGroup) -> None:
         end = await self._writer.fence()
         await self._made._jobs.reach(end)
@@ -233,7 +249,12 @@
             self._foreign_until = self._term.begun_at
             self._quiet = QuietMachines(self._term.begun_at, frozenset())
         elif predecessor.closed:
-            self._foreign_until = self._clock.boot() + CLOSED_LEASE_S
+            now = self._clock.boot()
+            self._foreign_until = now + CLOSED_LEASE_S
+            self._foreign_until_by_id = {
+                silent.worker_id: now + silent.left_ms / 1000
+                for silent in predecessor.silent
+            }
             self._quiet = QuietMachines(
                 self._quiet.until, frozenset(predecessor.ordered)
             )
@@ -266,8 +287,11 @@
             run = task.run
             worker = self._control.fleet.worker_by_id.get(run.worker_id)
             if worker is None:
-                worker = self._add_worker(_unlisted(run.worker_id))
+                worker = self._add_worker(
+                    _unlisted(run.worker_id, run.machine_id)
+                )
                 worker.listed = False
+                self._end_if_replaced(worker)
             self._control.attach(run, worker)
             # The token fences off every order of an earlier controller.
             run.settled_at = now
@@ -284,14 +308,30 @@
         if registered is None:
             if worker is not None:
                 worker.listed = False
+                self._end_if_replaced(worker)
                 self._wake_session(worker)
             return
         if worker is None:
-            self._add_worker(registered)
+            worker = self._add_worker(registered)
         else:
             self._replace_registration(worker, registered)
+        for other in list(self._control.fleet.worker_by_id.values()):
+            self._end_if_replaced(other)
         self._control.changed.set()
 
+    def _end_if_replaced(self, worker: Worker) -> None:
+        """Ends a worker whose machine has a later life."""
+        machine_id = worker.registered.machine_id
+        if not machine_id or worker.listed or worker.gone:
+            return
+        worker.gone = any(
+            other.listed and other.registered.machine_id == machine_id
+            for other in self._control.fleet.worker_by_id.values()
+            if other is not worker and other.born_ms > worker.born_ms
+        )
+        if worker.gone:
+            self._wake_session(worker)
+
     def _replace_registration(
         self, worker: Worker, registered: RegisteredWorker
     ) -> None:
@@ -303,7 +343,10 @@
         self._wake_session(worker)
 
     def _add_worker(self, registered: RegisteredWorker) -> Worker:
-        worker = Worker(registered, self._foreign_until)
+        foreign_until = self._foreign_until_by_id.get(
+            registered.worker_id, self._foreign_until
+        )
+        worker = Worker(registered, foreign_until)
         self._control.fleet.worker_by_id[worker.worker_id] = worker
         session = Session(
             worker, self._control, self._orders, self._made._outside.workers
@@ -359,7 +402,7 @@
     """Ends the task group of a term."""
 
 
-def _unlisted(worker_id: WorkerId) -> RegisteredWorker:
+def _unlisted(worker_id: WorkerId, machine_id: MachineId) -> RegisteredWorker:
     """Returns a stand-in for a worker that is recorded but not registered."""
     return RegisteredWorker(
         worker_id,
@@ -371,5 +414,5 @@
         Size(),
         frozenset(),
         "",
-        MachineId(""),
+        machine_id,
     )
--- a/sardinedrift/engine/fleet.py
+++ b/sardinedrift/engine/fleet.py
@@ -173,6 +173,13 @@
         """Whether its last run failed, or nothing has ended well there."""
         return bool(self._outcomes) and not self._outcomes[-1]
 
+    def certain_end(self, now: float) -> float:
+        """Returns when every lease on it has ended, by the boot-time clock."""
+        if self.clock is None:
+            return self.foreign_lease_until
+        left_ms = self.lease_ms - self.clock.least(now)
+        return now + max(0.0, left_ms) / 1000 / (1 - SLOW_CLOCK_SHARE)
+
     def leases_over(self, now: float) -> bool:
         """Whether every lease on it has ended for certain."""
         if now < self.foreign_lease_until and not self.contacted:
--- a/sardinedrift/engine/model.py
+++ b/sardinedrift/engine/model.py
@@ -156,6 +156,7 @@
         born_ms: start of the worker's life in which the run was ordered.
         failures: runs that ended as failed.
         checkpoint: newest saved progress, or "".
+        machine_id: machine of that worker, or "".
     """
 
     occurrence: int
@@ -167,6 +168,7 @@
     born_ms: int = 0
     failures: int = 0
     checkpoint: str = ""
+    machine_id: MachineId = MachineId("")
 
 
 class Progress(msgspec.Struct, frozen=True, array_like=True):
--- a/sardinedrift/engine/work.py
+++ b/sardinedrift/engine/work.py
@@ -5,6 +5,7 @@
 from sardinedrift.engine.model import (
     ENDED_STATES,
     JobState,
+    MachineId,
     Progress,
     RunEnd,
     RunPhase,
@@ -27,6 +28,7 @@
     Attributes:
         number: rises with each run of the task.
         worker_id: worker it was placed on.
+        machine_id: machine of that worker.
         born_ms: start of that worker's life; 0 when unknown.
         phase: how far it is.
         settled_at: when it became certain whether the order was received, by
@@ -43,6 +45,7 @@
         "born_ms",
         "decided_at",
         "figure",
+        "machine_id",
         "moved_at",
         "number",
         "pace",
@@ -67,6 +70,7 @@
         self.number = number
         self.worker_id = worker_id
         self.born_ms = born_ms
+        self.machine_id = MachineId("")
         self.phase = RunPhase.DECIDED
         self.settled_at: float | None = None
         self.stop_wanted = False
@@ -164,6 +168,7 @@
             run.born_ms if run else 0,
             self.failures,
             self.checkpoint,
+            run.machine_id if run else MachineId(""),
         )
 
 
@@ -347,6 +352,7 @@
         elif record.state is TaskState.ACTIVE:
             run = Run(task, record.run, record.worker_id, record.born_ms, now)
             run.phase = RunPhase.ORDERED
+            run.machine_id = record.machine_id
             task.run = run
             self.active[task_id] = task
             self.waiting.pop(task_id, None)
--- a/tests/test_engine_failover.py
+++ b/tests/test_engine_failover.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from unittest import mock
 
+import msgspec
+
 from sardinedrift.engine import controller
 from sardinedrift.engine.catalogue import Strength
 from sardinedrift.engine.control import Control
@@ -290,6 +292,56 @@
         self.play(scenario)
 
 
+class ReplacedWorkerTest(EngineTest):
+    async def _lose_holder(self, world: World):
+        await self.wait_for(lambda: len(self.running(world)) == 3, 2.0)
+        lost = max(world.worker_by_id.values(), key=lambda w: len(w.histories))
+        lost.crash()
+        world.faults.mute.add(lost.name)
+        return lost
+
+    def test_a_later_life_of_the_machine_ends_the_earlier_one(self):
+        """Guards against a wait for leases of a life that has ended.
+
+        Found on joyjugal-shared trouble-1.
+        """
+
+        async def scenario(world, nodes):
+            await self.accept(world, nodes[0], submission("a", lasting(3)))
+            lost = await self._lose_holder(world)
+            world.add_worker("later")
+            later = world.registered_by_id["later"]
+            machine_id = world.registered_by_id[lost.name].machine_id
+            world.register(
+                msgspec.structs.replace(later, machine_id=machine_id)
+            )
+            world.unregister(lost.name)
+            await self.wait_for(lambda: len(self.running(world)) == 3, 2.5)
+
+        self.play(scenario, work_s=lambda task: None)
+
+    def test_a_wait_for_leases_goes_on_in_the_next_term(self):
+        """Guards against a wait that begins anew with each controller.
+
+        Found on joyjugal-shared trouble-1: two tasks were away for 18 s.
+        """
+
+        async def scenario(world, nodes):
+            await self.accept(world, nodes[0], submission("a", lasting(3)))
+            lost = await self._lose_holder(world)
+            lost_at = world.clock.boot()
+            world.unregister(lost.name)
+            await asyncio.sleep(3.0)
+            await self.controller(world, nodes).stop()
+            left = lost_at + LEASE_S * CLOCK_DRIFT + TAKEOVER_S
+            await self.wait_for(
+                lambda: len(self.running(world)) == 3,
+                left - world.clock.boot(),
+            )
+
+        self.play(scenario, work_s=lambda task: None)
+
+
 class WorkerLossTest(EngineTest):
     def test_tasks_of_a_silent_worker_run_again(self):
         """Guards against vain renewals that put off the end of a lease.
