Split the machinery, the controller and the tasks into smaller modules

Change: machinebook, poolreview, wavereview and operations beside machinery; roster beside controller; task beside work.

--- a/sardinedrift/engine/advising.py
+++ b/sardinedrift/engine/advising.py
@@ -11,7 +11,7 @@
 from sardinedrift.engine.fleet import Worker
 from sardinedrift.engine.model import TaskId, WorkerId
 from sardinedrift.engine.ports import AdviceService
-from sardinedrift.engine.work import Task
+from sardinedrift.engine.task import Task
 
 # The service takes time for each worker that is named.
 MOST_WORKERS = 30
--- a/sardinedrift/engine/control.py
+++ b/sardinedrift/engine/control.py
@@ -18,8 +18,9 @@
 from sardinedrift.engine.placement import TeamUse
 from sardinedrift.engine.ports import Published
 from sardinedrift.engine.progresswriter import ProgressWriter
+from sardinedrift.engine.task import Run, Task
 from sardinedrift.engine.term import Term
-from sardinedrift.engine.work import Job, Run, Task
+from sardinedrift.engine.work import Job
 from sardinedrift.identifiers import JobId, QueueId
 
 
--- a/sardinedrift/engine/controller.py
+++ b/sardinedrift/engine/controller.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 from sardinedrift.engine.advising import Advisor
 from sardinedrift.engine.catalogue import (
     JobCatalogue,
-    SilentWorker,
     TermRecord,
 )
 from sardinedrift.engine.clock import Clock
@@ -15,13 +14,11 @@
 from sardinedrift.engine.events import Event, EventLog
 from sardinedrift.engine.exceptions import StoreError
 from sardinedrift.engine.feed import Feed
-from sardinedrift.engine.fleet import SLOW_CLOCK_SHARE, Worker
-from sardinedrift.engine.machinery import Machinery, QuietMachines
+from sardinedrift.engine.fleet import SLOW_CLOCK_SHARE
+from sardinedrift.engine.machinebook import QuietMachines
+from sardinedrift.engine.machinery import Machinery
 from sardinedrift.engine.metrics import Metrics
 from sardinedrift.engine.model import (
-    MachineId,
-    RunEnd,
-    Size,
     WorkerId,
 )
 from sardinedrift.engine.orders import LEASE_MS, Orders
@@ -37,10 +34,9 @@
 )
 from sardinedrift.engine.progresswriter import ProgressWriter
 from sardinedrift.engine.retention import expired, removals
-from sardinedrift.engine.sessions import Session
+from sardinedrift.engine.roster import ForeignLeases, Roster
 from sardinedrift.engine.term import RENEWAL_S, Term
-from sardinedrift.engine.work import Job
-from sardinedrift.identifiers import DataCentreId, JobId, Offset, PoolId
+from sardinedrift.identifiers import JobId, Offset
 
 # Decisions are reviewed at least this often, for due times and ages.
 REVIEW_S = 0.25
@@ -147,7 +143,12 @@
             made._metrics,
         )
         self._orders = Orders(
-            self._control, made._outside.workers, self._wake_session
+            self._control,
+            made._outside.workers,
+            lambda worker: self._roster.wake(worker),
+        )
+        self._roster = Roster(
+            self._control, self._orders, made._outside.workers
         )
         self._control.stop = self._orders.stop_soon
         self._advisor = Advisor(
@@ -158,10 +159,7 @@
         )
         self._orders.tickets = self._advisor
         self._planner = Planner(self._control, self._orders, self._advisor)
-        self._session_by_id: dict[WorkerId, Session] = {}
-        self._group: asyncio.TaskGroup | None = None
-        self._foreign_until = term.begun_at + FOREIGN_S
-        self._foreign_until_by_id: dict[WorkerId, float] = {}
+        self._roster.foreign = ForeignLeases(term.begun_at + FOREIGN_S)
         self._quiet = QuietMachines(term.begun_at + made._machine_quiet_s, None)
         self._machinery: Machinery | None = None
 
@@ -173,7 +171,7 @@
     async def _run(self) -> None:
         try:
             async with asyncio.TaskGroup() as group:
-                self._group = group
+                self._roster.group = group
                 await self._take_over(group)
                 group.create_task(self._plan_forever())
                 group.create_task(self._remove_expired())
@@ -193,7 +191,7 @@
             self._control,
             self._made._outside.machines,
             self._made._outside.reports,
-            self._wake_session,
+            self._roster.wake,
             self._quiet,
         )
 
@@ -207,18 +205,11 @@
             self._made._log.node,
             True,
             ordered,
-            tuple(self._silent_workers()),
+            tuple(self._roster.silent_workers()),
         )
         with contextlib.suppress(StoreError):
             await self._writer.close_term(record)
 
-    def _silent_workers(self) -> Iterator[SilentWorker]:
-        now = self._clock.boot()
-        for worker in self._control.fleet.worker_by_id.values():
-            if worker.run_by_task and (worker.suspect or not worker.listed):
-                left_s = worker.certain_end(now) - now
-                yield SilentWorker(worker.worker_id, int(left_s * 1000) + 1)
-
     async def _take_over(self, group: asyncio.TaskGroup) -> None:
         end = await self._writer.fence()
         await self._made._jobs.reach(end)
@@ -235,7 +226,9 @@
             jobs=len(self._made._catalogue.known_by_id),
             records_end=end,
         )
-        registrations = self._made._outside.registrations(self._on_worker)
+        registrations = self._made._outside.registrations(
+            self._roster.take_registration
+        )
         group.create_task(registrations.run())
         await registrations.reach(Offset(0))
         self._made._catalogue.observer = self._on_job
@@ -246,15 +239,17 @@
     def _judge_predecessor(self, predecessor: TermRecord | None) -> None:
         """Shortens the waits when the last controller ended in order."""
         if predecessor is None:
-            self._foreign_until = self._term.begun_at
+            self._roster.foreign = ForeignLeases(self._term.begun_at)
             self._quiet = QuietMachines(self._term.begun_at, frozenset())
         elif predecessor.closed:
             now = self._clock.boot()
-            self._foreign_until = now + CLOSED_LEASE_S
-            self._foreign_until_by_id = {
-                silent.worker_id: now + silent.left_ms / 1000
-                for silent in predecessor.silent
-            }
+            self._roster.foreign = ForeignLeases(
+                now + CLOSED_LEASE_S,
+                {
+                    silent.worker_id: now + silent.left_ms / 1000
+                    for silent in predecessor.silent
+                },
+            )
             self._quiet = QuietMachines(
                 self._quiet.until, frozenset(predecessor.ordered)
             )
@@ -268,7 +263,7 @@
             if not self._is_over(job_id):
                 job = self._control.admit(known.submission)
             if job is not None:
-                self._attach_restored(job)
+                self._roster.attach_restored(job)
         elif known.cancelled:
             self._control.cancel(job)
 
@@ -281,93 +276,6 @@
             and not any(record.worker_id for record in progress.tasks)
         )
 
-    def _attach_restored(self, job: Job) -> None:
-        now = self._clock.boot()
-        for task in list(job.active.values()):
-            run = task.run
-            worker = self._control.fleet.worker_by_id.get(run.worker_id)
-            if worker is None:
-                worker = self._add_worker(
-                    _unlisted(run.worker_id, run.machine_id)
-                )
-                worker.listed = False
-                self._end_if_replaced(worker)
-            self._control.attach(run, worker)
-            # The token fences off every order of an earlier controller.
-            run.settled_at = now
-            if run.born_ms and run.born_ms != worker.born_ms and worker.listed:
-                self._control.finish(run, RunEnd.LAPSED)
-            elif job.ended:
-                self._orders.stop_soon(run)
-            self._wake_session(worker)
-
-    def _on_worker(
-        self, worker_id: WorkerId, registered: RegisteredWorker | None
-    ) -> None:
-        worker = self._control.fleet.worker_by_id.get(worker_id)
-        if registered is None:
-            if worker is not None:
-                worker.listed = False
-                self._end_if_replaced(worker)
-                self._wake_session(worker)
-            return
-        if worker is None:
-            worker = self._add_worker(registered)
-        else:
-            self._replace_registration(worker, registered)
-        for other in list(self._control.fleet.worker_by_id.values()):
-            self._end_if_replaced(other)
-        self._control.changed.set()
-
-    def _end_if_replaced(self, worker: Worker) -> None:
-        """Ends a worker whose machine has a later life."""
-        machine_id = worker.registered.machine_id
-        if not machine_id or worker.listed or worker.gone:
-            return
-        worker.gone = any(
-            other.listed and other.registered.machine_id == machine_id
-            for other in self._control.fleet.worker_by_id.values()
-            if other is not worker and other.born_ms > worker.born_ms
-        )
-        if worker.gone:
-            self._wake_session(worker)
-
-    def _replace_registration(
-        self, worker: Worker, registered: RegisteredWorker
-    ) -> None:
-        if registered.born_ms and registered.born_ms != worker.born_ms:
-            # A new life under the same id holds and knows nothing.
-            worker.contacted = False
-        worker.registered = registered
-        worker.listed = True
-        self._wake_session(worker)
-
-    def _add_worker(self, registered: RegisteredWorker) -> Worker:
-        foreign_until = self._foreign_until_by_id.get(
-            registered.worker_id, self._foreign_until
-        )
-        worker = Worker(registered, foreign_until)
-        self._control.fleet.worker_by_id[worker.worker_id] = worker
-        session = Session(
-            worker, self._control, self._orders, self._made._outside.workers
-        )
-        self._session_by_id[worker.worker_id] = session
-        self._group.create_task(self._follow(worker, session))
-        return worker
-
-    async def _follow(self, worker: Worker, session: Session) -> None:
-        await session.run()
-        self._session_by_id.pop(worker.worker_id, None)
-        self._control.fleet.worker_by_id.pop(worker.worker_id, None)
-        self._made._log.write(
-            Event.WORKER_LOST, worker=worker.worker_id, pool=worker.pool_id
-        )
-
-    def _wake_session(self, worker: Worker) -> None:
-        session = self._session_by_id.get(worker.worker_id)
-        if session is not None:
-            session.wake()
-
     async def _plan_forever(self) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
@@ -400,19 +308,3 @@
 
 class _TermEnded(Exception):  # noqa: N818
     """Ends the task group of a term."""
-
-
-def _unlisted(worker_id: WorkerId, machine_id: MachineId) -> RegisteredWorker:
-    """Returns a stand-in for a worker that is recorded but not registered."""
-    return RegisteredWorker(
-        worker_id,
-        PoolId(""),
-        "",
-        DataCentreId(""),
-        0,
-        True,
-        Size(),
-        frozenset(),
-        "",
-        machine_id,
-    )
--- a/sardinedrift/engine/fleet.py
+++ b/sardinedrift/engine/fleet.py
@@ -5,7 +5,7 @@
 
 from sardinedrift.engine.model import Size, TaskId, WorkerId
 from sardinedrift.engine.ports import RegisteredWorker
-from sardinedrift.engine.work import Run, Task
+from sardinedrift.engine.task import Run, Task
 from sardinedrift.identifiers import PoolId
 
 # A worker's clock may run this much slower than ours.
--- a/sardinedrift/engine/orders.py
+++ b/sardinedrift/engine/orders.py
@@ -15,7 +15,7 @@
 from sardinedrift.engine.fleet import Worker
 from sardinedrift.engine.model import RunEnd, RunPhase, TaskId
 from sardinedrift.engine.ports import Refusal, StartOrder, WorkerOrders
-from sardinedrift.engine.work import Run
+from sardinedrift.engine.task import Run
 
 # Leases reach this far ahead: beyond the election of a successor and its
 # first renewals, and no longer, since a lost worker blocks its tasks so long.
--- a/sardinedrift/engine/pacing.py
+++ b/sardinedrift/engine/pacing.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from sardinedrift.engine.work import Run
+from sardinedrift.engine.task import Run
 
 # The tail of a serving task above this share of its target slows down what
 # fills beside it,
--- a/sardinedrift/engine/placement.py
+++ b/sardinedrift/engine/placement.py
@@ -6,7 +6,8 @@
 
 from sardinedrift.engine.fleet import Worker
 from sardinedrift.engine.model import Queue, Size, Team, WorkerId
-from sardinedrift.engine.work import Job, Task, longest_chain_ms
+from sardinedrift.engine.task import Task
+from sardinedrift.engine.work import Job, longest_chain_ms
 from sardinedrift.identifiers import PoolId, QueueId, TeamId
 
 
--- a/sardinedrift/engine/planner.py
+++ b/sardinedrift/engine/planner.py
@@ -17,7 +17,8 @@
 )
 from sardinedrift.engine.preemption import Preemption
 from sardinedrift.engine.stalls import stalled
-from sardinedrift.engine.work import Job, Run, Task
+from sardinedrift.engine.task import Run, Task
+from sardinedrift.engine.work import Job
 from sardinedrift.identifiers import JobId, QueueId
 
 # A change of pace shows in the figures of the next half second.
--- a/sardinedrift/engine/preemption.py
+++ b/sardinedrift/engine/preemption.py
@@ -4,7 +4,8 @@
 
 from sardinedrift.engine.fleet import Worker
 from sardinedrift.engine.model import Queue, RunPhase
-from sardinedrift.engine.work import Job, Run, Task
+from sardinedrift.engine.task import Run, Task
+from sardinedrift.engine.work import Job
 from sardinedrift.identifiers import QueueId
 
 # Work waits this long before others give way: a free machine comes sooner.
--- a/sardinedrift/engine/stalls.py
+++ b/sardinedrift/engine/stalls.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator
 
 from sardinedrift.engine.model import RunPhase
-from sardinedrift.engine.work import Run
+from sardinedrift.engine.task import Run
 
 # Progress is reported at least each second; a task that stands still for
 # longer than two reports, and a part of its time, will not end by itself.
--- a/sardinedrift/engine/upkeep.py
+++ b/sardinedrift/engine/upkeep.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from sardinedrift.engine.model import MachineId
-from sardinedrift.engine.work import Run, Task
+from sardinedrift.engine.task import Run, Task
 
 # Short tasks are stopped too when a wave has only this long left.
 URGENT_S = 6.0
--- /dev/null
+++ b/sardinedrift/engine/wavereview.py
@@ -0,0 +1,143 @@
+"""Reviews which machines of the upkeep waves come next."""
+
+from collections.abc import Callable
+
+from sardinedrift.engine import upkeep
+from sardinedrift.engine.catalogue import WaveRecord, wave_record
+from sardinedrift.engine.control import Control
+from sardinedrift.engine.events import Event
+from sardinedrift.engine.fleet import Worker
+from sardinedrift.engine.machinebook import MachineBook, Operation
+from sardinedrift.engine.model import MachineId, WaveNumber
+from sardinedrift.engine.ports import MachineState, WaveOrder
+
+
+class WaveReview:
+    """Carries the waves through, within their bounds.
+
+    Args:
+        control: state of the term.
+        book: the machines.
+        begin: begins an operation.
+        report: tells operators that a wave runs or is completed.
+    """
+
+    def __init__(
+        self,
+        control: Control,
+        book: MachineBook,
+        begin: Callable[[Operation], None],
+        report: Callable[[WaveNumber, bool], None],
+    ):
+        self._control = control
+        self._book = book
+        self._begin = begin
+        self._report = report
+        self._seen_at: dict[WaveNumber, float] = {}
+        self._begun_by_wave: dict[WaveNumber, set[MachineId]] = {}
+        self._completed: set[WaveNumber] = set()
+        for number, record in control.catalogue.wave_by_number.items():
+            self._begun_by_wave[number] = set(record.begun)
+            if record.completed:
+                self._completed.add(number)
+
+    def note_begun(self, machine_id: MachineId, number: WaveNumber) -> None:
+        """Records that the upkeep of a machine has begun."""
+        self._begun_by_wave.setdefault(number, set()).add(machine_id)
+        self._record_wave(number)
+
+    def review(self) -> None:
+        """Begins the upkeeps that may begin now."""
+        now = self._control.clock.boot()
+        waves = self._control.published.wave_by_number
+        for number, wave in waves.items():
+            if number in self._completed:
+                continue
+            if number not in self._seen_at:
+                self._seen_at[number] = now
+                self._report(number, False)
+            self._review_wave(wave, now)
+
+    def _review_wave(self, wave: WaveOrder, now: float) -> None:
+        begun = self._begun_by_wave.setdefault(wave.number, set())
+        left = [
+            machine_id
+            for machine_id in wave.machine_ids
+            if machine_id in self._book.machine_by_id
+            and machine_id not in begun
+        ]
+        operations = [
+            each
+            for each in self._book.operation_by_id.values()
+            if each.wave == wave.number
+        ]
+        if not left and not operations:
+            self._complete(wave)
+            return
+        urgent = now > self._seen_at[wave.number] + wave.duration_s - (
+            upkeep.URGENT_S
+        )
+        for operation in operations:
+            operation.urgent = urgent
+        ordered = sum(1 for each in operations if each.ordered)
+        preparing = len(operations) - ordered
+        down = ordered + self._down_before(wave)
+        worker_by_machine = self._book.worker_by_machine()
+        machines = [
+            self._wave_machine(machine_id, worker_by_machine)
+            for machine_id in left
+            if machine_id not in self._book.operation_by_id
+            and not self._book.is_quiet(machine_id)
+        ]
+        for machine_id in upkeep.choose_next(
+            machines, preparing, down, wave.max_down
+        ):
+            operation = Operation(machine_id, wave=wave.number, urgent=urgent)
+            self._control.log.write(
+                Event.RESERVED,
+                machine=machine_id,
+                pool=self._book.machine_by_id[machine_id].pool_id,
+                wave=wave.number,
+                left=len(left),
+                down=down,
+                most=wave.max_down,
+            )
+            self._begin(operation)
+
+    def _down_before(self, wave: WaveOrder) -> int:
+        """Returns machines in upkeep that an earlier controller ordered."""
+        machines = (
+            self._book.machine_by_id.get(machine_id)
+            for machine_id in wave.machine_ids
+            if machine_id not in self._book.operation_by_id
+        )
+        return sum(
+            1
+            for machine in machines
+            if machine is not None and machine.state is MachineState.UPKEEP
+        )
+
+    def _wave_machine(
+        self, machine_id: MachineId, worker_by_machine: dict[MachineId, Worker]
+    ) -> upkeep.WaveMachine:
+        worker = worker_by_machine.get(machine_id)
+        runs = list(worker.run_by_task.values()) if worker else []
+        return upkeep.WaveMachine(
+            machine_id,
+            self._book.machine_by_id[machine_id].state is MachineState.UP,
+            len(runs),
+            sum(1 for run in runs if run.task.step.long_running),
+        )
+
+    def _complete(self, wave: WaveOrder) -> None:
+        self._completed.add(wave.number)
+        self._record_wave(wave.number)
+        self._control.log.write(Event.WAVE, wave=wave.number, completed=True)
+        self._control.writer.after(lambda: self._report(wave.number, True))
+
+    def _record_wave(self, number: WaveNumber) -> None:
+        record = WaveRecord(
+            tuple(sorted(self._begun_by_wave.get(number, ()))),
+            number in self._completed,
+        )
+        self._control.writer.add(wave_record(number, record))
