--- a/sardinedrift/engine/controller.py
+++ b/sardinedrift/engine/controller.py
@@ -74,8 +74,8 @@
         self.reports = reports
 
 
-class Controller:
-    """Runs one term.
+class ControllerParts:
+    """What a controller works with, in every term.
 
     Args:
         topic: keyed topic of the jobs.
@@ -104,68 +104,68 @@
         machine_quiet_s: float,
         status_s: float,
     ):
-        self._topic = topic
-        self._jobs = jobs
-        self._catalogue = catalogue
-        self._published = published
-        self._outside = outside
-        self._clock = clock
-        self._log = log
-        self._metrics = metrics
-        self._machine_quiet_s = machine_quiet_s
-        self._status_s = status_s
+        self.topic = topic
+        self.jobs = jobs
+        self.catalogue = catalogue
+        self.published = published
+        self.outside = outside
+        self.clock = clock
+        self.log = log
+        self.metrics = metrics
+        self.machine_quiet_s = machine_quiet_s
+        self.status_s = status_s
 
-    async def run(self, term: Term) -> None:
-        """Controls until the term ends.
 
-        Raises:
-            StoreFenced: another controller has taken over.
-        """
-        await _Reign(self, term).run()
+class TermController:
+    """Controls for one term; everything it starts ends with the term.
 
+    Args:
+        parts: what it works with.
+        term: its token and bounds.
+    """
 
-class _Reign:
-    """One term of the controller, with everything that ends with it."""
-
-    def __init__(self, controller: Controller, term: Term):
-        made = controller
-        self._made = made
+    def __init__(self, parts: ControllerParts, term: Term):
+        self._parts = parts
         self._term = term
-        self._clock = made._clock
-        self._writer = ProgressWriter(made._outside.store, made._topic, term)
+        self._clock = parts.clock
+        self._writer = ProgressWriter(parts.outside.store, parts.topic, term)
         self._control = Control(
             term,
-            made._catalogue,
+            parts.catalogue,
             self._writer,
-            made._published,
-            made._clock,
-            made._log,
-            made._metrics,
+            parts.published,
+            parts.clock,
+            parts.log,
+            parts.metrics,
         )
         self._orders = Orders(
             self._control,
-            made._outside.workers,
+            parts.outside.workers,
             lambda worker: self._roster.wake(worker),
         )
         self._roster = Roster(
-            self._control, self._orders, made._outside.workers
+            self._control, self._orders, parts.outside.workers
         )
         self._control.stop = self._orders.stop_soon
         self._advisor = Advisor(
-            made._outside.advice,
-            made._clock,
-            made._log,
+            parts.outside.advice,
+            parts.clock,
+            parts.log,
             self._control.changed.set,
         )
         self._orders.tickets = self._advisor
         self._planner = Planner(self._control, self._orders, self._advisor)
         self._roster.foreign = ForeignLeases(term.begun_at + FOREIGN_S)
-        self._quiet = QuietMachines(term.begun_at + made._machine_quiet_s, None)
+        self._quiet = QuietMachines(term.begun_at + parts.machine_quiet_s, None)
         self._machinery: Machinery | None = None
 
     async def run(self) -> None:
-        """Takes over, then plans until the term ends."""
-        with self._made._jobs.urgent():
+        """Takes over, then plans until the term ends.
+
+        Raises:
+            StoreFenced: another controller has taken over; in a group.
+        """
+        with self._parts.jobs.urgent():
             await self._run()
 
     async def _run(self) -> None:
@@ -182,15 +182,15 @@
         except* _TermEnded:
             await self._close()
         finally:
-            self._made._catalogue.observer = None
+            self._parts.catalogue.observer = None
             self._advisor.close()
             self._orders.close()
 
     def _make_machinery(self) -> Machinery:
         return Machinery(
             self._control,
-            self._made._outside.machines,
-            self._made._outside.reports,
+            self._parts.outside.machines,
+            self._parts.outside.reports,
             self._roster.wake,
             self._quiet,
         )
@@ -198,11 +198,11 @@
     async def _close(self) -> None:
         """Tells the successor that no order of this term is on its way."""
         self._orders.close()
-        since = self._clock.boot() - self._made._machine_quiet_s
+        since = self._clock.boot() - self._parts.machine_quiet_s
         ordered = self._machinery.ordered_since(since)
         record = TermRecord(
             self._term.token,
-            self._made._log.node,
+            self._parts.log.node,
             True,
             ordered,
             tuple(self._roster.silent_workers()),
@@ -212,27 +212,27 @@
 
     async def _take_over(self, group: asyncio.TaskGroup) -> None:
         end = await self._writer.fence()
-        await self._made._jobs.reach(end)
-        predecessor = self._made._catalogue.newest_term
+        await self._parts.jobs.reach(end)
+        predecessor = self._parts.catalogue.newest_term
         self._judge_predecessor(predecessor)
-        record = TermRecord(self._term.token, self._made._log.node)
+        record = TermRecord(self._term.token, self._parts.log.node)
         await self._writer.record_term(record)
-        self._made._log.write(
+        self._parts.log.write(
             Event.TERM_BEGUN,
             token=self._term.token,
             earlier_token=predecessor.token if predecessor else None,
             earlier_node=predecessor.node if predecessor else None,
             earlier_closed=predecessor.closed if predecessor else None,
-            jobs=len(self._made._catalogue.known_by_id),
+            jobs=len(self._parts.catalogue.known_by_id),
             records_end=end,
         )
-        registrations = self._made._outside.registrations(
+        registrations = self._parts.outside.registrations(
             self._roster.take_registration
         )
         group.create_task(registrations.run())
         await registrations.reach(Offset(0))
-        self._made._catalogue.observer = self._on_job
-        for job_id in list(self._made._catalogue.known_by_id):
+        self._parts.catalogue.observer = self._on_job
+        for job_id in list(self._parts.catalogue.known_by_id):
             self._on_job(job_id)
         group.create_task(self._writer.run())
 
@@ -255,7 +255,7 @@
             )
 
     def _on_job(self, job_id: JobId) -> None:
-        known = self._made._catalogue.find(job_id)
+        known = self._parts.catalogue.find(job_id)
         if known is None:
             return
         job = self._control.job_by_id.get(job_id)
@@ -268,7 +268,7 @@
             self._control.cancel(job)
 
     def _is_over(self, job_id: JobId) -> bool:
-        known = self._made._catalogue.find(job_id)
+        known = self._parts.catalogue.find(job_id)
         progress = known.progress if known else None
         return (
             progress is not None
@@ -292,9 +292,9 @@
             await asyncio.sleep(RETENTION_EVERY_S)
             for job_id in list(
                 expired(
-                    self._made._catalogue,
+                    self._parts.catalogue,
                     self._clock.unix_ms(),
-                    self._made._status_s,
+                    self._parts.status_s,
                 )
             ):
                 for record in removals(job_id):
--- a/sardinedrift/engine/term.py
+++ b/sardinedrift/engine/term.py
@@ -183,9 +183,9 @@
     async def _run_control(self, term: Term) -> None:
         try:
             await self._control(term)
-        except StoreFenced:
+        except* StoreFenced:
             self._log.write(Event.TERM_ENDED, token=term.token, reason="fenced")
-        except Exception as error:
+        except* Exception as error:
             # A fault of one term must not end the entry; the next term starts
             # from the records.
             self._log.write(Event.FAULT, where="controller", error=repr(error))
--- a/sardinedrift/platform/daemon.py
+++ b/sardinedrift/platform/daemon.py
@@ -12,7 +12,11 @@
     strength_record,
 )
 from sardinedrift.engine.clock import SystemClock
-from sardinedrift.engine.controller import Controller, Outside
+from sardinedrift.engine.controller import (
+    ControllerParts,
+    Outside,
+    TermController,
+)
 from sardinedrift.engine.entry import ConfigurationView, Entry
 from sardinedrift.engine.events import Event, EventLog
 from sardinedrift.engine.exceptions import StoreError
@@ -95,12 +99,12 @@
         keys_age_s = self._settings.bounds.revoke_ms / 1000 * KEYS_AGE_SHARE
         view = ConfigurationView(operator.current, published, keys_age_s)
         entry = Entry(view, catalogue, jobs, appender, self._clock, self._log)
-        controller = self._controller(
+        parts = self._controller_parts(
             store, order_client, jobs, catalogue, operator
         )
         candidate = Candidate(
             store,
-            controller.run,
+            lambda term: TermController(parts, term).run(),
             lambda node: stands(node, catalogue.strength_by_node),
             self._clock,
             self._log,
@@ -155,14 +159,14 @@
     def _feed(self, store: LogStore, topic: str, listener) -> Feed:
         return Feed(store, topic, listener, self._clock, self._log)
 
-    def _controller(
+    def _controller_parts(
         self,
         store: LogStore,
         client: HttpClient,
         jobs: Feed,
         catalogue: JobCatalogue,
         operator: OperatorView,
-    ) -> Controller:
+    ) -> ControllerParts:
         registrations = Registrations(
             store, self._clock, self._log, self._metrics
         )
@@ -178,7 +182,7 @@
             HttpAdvice(client, lambda: self._settings.advice),
             store,
         )
-        return Controller(
+        return ControllerParts(
             JOBS_TOPIC,
             jobs,
             catalogue,
--- /dev/null
+++ b/tests/engine_case.py
@@ -0,0 +1,68 @@
+"""Base of the tests that play the job engine in virtual time."""
+
+import asyncio
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+from sardinedrift.engine import controller
+from sardinedrift.engine.control import Control
+from sardinedrift.engine.model import JobState
+from sardinedrift.engine.orders import LEASE_MS
+from sardinedrift.identifiers import JobId
+from tests import virtual_time
+from tests.engine_node import Node
+from tests.engine_world import World
+
+LEASE_S = LEASE_MS / 1000
+# A lasting task must run again this long after its last run.
+RESTART_S = 9.0
+# A closed term is followed by the next within this time.
+TAKEOVER_S = 1.5
+CLOCK_DRIFT = 1.04
+
+
+class EngineTest(unittest.TestCase):
+    def play(self, scenario, workers: int = 3, work_s=None) -> None:
+        """Plays a scenario with three entries."""
+
+        async def body() -> None:
+            world = World(workers, work_s or (lambda task: 0.5))
+            nodes = [Node(world, f"n{number}") for number in range(3)]
+
+            def make_control(*parts):
+                world.controls.append(Control(*parts))
+                return world.controls[-1]
+
+            with mock.patch.object(controller, "Control", make_control):
+                for node in nodes:
+                    node.start()
+                await asyncio.sleep(2.0)
+                await scenario(world, nodes)
+            self.assertEqual(world.overlaps(), [])
+            self.assertEqual(world.starts_after_done(), [])
+
+        virtual_time.run(body())
+
+    def controller(self, world: World, nodes: list[Node]) -> Node:
+        owner = world.log._group_by_name["group"].owner
+        return next(node for node in nodes if node.name == owner)
+
+    async def accept(self, world: World, node: Node, job) -> None:
+        await node.entry.accept(job, world.clock.boot() + 3.0)
+
+    async def wait_for(
+        self, condition: Callable[[], bool], within_s: float
+    ) -> None:
+        try:
+            async with asyncio.timeout(within_s):
+                while not condition():  # noqa: ASYNC110
+                    await asyncio.sleep(0.01)
+        except TimeoutError:
+            self.fail(f"not within {within_s} s")
+
+    def state(self, node: Node, job: str) -> JobState:
+        return node.catalogue.known_by_id[JobId(job)].state
+
+    def running(self, world: World) -> list:
+        return [each for each in world.histories() if each.ended_at is None]
--- /dev/null
+++ b/tests/engine_node.py
@@ -0,0 +1,104 @@
+"""One entry of the in-memory deployment."""
+
+import asyncio
+import os
+
+from sardinedrift.engine.appends import GroupAppender
+from sardinedrift.engine.catalogue import JobCatalogue
+from sardinedrift.engine.controller import (
+    ControllerParts,
+    Outside,
+    TermController,
+)
+from sardinedrift.engine.entry import ConfigurationView, Entry
+from sardinedrift.engine.events import EventLog
+from sardinedrift.engine.feed import Feed
+from sardinedrift.engine.metrics import Metrics
+from sardinedrift.engine.suitability import stands
+from sardinedrift.engine.term import Candidate
+from tests.engine_fakes import FakeMachines, FakeOrders, FakeStore
+from tests.engine_world import (
+    MACHINE_QUIET_S,
+    STATUS_S,
+    TOPIC,
+    World,
+)
+
+
+class Node:
+    """One entry of the world, as a task that can be ended or killed."""
+
+    def __init__(self, world: World, name: str):
+        self.name = name
+        self._world = world
+        self.store = FakeStore(world, name)
+        # Set to a file's name, the variable shows what the entries decided.
+        path = os.environ.get("ENGINE_LOG", os.devnull)
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        log = EventLog(name, os.open(path, flags))
+        metrics = Metrics()
+        self.catalogue = JobCatalogue()
+        self.feed = Feed(
+            self.store, TOPIC, self.catalogue.take, world.clock, log
+        )
+        machines = FakeMachines(world)
+        outside = Outside(
+            self.store,
+            FakeOrders(world, name),
+            world.registrations,
+            machines,
+            machines,
+            machines,
+        )
+        parts = ControllerParts(
+            TOPIC,
+            self.feed,
+            self.catalogue,
+            world.published,
+            outside,
+            world.clock,
+            log,
+            metrics,
+            MACHINE_QUIET_S,
+            STATUS_S,
+        )
+        self.candidate = Candidate(
+            self.store,
+            lambda term: TermController(parts, term).run(),
+            lambda node: stands(node, world.strength_by_node),
+            world.clock,
+            log,
+        )
+        view = ConfigurationView(world.published.current, self.feed, 3.0)
+        self.entry = Entry(
+            view,
+            self.catalogue,
+            self.feed,
+            GroupAppender(self.store, TOPIC),
+            world.clock,
+            log,
+        )
+        self._tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Starts it."""
+        self._tasks = [
+            asyncio.create_task(work)
+            for work in (self.feed.run(), self.candidate.run())
+        ]
+
+    async def stop(self) -> None:
+        """Ends it in order."""
+        self._tasks[1].cancel()
+        await asyncio.wait([self._tasks[1]])
+        await self.candidate.leave()
+        self._tasks[0].cancel()
+
+    async def kill(self) -> None:
+        """Ends it at once: none of its last words reach anybody."""
+        self._world.faults.store_cut.add(self.name)
+        for name in self._world.worker_by_id:
+            self._world.faults.cut.add((self.name, name))
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.wait(self._tasks)
--- /dev/null
+++ b/tests/engine_samples.py
@@ -0,0 +1,61 @@
+"""Workers, jobs and plans for tests of decisions."""
+
+from sardinedrift.engine.fleet import Worker
+from sardinedrift.engine.model import (
+    MachineId,
+    Size,
+    Step,
+    WorkerId,
+)
+from sardinedrift.engine.placement import TeamUse, plan_pool
+from sardinedrift.engine.ports import (
+    RegisteredWorker,
+)
+from sardinedrift.engine.work import Job
+from sardinedrift.identifiers import DataCentreId, PoolId, TeamId
+from tests.engine_world import (
+    POOL,
+    SIZE,
+    submission,
+)
+
+OTHER_TEAM = TeamId("other")
+OTHER_POOL = PoolId("other")
+
+
+def make_worker(name: str, *labels: str, cpu: int = SIZE.cpu) -> Worker:
+    registered = RegisteredWorker(
+        WorkerId(name),
+        POOL,
+        name,
+        DataCentreId("dc"),
+        1,
+        False,
+        Size(cpu, SIZE.memory_mb),
+        frozenset(labels),
+        labels[-1] if labels else "",
+        MachineId(f"m-{name}"),
+    )
+    worker = Worker(registered, 0.0)
+    worker.contacted = True
+    return worker
+
+
+def make_job(name: str, *steps: Step, **fields) -> Job:
+    job = Job(submission(name, *steps, **fields))
+    job.open_due(0)
+    return job
+
+
+def plan(jobs, workers, use=None, now=0.0, tickets=lambda task: None):
+    """Applies a plan; returns the worker names by task."""
+    use = use or TeamUse({})
+    by_id = {worker.worker_id: worker for worker in workers}
+    placed = {}
+    for chosen in plan_pool(jobs, workers, use, now, tickets):
+        worker = by_id[chosen.worker_id]
+        task = chosen.task
+        worker.add(task.job.place(task, worker.worker_id, 1, now))
+        use.add(task.job.submission.team_id, task.step.size)
+        placed[task.task_id] = worker.worker_id
+    return placed
--- a/tests/test_engine_decisions.py
+++ b/tests/test_engine_decisions.py
@@ -1,4 +1,4 @@
-"""Decisions of batch work on typed state, without a network or a clock."""
+"""Decisions on pools, waves and runs, without a network or a clock."""
 
 import asyncio
 import os
@@ -16,232 +16,36 @@
 )
 from sardinedrift.engine.advising import Advisor
 from sardinedrift.engine.events import EventLog
-from sardinedrift.engine.fleet import Worker, WorkerClock
 from sardinedrift.engine.model import (
-    JobState,
     MachineId,
-    RunEnd,
     RunPhase,
-    Size,
     Step,
-    Team,
     WorkerId,
 )
-from sardinedrift.engine.placement import TeamUse, order_jobs, plan_pool
 from sardinedrift.engine.ports import (
     Advice,
     AdviceService,
-    RegisteredWorker,
     Ticket,
 )
-from sardinedrift.engine.work import Job, longest_chain_ms
-from sardinedrift.identifiers import DataCentreId, PoolId, TeamId
+from sardinedrift.identifiers import PoolId
 from tests import virtual_time
+from tests.engine_samples import (
+    OTHER_POOL,
+    make_job,
+    make_worker,
+    plan,
+)
 from tests.engine_world import (
     POOL,
     QUEUE,
     SIZE,
     SPARE,
-    TEAM,
     configuration,
     lasting,
     short,
     submission,
 )
 
-OTHER_TEAM = TeamId("other")
-OTHER_POOL = PoolId("other")
-
-
-def make_worker(name: str, *labels: str, cpu: int = SIZE.cpu) -> Worker:
-    registered = RegisteredWorker(
-        WorkerId(name),
-        POOL,
-        name,
-        DataCentreId("dc"),
-        1,
-        False,
-        Size(cpu, SIZE.memory_mb),
-        frozenset(labels),
-        labels[-1] if labels else "",
-        MachineId(f"m-{name}"),
-    )
-    worker = Worker(registered, 0.0)
-    worker.contacted = True
-    return worker
-
-
-def make_job(name: str, *steps: Step, **fields) -> Job:
-    job = Job(submission(name, *steps, **fields))
-    job.open_due(0)
-    return job
-
-
-def plan(jobs, workers, use=None, now=0.0, tickets=lambda task: None):
-    """Applies a plan; returns the worker names by task."""
-    use = use or TeamUse({})
-    by_id = {worker.worker_id: worker for worker in workers}
-    placed = {}
-    for chosen in plan_pool(jobs, workers, use, now, tickets):
-        worker = by_id[chosen.worker_id]
-        task = chosen.task
-        worker.add(task.job.place(task, worker.worker_id, 1, now))
-        use.add(task.job.submission.team_id, task.step.size)
-        placed[task.task_id] = worker.worker_id
-    return placed
-
-
-class PlacementTest(unittest.TestCase):
-    def test_capacity_is_not_passed(self):
-        """Guards against a worker with more work than it holds."""
-        job = make_job("a", short(40))
-        placed = plan([job], [make_worker("w0"), make_worker("w1")])
-        self.assertEqual(len(placed), 32)
-        self.assertEqual(len(job.waiting), 8)
-
-    def test_work_gathers_on_few_workers(self):
-        """Guards against work that keeps every machine from being lent."""
-        workers = [make_worker(f"w{number}") for number in range(4)]
-        placed = plan(
-            [make_job("a", short(6)), make_job("b", short(6))], workers
-        )
-        self.assertEqual(len(set(placed.values())), 1)
-
-    def test_spread_limit_holds_for_a_step(self):
-        """Guards against more tasks of a step on a worker than allowed."""
-        job = make_job("a", lasting(5, max_per_worker=2))
-        placed = plan([job], [make_worker("w0"), make_worker("w1")])
-        self.assertEqual(len(placed), 4)
-
-    def test_label_and_data_decide_the_worker(self):
-        """Guards against tasks without their label or far from their data."""
-        workers = [make_worker("w0", "a", "r1"), make_worker("w1", "b", "r2")]
-        labelled = plan([make_job("a", short(1, label="b"))], workers)
-        near = plan([make_job("b", short(1, data_rack="r1"))], workers)
-        self.assertEqual(list(labelled.values()), ["w1"])
-        self.assertEqual(list(near.values()), ["w0"])
-
-    def test_only_workers_with_a_ticket_run_an_advised_step(self):
-        """Guards against starts that a policy forbids."""
-        workers = [make_worker("w0"), make_worker("w1")]
-        permitted = frozenset({WorkerId("w1")})
-        placed = plan(
-            [make_job("a", short(2))], workers, tickets=lambda task: permitted
-        )
-        self.assertEqual(set(placed.values()), {"w1"})
-
-    def test_a_gang_starts_whole_or_not_at_all(self):
-        """Guards against members that wait for others in vain."""
-        job = make_job("a", short(17, gang=True))
-        self.assertEqual(plan([job], [make_worker("w0")]), {})
-        placed = plan([job], [make_worker("w0"), make_worker("w1")])
-        self.assertEqual(len(placed), 17)
-        self.assertEqual({t.run.number for t in job.active.values()}, {1})
-
-    def test_the_limit_of_a_team_holds_over_all_pools(self):
-        """Guards against a sum of pools above the upper limit."""
-        team = Team(TEAM, 1.0, Size(cpu=8000))
-        use = TeamUse({TEAM: team})
-        first = plan([make_job("a", short(3))], [make_worker("w0")], use)
-        second = plan([make_job("b", short(3))], [make_worker("w1")], use)
-        self.assertEqual((len(first), len(second)), (3, 1))
-
-    def test_the_team_with_least_use_for_its_weight_comes_first(self):
-        """Guards against a large team that takes a full pool alone."""
-        queues = configuration().queue_by_id
-        use = TeamUse(
-            {TEAM: Team(TEAM, 3.0), OTHER_TEAM: Team(OTHER_TEAM, 1.0)}
-        )
-        use.add(TEAM, Size(cpu=4000))
-        use.add(OTHER_TEAM, Size(cpu=2000))
-        jobs = [
-            make_job("a", short(1), team_id=OTHER_TEAM),
-            make_job("b", short(1)),
-        ]
-        ordered = order_jobs(jobs, queues, use)
-        self.assertEqual([job.job_id for job in ordered], ["b", "a"])
-
-    def test_a_worker_that_fails_everything_gets_no_more(self):
-        """Guards against attempts that are used up by one bad worker."""
-        workers = [make_worker("w0"), make_worker("w1")]
-        for _ in range(2):
-            workers[0].note_outcome(False, 10.0)
-        placed = plan([make_job("a", short(3))], workers, now=11.0)
-        self.assertEqual(set(placed.values()), {"w1"})
-
-    def test_a_retry_avoids_the_worker_of_the_failure(self):
-        """Guards against a second failure at the same place."""
-        job = make_job("a", short(1))
-        workers = [make_worker("w0"), make_worker("w1")]
-        (task_id,) = plan([job], workers)
-        failed = job.active[task_id].run
-        workers[0 if failed.worker_id == "w0" else 1].remove(failed)
-        job.end_run(job.active[task_id], RunEnd.FAILED, "", 3, 0)
-        placed = plan([job], workers)
-        self.assertNotEqual(placed[task_id], failed.worker_id)
-
-
-class JobTest(unittest.TestCase):
-    def test_recorded_progress_restores_the_job(self):
-        """Guards against work that a successor forgets or repeats."""
-        job = make_job("a", short(2), short(1, after=(0,)))
-        worker = make_worker("w0")
-        plan([job], [worker])
-        first, second = list(job.active.values())
-        job.end_run(first, RunEnd.DONE, "", 2, 0)
-        restored = Job(job.submission)
-        restored.restore(job.record(), 5.0)
-        self.assertEqual(list(restored.active), [second.task_id])
-        self.assertEqual(restored.waiting, {})
-        run = restored.active[second.task_id].run
-        self.assertEqual((run.number, run.phase), (1, RunPhase.ORDERED))
-
-    def test_a_lasting_task_waits_again_however_it_ends(self):
-        """Guards against a service task that is not started again."""
-        job = make_job("a", lasting(1))
-        for how in RunEnd:
-            (task,) = job.waiting.values()
-            job.place(task, WorkerId("w0"), 1, 0.0)
-            job.end_run(task, how, "", 1, 0)
-            self.assertEqual(len(job.waiting), 1, how)
-        self.assertIs(job.state, JobState.RUNNING)
-
-    def test_occurrences_open_when_they_are_due(self):
-        """Guards against an occurrence that starts before its time."""
-        timed = submission("a", short(1))
-        timed = type(timed)(
-            timed.job_id, QUEUE, TEAM, 0, "", timed.steps, 2, 1000, 500
-        )
-        job = Job(timed)
-        self.assertFalse(job.open_due(999))
-        self.assertTrue(job.open_due(1000))
-        self.assertEqual(len(job.waiting), 1)
-        self.assertTrue(job.open_due(1500))
-        self.assertEqual(len(job.waiting), 2)
-
-    def test_the_longest_chain_follows_dependencies(self):
-        """Guards against an objective that adds up parallel steps."""
-        steps = (short(1), short(1), short(1, after=(0,)))
-        self.assertEqual(longest_chain_ms(steps), 1000)
-
-
-class LeaseTest(unittest.TestCase):
-    def test_a_slow_clock_delays_the_certain_end(self):
-        """Guards against a lease that still holds on a slow worker."""
-        worker = make_worker("w0")
-        worker.clock = WorkerClock(1000, 0.0)
-        worker.lease_ms = 5500
-        self.assertFalse(worker.leases_over(4.55))
-        self.assertTrue(worker.leases_over(4.6))
-
-    def test_leases_of_an_earlier_controller_count(self):
-        """Guards against a run that a former controller still renews."""
-        worker = make_worker("w0")
-        worker.contacted = False
-        worker.foreign_lease_until = 7.0
-        self.assertFalse(worker.leases_over(6.9))
-        self.assertTrue(worker.leases_over(7.0))
-
 
 class CapacityTest(unittest.TestCase):
     def _stock(self, machines, need, spare=SPARE, allowed=lambda m, p: True):
