Keep the log lines of a job together under load; gauges of pools and accounts

Cause: above 400 lines of an event a second, lines were dropped whatever their job, so every job of a peak had gaps; calls to workers, the first start, pools and client accounts had no metrics; `explain` did not show the outage behind a refusal. Change: lines of jobs share a budget of 2000 a second and are sampled by a hash of the job's id; processor time of log lines is counted; one observer in the HTTP client counts all calls; histogram of the first start; gauges of pools and of the 50 accounts nearest to a limit at the controller, removed with its term; `explain` shows outages at the nodes of the job; refusals name the job. Ruled out: one budget per event, as the lines of one job are of many events.

--- a/sardinedrift/engine/control.py
+++ b/sardinedrift/engine/control.py
@@ -181,6 +181,16 @@
         self._forget_if_over(job)
         self.changed.set()
 
+    def note_start(self, job: Job) -> None:
+        """Measures how long a job waited for its first start."""
+        if job.first_start_confirmed:
+            return
+        job.first_start_confirmed = True
+        submission = job.submission
+        due_ms = max(submission.accepted_ms, submission.start_ms)
+        waited_ms = self.clock.unix_ms() - due_ms
+        self.metrics.first_start_seconds.observe(max(0, waited_ms) / 1000)
+
     def note_unanswered(self) -> None:
         """Remembers that an order went without an answer."""
         self.unanswered_at = self.clock.boot()
--- a/sardinedrift/engine/controller.py
+++ b/sardinedrift/engine/controller.py
@@ -4,6 +4,7 @@
 import contextlib
 from collections.abc import Callable
 
+from sardinedrift.engine import gauges
 from sardinedrift.engine.advising import Advisor
 from sardinedrift.engine.catalogue import (
     JobCatalogue,
@@ -175,6 +176,7 @@
                 await self._take_over(group)
                 group.create_task(self._plan_forever())
                 group.create_task(self._remove_expired())
+                group.create_task(self._show_gauges())
                 self._machinery = self._make_machinery()
                 group.create_task(self._machinery.run())
                 await self._term.wait_end()
@@ -183,6 +185,7 @@
             await self._close()
         finally:
             self._parts.catalogue.observer = None
+            gauges.clear(self._parts.metrics)
             self._advisor.close()
             self._orders.close()
 
@@ -287,6 +290,11 @@
                 self._planner.plan()
                 self._planner.review()
 
+    async def _show_gauges(self) -> None:
+        while True:
+            gauges.show(self._control, self._parts.metrics)
+            await asyncio.sleep(gauges.GAUGES_EVERY_S)
+
     async def _remove_expired(self) -> None:
         while True:
             await asyncio.sleep(RETENTION_EVERY_S)
--- a/sardinedrift/engine/events.py
+++ b/sardinedrift/engine/events.py
@@ -13,15 +13,17 @@
 import msgspec
 import prometheus_client as prometheus
 
-# Lines of one event in a second; a burst of jobs stays explainable, and the
-# volume is bounded under load.
-LINES_PER_SECOND = 400
+from sardinedrift.engine.linebudget import LineBudget
+
 # Bytes that wait for a slow reader before lines are left out.
 BUFFER_BYTES = 1 << 20
 
 _LEFT_OUT = prometheus.Counter(
     "sardinedrift_log_lines_left_out", "Log lines not written", ["event"]
 )
+_SECONDS = prometheus.Counter(
+    "sardinedrift_log_processor_seconds", "Processor time of log lines"
+)
 
 
 class Event(enum.Enum):
@@ -91,29 +93,31 @@
         self.node = node
         self._descriptor = descriptor
         self._pending = bytearray()
-        self._second = 0
-        self._written: collections.Counter[Event] = collections.Counter()
+        self._budget = LineBudget()
         self._left_out: collections.Counter[Event] = collections.Counter()
         os.set_blocking(descriptor, False)
 
     def write(self, event: Event, **fields: Any) -> None:
         """Writes one line, or counts it as left out."""
+        begun_ns = time.thread_time_ns()
         now = time.time()
-        if int(now) != self._second:
-            self._begin_second(int(now))
-        self._written[event] += 1
-        if self._written[event] > LINES_PER_SECOND:
+        if self._budget.begin(int(now)):
+            self._tell_left_out(now)
+        if self._budget.admits(event.value, fields.get("job")):
+            self._emit(now, event.value, fields, event)
+        else:
             self._leave_out(event)
-            return
-        self._emit(now, event.value, fields, event)
+        _SECONDS.inc((time.thread_time_ns() - begun_ns) / 1e9)
 
-    def _begin_second(self, second: int) -> None:
-        self._second = second
-        self._written.clear()
+    def _tell_left_out(self, now: float) -> None:
         left_out, self._left_out = self._left_out, collections.Counter()
         for event, count in left_out.items():
-            fields = {"kind": event.value, "count": count}
-            self._emit(time.time(), "lines_left_out", fields, event)
+            fields = {
+                "kind": event.value,
+                "count": count,
+                "job_share": self._budget.job_share,
+            }
+            self._emit(now, "lines_left_out", fields, event)
 
     def _emit(
         self, now: float, name: str, fields: dict[str, Any], event: Event
--- /dev/null
+++ b/sardinedrift/engine/gauges.py
@@ -0,0 +1,54 @@
+"""Gauges of what a controller knows: its pools, client accounts and term."""
+
+import heapq
+
+from sardinedrift.engine.control import Control
+from sardinedrift.engine.demand import measure
+from sardinedrift.engine.metrics import Metrics
+from sardinedrift.engine.placement import TeamUse
+
+# Only the accounts nearest to a limit are shown, so that a scrape stays small
+# with hundreds of accounts.
+TEAMS_SHOWN = 50
+GAUGES_EVERY_S = 5.0
+
+
+def show(control: Control, metrics: Metrics) -> None:
+    """Sets the gauges of a controller."""
+    metrics.gauges.labels("control_age_seconds").set(control.term.age)
+    _show_pools(control, metrics)
+    show_teams(control.use, metrics)
+
+
+def clear(metrics: Metrics) -> None:
+    """Removes the gauges of a controller after its term."""
+    metrics.gauges.labels("control_age_seconds").set(0)
+    metrics.pool_gauges.clear()
+    metrics.team_gauges.clear()
+
+
+def _show_pools(control: Control, metrics: Metrics) -> None:
+    metrics.pool_gauges.clear()
+    for pool_id, workers in control.fleet.by_pool().items():
+        gauge = metrics.pool_gauges.labels
+        gauge(pool_id, "workers").set(len(workers))
+        cpu = sum(worker.registered.capacity.cpu for worker in workers)
+        gauge(pool_id, "cpu").set(cpu)
+        free = sum(max(0, worker.free.cpu) for worker in workers)
+        gauge(pool_id, "free_cpu").set(free)
+    demand_by_pool = measure(control.job_by_id.values(), control.queues())
+    for pool_id, demand in demand_by_pool.items():
+        metrics.pool_gauges.labels(pool_id, "demand_cpu").set(demand.cpu)
+
+
+def show_teams(use: TeamUse, metrics: Metrics) -> None:
+    """Sets the gauges of the accounts nearest to a limit."""
+    metrics.team_gauges.clear()
+    nearest = heapq.nlargest(
+        TEAMS_SHOWN, use.shares(), key=lambda share: share.of_limit
+    )
+    for share in nearest:
+        gauge = metrics.team_gauges.labels
+        gauge(share.team_id, "cpu").set(share.cpu)
+        gauge(share.team_id, "limit_cpu").set(share.limit_cpu)
+        gauge(share.team_id, "of_limit").set(share.of_limit)
--- a/sardinedrift/engine/metrics.py
+++ b/sardinedrift/engine/metrics.py
@@ -13,12 +13,19 @@
         call_seconds: their latency, by operation.
         store_calls: calls to the store, by operation and outcome.
         store_seconds: their latency, by operation.
+        orders: calls to workers and to the machine and advice services, by
+            operation and outcome.
+        order_seconds: their latency, by operation.
+        first_start_seconds: time from a job's acceptance to its first
+            confirmed start.
         runs_ended: ended runs, by how.
         start_failures: starts without a confirmation, by error.
         jobs_ended: ended jobs, by state.
         job_seconds: time from acceptance to the end of a job.
         ignored_entries: entries of others that could not be used, by kind.
         gauges: current values, by name.
+        pool_gauges: what the controller knows of the pools, by pool and name.
+        team_gauges: use and limits of client accounts, by account and name.
     """
 
     def __init__(self) -> None:
@@ -29,6 +36,14 @@
             "store_calls", "Calls to the store", "operation", "outcome"
         )
         self.store_seconds = self._histogram("store_seconds", "operation")
+        self.orders = self._counter(
+            "orders",
+            "Calls to workers and services",
+            "operation",
+            "outcome",
+        )
+        self.order_seconds = self._histogram("order_seconds", "operation")
+        self.first_start_seconds = self._histogram("first_start_seconds")
         self.runs_ended = self._counter("runs_ended", "Ended runs", "how")
         self.start_failures = self._counter(
             "start_failures", "Starts without confirmation", "error"
@@ -38,12 +53,23 @@
         self.ignored_entries = self._counter(
             "ignored_entries", "Entries that could not be used", "kind"
         )
-        self.gauges = prometheus.Gauge(
-            "sardinedrift_current",
-            "Current values",
-            ["name"],
-            registry=self.registry,
+        self.gauges = self._gauge("current", "Current values", "name")
+        self.pool_gauges = self._gauge(
+            "pool", "Pools, at the controller", "pool", "name"
         )
+        self.team_gauges = self._gauge(
+            "team", "Client accounts nearest to a limit", "team", "name"
+        )
+
+    def note_store_call(self, path: str, outcome: str, seconds: float) -> None:
+        """Counts a call to the store."""
+        self.store_calls.labels(path[1:], outcome).inc()
+        self.store_seconds.labels(path[1:]).observe(seconds)
+
+    def note_order(self, path: str, outcome: str, seconds: float) -> None:
+        """Counts a call to a worker or a service."""
+        self.orders.labels(path[1:], outcome).inc()
+        self.order_seconds.labels(path[1:]).observe(seconds)
 
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
@@ -56,6 +82,11 @@
             f"sardinedrift_{name}", text, labels, registry=self.registry
         )
 
+    def _gauge(self, name: str, text: str, *labels: str):
+        return prometheus.Gauge(
+            f"sardinedrift_{name}", text, labels, registry=self.registry
+        )
+
     def _histogram(self, name: str, *labels: str):
         return prometheus.Histogram(
             f"sardinedrift_{name}",
--- a/sardinedrift/engine/orders.py
+++ b/sardinedrift/engine/orders.py
@@ -200,6 +200,7 @@
         if run.phase is RunPhase.ORDERED:
             run.phase = RunPhase.RUNNING
         job = run.task.job
+        self._control.note_start(job)
         self._control.log.write(
             Event.STARTED_RUN,
             job=job.job_id,
--- a/sardinedrift/engine/placement.py
+++ b/sardinedrift/engine/placement.py
@@ -1,6 +1,7 @@
 """Choice of the tasks to start and of their workers, without a network."""
 
 from collections.abc import Callable, Iterable, Iterator
+from typing import NamedTuple
 
 import msgspec
 
@@ -18,6 +19,21 @@
     worker_id: WorkerId
 
 
+class TeamShare(NamedTuple):
+    """Use of one client account.
+
+    Attributes:
+        cpu: thousandths of cores in use.
+        limit_cpu: most of them; 0 for any.
+        of_limit: largest used share of a limit; 0 without limits.
+    """
+
+    team_id: TeamId
+    cpu: int
+    limit_cpu: int
+    of_limit: float
+
+
 class TeamUse:
     """What each client account has running, against its upper limit.
 
@@ -36,6 +52,21 @@
         use[1] += sign * size.memory_mb
         use[2] += sign * size.accelerators
 
+    def shares(self) -> Iterator[TeamShare]:
+        """Yields what each account uses of its upper limit."""
+        for team_id, use in self._use_by_team.items():
+            team = self.team_by_id.get(team_id)
+            limit = team.limit if team else Size()
+            pairs = zip(
+                use,
+                (limit.cpu, limit.memory_mb, limit.accelerators),
+                strict=True,
+            )
+            of_limit = max(
+                (used / most for used, most in pairs if most), default=0.0
+            )
+            yield TeamShare(team_id, use[0], limit.cpu, of_limit)
+
     def allows(self, team_id: TeamId, size: Size) -> bool:
         """Whether the limit of a client account admits one more task."""
         team = self.team_by_id.get(team_id)
--- a/sardinedrift/engine/term.py
+++ b/sardinedrift/engine/term.py
@@ -57,6 +57,11 @@
         """Whether leases may still be renewed."""
         return self._in_force(RENEWAL_S)
 
+    @property
+    def age(self) -> float:
+        """Seconds since the newest confirmed join was sent."""
+        return self._clock.boot() - self._joined_at
+
     def confirm(self, joined_at: float) -> None:
         """Extends the term by a successful join, sent at that time."""
         self._joined_at = max(self._joined_at, joined_at)
@@ -71,8 +76,7 @@
         await self._end.wait()
 
     def _in_force(self, span_s: float) -> bool:
-        passed = self._clock.boot() - self._joined_at
-        return not self.ended and passed < span_s
+        return not self.ended and self.age < span_s
 
 
 class Candidate:
--- a/sardinedrift/engine/work.py
+++ b/sardinedrift/engine/work.py
@@ -58,6 +58,7 @@
         self.cancelled = False
         self.ended_ms = 0
         self.occurrence_by_number: dict[int, Occurrence] = {}
+        self.first_start_confirmed = False
         self.waiting: dict[TaskId, Task] = {}
         self.active: dict[TaskId, Task] = {}
 
@@ -176,6 +177,7 @@
         """
         self.state = progress.state
         self.started = progress.started
+        self.first_start_confirmed = progress.started
         self.ended_ms = progress.ended_ms
         occurrences = 1 + max(
             (record.occurrence for record in progress.tasks), default=-1
--- a/sardinedrift/explain.py
+++ b/sardinedrift/explain.py
@@ -9,6 +9,7 @@
 # Events that end a job or a call, the last of which explains its outcome.
 _ENDING = ("job_ended", "refused")
 _TERMS = ("term_begun", "term_ended")
+_DEPENDENCIES = ("dependency_lost", "dependency_back")
 
 
 class Line(msgspec.Struct, frozen=True, order=True):
@@ -32,7 +33,8 @@
     """What is known of a job.
 
     Attributes:
-        lines: its lines and the changes of controllers between them.
+        lines: its lines, the changes of controllers between them, and the
+            outages at the nodes that wrote them.
         decision: the line that ended it, if any.
         missing: controllers whose logs are missing.
         accepted: the log of the entry that accepted it was given.
@@ -57,14 +59,19 @@
     """
     merged = heapq.merge(*(_relevant(job_id, file) for file in files))
     lines = list(merged)
-    own = [line for line in lines if line.event not in _TERMS]
+    own = [line for line in lines if line.event not in _TERMS + _DEPENDENCIES]
     if not own:
         return Explanation([], None, [], False)
+    outages = {id(line) for line in _outages(lines, own)}
     begin, end = own[0].time, own[-1].time
     shown = [
         line
         for line in lines
-        if line.event not in _TERMS or begin <= line.time <= end
+        if id(line) in outages
+        or (
+            line.event not in _DEPENDENCIES
+            and (line.event not in _TERMS or begin <= line.time <= end)
+        )
     ]
     endings = [line for line in own if line.event in _ENDING]
     return Explanation(
@@ -75,10 +82,39 @@
     )
 
 
+def _outages(lines: list[Line], own: list[Line]) -> Iterator[Line]:
+    """Yields the losses in force while the nodes of a job wrote about it.
+
+    Their ends within that time are part of them.
+    """
+    nodes = {line.node for line in own}
+    begin, end = own[0].time, own[-1].time
+    lost_by_name: dict[tuple[str, str, str], Line] = {}
+    for line in lines:
+        if line.event not in _DEPENDENCIES or line.node not in nodes:
+            continue
+        if line.time > end:
+            break
+        name = (
+            line.node,
+            str(line.fields.get("dependency")),
+            str(line.fields.get("topic")),
+        )
+        if line.event == "dependency_lost":
+            lost_by_name[name] = line
+            continue
+        lost = lost_by_name.pop(name, None)
+        if line.time >= begin:
+            yield line
+            if lost is not None:
+                yield lost
+    yield from lost_by_name.values()
+
+
 def _relevant(job_id: str, file: IO[bytes]) -> Iterator[Line]:
     needle = job_id.encode()
     for raw in file:
-        if needle in raw or b'"term_' in raw:
+        if needle in raw or b'"term_' in raw or b'"dependency_' in raw:
             line = _parse(raw)
             if line is not None:
                 yield line
--- a/sardinedrift/platform/daemon.py
+++ b/sardinedrift/platform/daemon.py
@@ -74,8 +74,10 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload, "signal")
-        store_client = HttpClient(STORE_CONNECTIONS)
-        order_client = HttpClient(ORDER_CONNECTIONS)
+        store_client = HttpClient(
+            STORE_CONNECTIONS, self._metrics.note_store_call
+        )
+        order_client = HttpClient(ORDER_CONNECTIONS, self._metrics.note_order)
         try:
             await self._run_parts(store_client, order_client)
         finally:
@@ -89,7 +91,6 @@
             store_client,
             lambda: self._settings.store.address,
             self._settings.node,
-            self._metrics,
         )
         catalogue = JobCatalogue()
         jobs = self._feed(store, JOBS_TOPIC, catalogue.take)
--- a/sardinedrift/platform/http.py
+++ b/sardinedrift/platform/http.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import aiohttp
@@ -19,6 +20,10 @@
 BULK_S = 20.0
 
 
+# Told the path of a call, its outcome and the seconds it took.
+CallObserver = Callable[[str, str, float], None]
+
+
 class NotSent(Exception):  # noqa: N818
     """No connection was opened."""
 
@@ -63,9 +68,15 @@
 
     Args:
         per_host: most connections to one address.
+        observe: told each call.
     """
 
-    def __init__(self, per_host: int):
+    def __init__(
+        self,
+        per_host: int,
+        observe: CallObserver = lambda path, outcome, seconds: None,
+    ):
+        self._observe = observe
         self._session = _make_session(
             limit_per_host=per_host, keepalive_timeout=KEEPALIVE_S
         )
@@ -93,10 +104,10 @@
             NotSent: no connection was opened.
             NoAnswer: the outcome is unknown.
         """
-        loop = asyncio.get_running_loop()
-        progress = _Progress(loop.time())
+        progress = _Progress(asyncio.get_running_loop().time())
+        session = self._fresh if fresh else self._session
         work = self._send(
-            self._fresh if fresh else self._session,
+            session,
             progress,
             method,
             f"http://{address}{path}",
@@ -105,9 +116,31 @@
             headers={"Content-Type": "application/json", **(headers or {})},
             allow_redirects=False,
         )
+        outcome = "no_answer"
+        try:
+            answer = await self._wait(work, progress, address, timeout_s, bulk)
+            outcome = str(answer.status)
+        except NotSent:
+            outcome = "not_sent"
+            raise
+        finally:
+            took_s = asyncio.get_running_loop().time() - progress.begun_at
+            self._observe(path, outcome, took_s)
+        return answer
+
+    async def _wait(
+        self,
+        work: Coroutine[Any, Any, Answer],
+        progress: _Progress,
+        address: str,
+        timeout_s: float,
+        bulk: bool,
+    ) -> Answer:
+        """Waits for an answer until the call's deadline."""
         # The time is kept here and not by nested timeouts: the event loop can
         # raise out of the timer that cancels a connection attempt, and the
         # call would then wait for ever.
+        loop = asyncio.get_running_loop()
         task = loop.create_task(work)
         try:
             await asyncio.wait({task}, timeout=min(CONNECT_S, timeout_s))
--- a/sardinedrift/platform/jobs.py
+++ b/sardinedrift/platform/jobs.py
@@ -58,6 +58,12 @@
     return JobId(text)
 
 
+def find_job_id(path: str) -> JobId | None:
+    """Returns the id at the end of a path, or None when there is none."""
+    name = path.rpartition("/")[2]
+    return JobId(name) if _JOB_ID.fullmatch(name) else None
+
+
 def decode_job(
     body: bytes,
     job_id: JobId,
--- a/sardinedrift/platform/server.py
+++ b/sardinedrift/platform/server.py
@@ -11,7 +11,7 @@
 from sardinedrift.engine.events import Event, EventLog
 from sardinedrift.engine.exceptions import CallError
 from sardinedrift.engine.metrics import Metrics
-from sardinedrift.platform.jobs import decode_job, parse_job_id
+from sardinedrift.platform.jobs import decode_job, find_job_id, parse_job_id
 
 KEY_HEADER = "Credential"
 WAIT_HEADER = "Deadline-Ms"
@@ -144,6 +144,7 @@
             Event.REFUSED,
             method=request.method,
             path=request.path,
+            job=find_job_id(request.path),
             status=error.status,
             code=error.code,
             configuration_age_s=round(self._entry.configuration_age, 3),
--- a/sardinedrift/platform/store.py
+++ b/sardinedrift/platform/store.py
@@ -2,7 +2,6 @@
 
 import base64
 import struct
-import time
 from collections.abc import Callable, Iterator, Sequence
 
 import msgspec
@@ -15,7 +14,6 @@
     StoreRefused,
     StoreUnknown,
 )
-from sardinedrift.engine.metrics import Metrics
 from sardinedrift.engine.model import Token, WaveNumber
 from sardinedrift.engine.ports import (
     Election,
@@ -95,20 +93,14 @@
         client: connections.
         address: returns the store's address.
         node: name of this member of the group.
-        metrics: counts calls.
     """
 
     def __init__(
-        self,
-        client: HttpClient,
-        address: Callable[[], str],
-        node: str,
-        metrics: Metrics,
+        self, client: HttpClient, address: Callable[[], str], node: str
     ):
         self._client = client
         self._address = address
         self._node = node
-        self._metrics = metrics
 
     async def append(
         self, topic: str, records: Sequence[KeyedRecord]
@@ -233,8 +225,6 @@
         body: bytes = b"",
         bulk: bool = False,
     ) -> Answer:
-        begin = time.monotonic()
-        outcome = "no_answer"
         try:
             answer = await self._client.call(
                 method,
@@ -245,16 +235,10 @@
                 query,
                 bulk=bulk,
             )
-            outcome = str(answer.status)
         except NotSent as error:
             raise StoreRefused(f"not reached: {error}") from error
         except NoAnswer as error:
             raise StoreUnknown(str(error)) from error
-        finally:
-            self._metrics.store_calls.labels(path[1:], outcome).inc()
-            self._metrics.store_seconds.labels(path[1:]).observe(
-                time.monotonic() - begin
-            )
         _raise_for(answer)
         return answer
 
--- a/standins/platform/server.py
+++ b/standins/platform/server.py
@@ -36,12 +36,14 @@
         log: the store.
         store_status: status that the store answers with instead, if any.
         addresses: "host:port" by service name.
+        silent: workers that carry out orders and never answer.
     """
 
     def __init__(self) -> None:
         self.log = Log()
         self.store_status: int | None = None
         self.addresses: dict[str, str] = {}
+        self.silent: set[str] = set()
         self._worker_by_name: dict[str, Worker] = {}
         self._runners: list[web.AppRunner] = []
 
@@ -61,11 +63,15 @@
         await self._serve("machines", {("GET", "/machines"): self._machines})
 
     async def add_worker(
-        self, name: str, pool: str, work_s: Callable[[str], float | None]
+        self,
+        name: str,
+        pool: str,
+        work_s: Callable[[str], float | None],
+        fails: Callable[[str], bool] = lambda task: False,
     ) -> Worker:
         """Starts a worker and registers it."""
         born_ms = time.time_ns() // 1_000_000
-        worker = Worker(name, born_ms, 32_000, work_s)
+        worker = Worker(name, born_ms, 32_000, work_s, fails)
         self._worker_by_name[name] = worker
         routes = {
             ("POST", "/run-start"): self._order(worker, self._start),
@@ -116,9 +122,12 @@
             if name == "store" and self.store_status is not None:
                 return web.Response(status=self.store_status)
             try:
-                return await handler(request)
+                answer = await handler(request)
             except Refused as error:
-                return _json(error.status, error.body)
+                answer = _json(error.status, error.body)
+            if name in self.silent:
+                await asyncio.Event().wait()
+            return answer
 
         return guarded
 
--- a/tests/engine_node.py
+++ b/tests/engine_node.py
@@ -36,7 +36,7 @@
         path = os.environ.get("ENGINE_LOG", os.devnull)
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
         log = EventLog(name, os.open(path, flags))
-        metrics = Metrics()
+        self.metrics = metrics = Metrics()
         self.catalogue = JobCatalogue()
         self.feed = Feed(
             self.store, TOPIC, self.catalogue.take, world.clock, log
--- /dev/null
+++ b/tests/platform_case.py
@@ -0,0 +1,170 @@
+"""Base of the tests of real processes against the stand-ins."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import socket
+import sys
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+
+from standins.platform.server import Platform
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PATIENCE_S = 30.0
+JOB = "5c0e7a21d94b36f8"
+STEP = {"count": 2, "cpu": 1000, "mem_mb": 100, "estimate_ms": 100}
+CONFIGURATION = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "keyed",
+            "host": "jobs.example",
+            "path_prefix": "/q/",
+            "service": "pool",
+            "max_attempts": 2,
+        },
+        {
+            "name": "open",
+            "host": "jobs.example",
+            "path_prefix": "/open/",
+            "service": "pool",
+            "max_attempts": 2,
+            "anonymous": True,
+        },
+    ],
+    "services": [{"name": "pool"}],
+    "limits": {"max_body_bytes": 2000},
+    "tenants": [{"name": "team", "api_keys": ["key"], "weight": 1}],
+}
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class Program:
+    """One process of the program."""
+
+    def __init__(self, platform: Platform, folder: pathlib.Path, name: str):
+        self.name = name
+        self.log = folder / f"{name}.log"
+        self.settings = folder / f"{name}.conf"
+        self.process: asyncio.subprocess.Process | None = None
+        self._platform = platform
+        self.choose_addresses()
+
+    def choose_addresses(self) -> None:
+        """Takes addresses that are free now, and writes the settings."""
+        self.front, self.ready = free_address(), free_address()
+        self.metrics = free_address()
+        self.settings.write_text(
+            f"node={self.name}\nzone=zone\nip=127.0.0.1\n"
+            f"listen.front={self.front}\n"
+            f"listen.readiness_addr={self.ready}\n"
+            f"platform.address={self._platform.addresses['store']}\n"
+            f"cloud.address={self._platform.addresses['machines']}\n"
+            "new.unknown.field=1\nbounds.revoke_ms=5000\n"
+        )
+
+    async def start(self) -> None:
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "sardinedrift.platform",
+                cwd=ROOT,
+                stdout=log,
+                env={
+                    **os.environ,
+                    "SARDINEDRIFT_CONFIG": str(self.settings),
+                    "SARDINEDRIFT_METRICS": self.metrics,
+                },
+            )
+
+    async def end(self) -> None:
+        if self.process and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+    def events(self) -> list[dict]:
+        lines = self.log.read_bytes().splitlines()
+        return [json.loads(line) for line in lines]
+
+
+class PlatformTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        stack = await self.enterAsyncContext(contextlib.AsyncExitStack())
+        self.folder = pathlib.Path(
+            stack.enter_context(tempfile.TemporaryDirectory())
+        )
+        self.platform = Platform()
+        await self.platform.start()
+        stack.push_async_callback(self.platform.aclose)
+        self.work_s = 0.1
+        await self.platform.add_worker("w0", "pool", lambda task: self.work_s)
+        self.platform.publish("keyed.op", "config", CONFIGURATION)
+        self.session = await stack.enter_async_context(aiohttp.ClientSession())
+        self.stack = stack
+
+    async def start(self, *names: str) -> list[Program]:
+        programs = [Program(self.platform, self.folder, name) for name in names]
+        for program in programs:
+            await program.start()
+            self.stack.push_async_callback(program.end)
+        for program in programs:
+            await self.eventually(lambda p=program: self.is_up(p))
+        return programs
+
+    async def is_up(self, program: Program) -> bool:
+        # Another process may have taken a port since it was chosen.
+        if program.process.returncode is not None:
+            program.choose_addresses()
+            await program.start()
+        return await self.is_ready(program)
+
+    async def is_ready(self, program: Program) -> bool:
+        try:
+            url = f"http://{program.ready}/ready"
+            async with self.session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def eventually(self, check: Callable[[], Awaitable[bool]]) -> None:
+        async with asyncio.timeout(PATIENCE_S):
+            while not await check():  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+
+    async def controller(self, programs: list[Program]) -> Program:
+        """Returns the entry that placed the first task."""
+
+        def placed(program: Program) -> bool:
+            return any(e["event"] == "placed" for e in program.events())
+
+        async def found() -> bool:
+            return any(placed(program) for program in programs)
+
+        await self.eventually(found)
+        return next(program for program in programs if placed(program))
+
+    async def call(
+        self, program: Program, method: str, path: str, body=None, key="key"
+    ) -> tuple[int, dict]:
+        headers = {"Host": "jobs.example", "Credential": key}
+        data = body if isinstance(body, bytes | None) else json.dumps(body)
+        async with self.session.request(
+            method, f"http://{program.front}{path}", data=data, headers=headers
+        ) as response:
+            return response.status, await response.json()
+
+    async def state(self, program: Program, job: str = JOB) -> str:
+        status, body = await self.call(program, "GET", f"/q/{job}")
+        return body["state"] if status == 200 else str(status)
--- /dev/null
+++ b/tests/test_engine_logs.py
@@ -0,0 +1,109 @@
+"""Bounds of logs and metrics."""
+
+import asyncio
+import unittest
+
+from sardinedrift.engine import gauges
+from sardinedrift.engine.linebudget import JOB_LINES_PER_SECOND, LineBudget
+from sardinedrift.engine.metrics import Metrics
+from sardinedrift.engine.model import Size, Team
+from sardinedrift.engine.placement import TeamUse
+from sardinedrift.identifiers import TeamId
+from tests.engine_case import EngineTest
+from tests.engine_world import POOL, TEAM, lasting, submission
+
+LINES_PER_JOB = 5
+
+
+def write_second(budget: LineBudget, second: int, jobs: int) -> dict[str, int]:
+    """Offers lines of many jobs; returns the written ones by job."""
+    budget.begin(second)
+    written: dict[str, int] = {}
+    for _ in range(LINES_PER_JOB):
+        for number in range(jobs):
+            job_id = f"{second:08x}{number:08x}"
+            if budget.admits("placed", job_id):
+                written[job_id] = written.get(job_id, 0) + 1
+    return written
+
+
+class LineBudgetTest(unittest.TestCase):
+    def test_lines_of_a_job_stay_together_under_load(self):
+        """Guards against logs in which every job has gaps."""
+        budget = LineBudget()
+        for second in range(1, 9):
+            written = write_second(budget, second, 4000)
+            total = sum(written.values())
+            self.assertLessEqual(total, JOB_LINES_PER_SECOND)
+        self.assertGreater(len(written), 50)
+        self.assertEqual(set(written.values()), {LINES_PER_JOB})
+
+    def test_all_jobs_are_written_again_after_the_load(self):
+        """Guards against a sample that outlasts its cause."""
+        budget = LineBudget()
+        write_second(budget, 1, 4000)
+        self.assertLess(budget.job_share, 1.0)
+        for second in range(2, 20):
+            written = write_second(budget, second, 10)
+        self.assertEqual(len(written), 10)
+
+    def test_nodes_keep_the_same_jobs(self):
+        """Guards against jobs of which each node wrote another half."""
+        kept = []
+        for jobs in (1500, 6000):
+            budget = LineBudget()
+            for second in range(1, 9):
+                write_second(budget, second, jobs)
+            second = 9
+            kept.append(write_second(budget, second, 1500).keys())
+        self.assertLess(len(kept[1]), len(kept[0]))
+        self.assertLessEqual(kept[1], kept[0])
+
+    def test_an_event_without_a_job_is_bounded_alone(self):
+        """Guards against a flood of one event that hides the others."""
+        budget = LineBudget()
+        budget.begin(1)
+        written = sum(budget.admits("refused", None) for _ in range(5000))
+        self.assertLessEqual(written, 400)
+        self.assertTrue(budget.admits("elected", None))
+
+
+class GaugeTest(EngineTest):
+    def test_a_controller_shows_pools_and_teams(self):
+        """Guards against gauges that stay after control was lost."""
+
+        async def scenario(world, nodes):
+            await self.accept(world, nodes[0], submission("a", lasting(2)))
+            await asyncio.sleep(gauges.GAUGES_EVERY_S + 1)
+            controller = self.controller(world, nodes)
+            text = controller.metrics.render().decode()
+            for gauge in (
+                f'sardinedrift_pool{{name="workers",pool="{POOL}"}}',
+                f'sardinedrift_pool{{name="demand_cpu",pool="{POOL}"}} 4000.0',
+                f'sardinedrift_team{{name="cpu",team="{TEAM}"}} 4000.0',
+                "sardinedrift_first_start_seconds_count 1.0",
+            ):
+                self.assertIn(gauge, text)
+            await controller.stop()
+            text = controller.metrics.render().decode()
+            self.assertNotIn("sardinedrift_pool{", text)
+            self.assertNotIn("sardinedrift_team{", text)
+
+        self.play(scenario, work_s=lambda task: None)
+
+    def test_hundreds_of_teams_stay_a_bounded_number_of_series(self):
+        """Guards against a scrape that grows with the client accounts."""
+        teams = {
+            TeamId(f"t{number}"): Team(
+                TeamId(f"t{number}"), 1.0, Size(cpu=1000)
+            )
+            for number in range(600)
+        }
+        use = TeamUse(teams)
+        for number, team_id in enumerate(teams):
+            use.add(team_id, Size(cpu=number))
+        metrics = Metrics()
+        gauges.show_teams(use, metrics)
+        text = metrics.render().decode()
+        self.assertEqual(text.count("sardinedrift_team{"), 150)
+        self.assertIn('sardinedrift_team{name="of_limit",team="t599"}', text)
