Add a soak: random faults on real processes, promises checked from outside

The stand-ins got lives of workers, clocks that drift, lost answers, a rebalance; the process wrapper of the tests moved beside them. SIGHUP is ignored until an entry can reload: it ended entries that had just started. Also splits the long start of the daemon into its steps.

--- a/sardinedrift/platform/daemon.py
+++ b/sardinedrift/platform/daemon.py
@@ -4,6 +4,7 @@
 import gc
 import os
 import signal
+from typing import NamedTuple
 
 from sardinedrift.engine.appends import GroupAppender
 from sardinedrift.engine.catalogue import (
@@ -46,11 +47,26 @@
 # Readiness is withdrawn this long before listening ends, so that the balancer
 # sends no more connections.
 UNREADY_S = 0.5
+# Share of the grace time in which calls on their way are served; the rest is
+# for handing control over before and for ending after.
+GRACE_SHARE = 0.6
 METRICS_PORT = 7000
 # Overrides the address of the metrics, for several entries on one machine.
 METRICS_VARIABLE = "SARDINEDRIFT_METRICS"
 
 
+class _Parts(NamedTuple):
+    """The parts of an entry that run."""
+
+    catalogue: JobCatalogue
+    jobs: Feed
+    published: Feed
+    appender: GroupAppender
+    entry: Entry
+    candidate: Candidate
+    server: Server
+
+
 class Daemon:
     """One entry.
 
@@ -87,6 +103,33 @@
     async def _run_parts(
         self, store_client: HttpClient, order_client: HttpClient
     ) -> None:
+        parts = self._make_parts(store_client, order_client)
+        await self._listen(parts.server)
+        # Control ends before the rest, so that another entry takes it over.
+        control = asyncio.create_task(parts.candidate.run())
+        tasks = [
+            asyncio.create_task(work)
+            for work in (
+                parts.jobs.run(),
+                parts.published.run(),
+                self._watch_settings(),
+                self._tell_strength(parts.appender),
+                self._measure(parts),
+            )
+        ]
+        gc.freeze()
+        self._log.write(Event.STARTED, zone=self._settings.zone)
+        await self._wait([control, *tasks])
+        self._log.write(Event.STOPPING)
+        await self._drain(parts, control)
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        self._log.write(Event.STOPPED)
+
+    def _make_parts(
+        self, store_client: HttpClient, order_client: HttpClient
+    ) -> _Parts:
         store = LogStore(
             store_client,
             lambda: self._settings.store.address,
@@ -100,17 +143,22 @@
         keys_age_s = self._settings.bounds.revoke_ms / 1000 * KEYS_AGE_SHARE
         view = ConfigurationView(operator.current, published, keys_age_s)
         entry = Entry(view, catalogue, jobs, appender, self._clock, self._log)
-        parts = self._controller_parts(
+        control = self._controller_parts(
             store, order_client, jobs, catalogue, operator
         )
         candidate = Candidate(
             store,
-            lambda term: TermController(parts, term).run(),
+            lambda term: TermController(control, term).run(),
             lambda node: stands(node, catalogue.strength_by_node),
             self._clock,
             self._log,
         )
         server = Server(entry, self._clock, self._log, self._metrics)
+        return _Parts(
+            catalogue, jobs, published, appender, entry, candidate, server
+        )
+
+    async def _listen(self, server: Server) -> None:
         listen = self._settings.listen
         await server.listen_callers(listen.front)
         if listen.ready:
@@ -120,32 +168,16 @@
                 METRICS_VARIABLE, f"{self._settings.ip}:{METRICS_PORT}"
             )
         )
-        tasks = [
-            asyncio.create_task(work)
-            for work in (
-                jobs.run(),
-                published.run(),
-                candidate.run(),
-                self._watch_settings(),
-                self._tell_strength(appender),
-                self._measure(entry, candidate, catalogue),
-            )
-        ]
-        gc.freeze()
-        self._log.write(Event.STARTED, zone=self._settings.zone)
-        await self._wait(tasks)
-        self._log.write(Event.STOPPING)
-        server.draining = True
-        tasks[2].cancel()
-        await asyncio.wait([tasks[2]])
-        await candidate.leave()
+
+    async def _drain(self, parts: _Parts, control: asyncio.Task) -> None:
+        """Hands control over, then serves the calls on their way."""
+        parts.server.draining = True
+        control.cancel()
+        await asyncio.wait([control])
+        await parts.candidate.leave()
         await asyncio.sleep(UNREADY_S)
-        await server.aclose(self._settings.bounds.grace_s * 0.6)
-        await appender.aclose()
-        for task in tasks:
-            task.cancel()
-        await asyncio.wait(tasks)
-        self._log.write(Event.STOPPED)
+        await parts.server.aclose(self._settings.bounds.grace_s * GRACE_SHARE)
+        await parts.appender.aclose()
 
     async def _wait(self, tasks: list[asyncio.Task]) -> None:
         """Waits for a signal; a part that ends by itself is an error."""
@@ -196,17 +228,16 @@
             self._settings.bounds.status_s,
         )
 
-    async def _measure(
-        self, entry: Entry, candidate: Candidate, catalogue: JobCatalogue
-    ) -> None:
+    async def _measure(self, parts: _Parts) -> None:
         """Keeps the gauges current."""
+        entry = parts.entry
         gauge = self._metrics.gauges.labels
         while True:
             gauge("configuration_age_seconds").set(entry.configuration_age)
             gauge("jobs_age_seconds").set(entry.feed_age)
             gauge("ready").set(entry.ready)
-            gauge("controls").set(candidate.controls)
-            gauge("known_jobs").set(len(catalogue.known_by_id))
+            gauge("controls").set(parts.candidate.controls)
+            gauge("known_jobs").set(len(parts.catalogue.known_by_id))
             await asyncio.sleep(MEASURE_S)
 
     async def _tell_strength(self, appender: GroupAppender) -> None:
--- a/standins/platform/log.py
+++ b/standins/platform/log.py
@@ -159,6 +159,12 @@
         self._expire(group, ttl_s, now)
         return group.owner, list(group.joined_at_by_member)
 
+    def rebalance(self, name: str) -> None:
+        """Takes all partitions of a group back; the next to join owns."""
+        group = self._group_by_name.setdefault(name, Group())
+        group.owner = ""
+        group.generation += 1
+
     def leave(self, name: str, member: str) -> None:
         """Leaves a group."""
         group = self._group_by_name.setdefault(name, Group())
--- a/standins/platform/server.py
+++ b/standins/platform/server.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from standins.platform.log import Log, Refused
-from standins.platform.worker import Worker
+from standins.platform.worker import RunHistory, Worker
 
 _LENGTH = struct.Struct(">I")
 _HEADER = struct.Struct(">QQ")
@@ -36,6 +36,8 @@
         log: the store.
         store_status: status that the store answers with instead, if any.
         addresses: "host:port" by service name.
+        loses_answers: the store does what it is asked and breaks the
+            connection.
         silent: workers that carry out orders and never answer.
     """
 
@@ -43,9 +45,11 @@
         self.log = Log()
         self.store_status: int | None = None
         self.addresses: dict[str, str] = {}
+        self.loses_answers = False
         self.silent: set[str] = set()
+        self._past_workers: list[Worker] = []
         self._worker_by_name: dict[str, Worker] = {}
-        self._runners: list[web.AppRunner] = []
+        self._runner_by_name: dict[str, web.AppRunner] = {}
 
     async def start(self) -> None:
         """Starts the store and the service of machines."""
@@ -68,10 +72,21 @@
         pool: str,
         work_s: Callable[[str], float | None],
         fails: Callable[[str], bool] = lambda task: False,
+        clock_rate: float = 1.0,
+        advertised: str = "",
     ) -> Worker:
-        """Starts a worker and registers it."""
+        """Starts a worker, or a new life of one, and registers it.
+
+        Args:
+            name: its id.
+            pool: the pool it serves.
+            work_s: seconds that a task takes, or None when it lasts.
+            fails: whether a run ends as failed.
+            clock_rate: how fast its clock goes.
+            advertised: the address that is registered, if not its own.
+        """
         born_ms = time.time_ns() // 1_000_000
-        worker = Worker(name, born_ms, 32_000, work_s, fails)
+        worker = Worker(name, born_ms, 32_000, work_s, fails, clock_rate)
         self._worker_by_name[name] = worker
         routes = {
             ("POST", "/run-start"): self._order(worker, self._start),
@@ -81,7 +96,7 @@
         address = await self._serve(name, routes)
         registration = {
             "service": pool,
-            "address": address,
+            "address": advertised or address,
             "zone": "zone",
             "state": "ready",
             "capacity": {"cpu": 32_000, "mem_mb": 64_000, "gpu": 0},
@@ -92,6 +107,23 @@
         self.publish("keyed.servers", name, registration)
         return worker
 
+    @property
+    def worker_names(self) -> set[str]:
+        """Names of the workers that are up."""
+        return set(self._worker_by_name)
+
+    async def crash_worker(self, name: str) -> None:
+        """Ends the life of a worker; its address refuses connections."""
+        worker = self._worker_by_name.pop(name)
+        worker.crash()
+        self._past_workers.append(worker)
+        await self._runner_by_name.pop(name).cleanup()
+
+    def histories(self) -> list[RunHistory]:
+        """Returns the runs of all lives of all workers."""
+        workers = [*self._past_workers, *self._worker_by_name.values()]
+        return [run for worker in workers for run in worker.histories]
+
     def publish(self, topic: str, key: str, value: dict) -> None:
         """Writes a record of an operator or a worker."""
         content = bytes((len(key),)) + key.encode() + json.dumps(value).encode()
@@ -99,7 +131,7 @@
 
     async def aclose(self) -> None:
         """Ends all services."""
-        for runner in self._runners:
+        for runner in self._runner_by_name.values():
             await runner.cleanup()
 
     async def _serve(
@@ -112,7 +144,7 @@
         await runner.setup()
         site = web.TCPSite(runner, "127.0.0.1", 0)
         await site.start()
-        self._runners.append(runner)
+        self._runner_by_name[name] = runner
         port = runner.addresses[0][1]
         self.addresses[name] = f"127.0.0.1:{port}"
         return self.addresses[name]
@@ -125,6 +157,9 @@
                 answer = await handler(request)
             except Refused as error:
                 answer = _json(error.status, error.body)
+            lost = name == "store" and self.loses_answers
+            if lost and request.transport is not None:
+                request.transport.abort()
             if name in self.silent:
                 await asyncio.Event().wait()
             return answer
--- a/standins/platform/worker.py
+++ b/standins/platform/worker.py
@@ -9,13 +9,18 @@
 
 @dataclasses.dataclass
 class RunHistory:
-    """One run as it happened, in loop time."""
+    """One run as it happened, in loop time.
+
+    Attributes:
+        noted: the controller has taken note of the end.
+    """
 
     task: str
     run: int
     started_at: float
     ended_at: float | None = None
     how: str = ""
+    noted: bool = False
 
 
 @dataclasses.dataclass
@@ -35,6 +40,7 @@
         work_s: seconds that a task takes, by its name; None for a task that
             lasts.
         fails: whether a run ends as failed, by task name.
+        clock_rate: how fast its clock goes.
 
     Attributes:
         alive: it runs, and answers who reaches it.
@@ -47,6 +53,7 @@
         cpu: int,
         work_s: Callable[[str], float | None],
         fails: Callable[[str], bool] = lambda task: False,
+        clock_rate: float = 1.0,
     ):
         self.name = name
         self.born_ms = born_ms
@@ -55,6 +62,7 @@
         self.histories: list[RunHistory] = []
         self._work_s = work_s
         self._fails = fails
+        self._clock_rate = clock_rate
         self._loop = asyncio.get_running_loop()
         self._born_at = self._loop.time()
         self._token = 0
@@ -62,13 +70,15 @@
         self._running_by_task: dict[str, _Running] = {}
         self._refused_up_to: dict[str, int] = {}
         self._ended: list[list] = []
+        self._history_by_number: dict[int, RunHistory] = {}
         self._number = 0
         self._changed = asyncio.Event()
 
     @property
     def clock_ms(self) -> int:
         """Its own clock."""
-        return int((self._loop.time() - self._born_at) * 1000) + 1000
+        age_s = self._loop.time() - self._born_at
+        return int(age_s * self._clock_rate * 1000) + 1000
 
     def start(
         self, task: str, run: int, cpu: int, deadline_ms: int, token: int
@@ -112,7 +122,7 @@
         """Renews the lease; returns what runs and what has ended."""
         self._check_token(token)
         self._expire()
-        self._ended = [row for row in self._ended if row[0] > seen]
+        self._note(seen)
         if deadline_ms is not None:
             self._extend(deadline_ms)
         if wait_s and not self._ended:
@@ -128,6 +138,13 @@
         ]
         return running, [list(row) for row in self._ended[:500]]
 
+    def _note(self, seen: int) -> None:
+        """Drops the ends that the controller has taken note of."""
+        for row in self._ended:
+            if row[0] <= seen:
+                self._history_by_number.pop(row[0]).noted = True
+        self._ended = [row for row in self._ended if row[0] > seen]
+
     def crash(self) -> None:
         """Ends the life; nothing runs any more."""
         self.alive = False
@@ -136,7 +153,7 @@
 
     def _extend(self, deadline_ms: int) -> None:
         self._lease_ms = max(self._lease_ms, deadline_ms)
-        delay = (self._lease_ms - self.clock_ms) / 1000
+        delay = (self._lease_ms - self.clock_ms) / 1000 / self._clock_rate
         self._loop.call_later(max(0.0, delay) + 0.001, self._expire)
 
     def _expire(self) -> None:
@@ -160,4 +177,5 @@
         self._refused_up_to[task] = running.history.run
         self._number += 1
         self._ended.append([self._number, task, running.history.run, how, ""])
+        self._history_by_number[self._number] = running.history
         self._changed.set()
--- /dev/null
+++ b/standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults on real processes, with promises checked from outside."""
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -3,19 +3,16 @@
 import asyncio
 import contextlib
 import json
-import os
 import pathlib
-import socket
-import sys
 import tempfile
 import unittest
 from collections.abc import Awaitable, Callable
 
 import aiohttp
 
+from standins.platform.program import Program
 from standins.platform.server import Platform
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
 PATIENCE_S = 30.0
 JOB = "5c0e7a21d94b36f8"
 STEP = {"count": 2, "cpu": 1000, "mem_mb": 100, "estimate_ms": 100}
@@ -44,61 +41,6 @@
 }
 
 
-def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
-class Program:
-    """One process of the program."""
-
-    def __init__(self, platform: Platform, folder: pathlib.Path, name: str):
-        self.name = name
-        self.log = folder / f"{name}.log"
-        self.settings = folder / f"{name}.conf"
-        self.process: asyncio.subprocess.Process | None = None
-        self._platform = platform
-        self.choose_addresses()
-
-    def choose_addresses(self) -> None:
-        """Takes addresses that are free now, and writes the settings."""
-        self.front, self.ready = free_address(), free_address()
-        self.metrics = free_address()
-        self.settings.write_text(
-            f"node={self.name}\nzone=zone\nip=127.0.0.1\n"
-            f"listen.front={self.front}\n"
-            f"listen.readiness_addr={self.ready}\n"
-            f"platform.address={self._platform.addresses['store']}\n"
-            f"cloud.address={self._platform.addresses['machines']}\n"
-            "new.unknown.field=1\nbounds.revoke_ms=5000\n"
-        )
-
-    async def start(self) -> None:
-        with self.log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "sardinedrift.platform",
-                cwd=ROOT,
-                stdout=log,
-                env={
-                    **os.environ,
-                    "SARDINEDRIFT_CONFIG": str(self.settings),
-                    "SARDINEDRIFT_METRICS": self.metrics,
-                },
-            )
-
-    async def end(self) -> None:
-        if self.process and self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
-
-    def events(self) -> list[dict]:
-        lines = self.log.read_bytes().splitlines()
-        return [json.loads(line) for line in lines]
-
-
 class PlatformTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         stack = await self.enterAsyncContext(contextlib.AsyncExitStack())
@@ -114,8 +56,14 @@
         self.session = await stack.enter_async_context(aiohttp.ClientSession())
         self.stack = stack
 
+    def make_program(self, name: str) -> Program:
+        addresses = self.platform.addresses
+        return Program(
+            self.folder, name, addresses["store"], addresses["machines"]
+        )
+
     async def start(self, *names: str) -> list[Program]:
-        programs = [Program(self.platform, self.folder, name) for name in names]
+        programs = [self.make_program(name) for name in names]
         for program in programs:
             await program.start()
             self.stack.push_async_callback(program.end)
--- a/tests/test_platform_explain.py
+++ b/tests/test_platform_explain.py
@@ -1,12 +1,12 @@
 """The way from a job's id to its cause, by the logs of real processes."""
 
 from sardinedrift import explain
+from standins.platform.program import Program
 from tests.platform_case import (
     CONFIGURATION,
     JOB,
     STEP,
     PlatformTest,
-    Program,
 )
 
 BAD_POOL = {
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -4,22 +4,20 @@
 import os
 import pathlib
 import signal
-import sys
 import tempfile
 import unittest
 
 import aiohttp
 
 from sardinedrift import explain
+from standins.platform.program import Program
 from standins.platform.server import Platform
 from tests.platform_case import (
     CONFIGURATION,
     JOB,
     PATIENCE_S,
-    ROOT,
     STEP,
     PlatformTest,
-    Program,
 )
 
 
@@ -174,6 +172,32 @@
         await self.eventually(self._fault(entry, "settings"))
         self.assertTrue(await self.is_ready(entry), entry.events())
 
+    async def test_a_reload_during_the_start_does_not_end_it(self):
+        """Guards against entries that a reload right after a restart ends.
+
+        Found by the soak: signals reached processes that still started.
+        """
+        program = self.make_program("n0")
+        settings = program.settings.read_bytes()
+        program.settings.unlink()
+        # Opening a pipe to read waits for a writer, and holds up the start.
+        os.mkfifo(program.settings)
+        await program.start()
+        self.stack.push_async_callback(program.end)
+
+        async def ignores_reloads() -> bool:
+            return bool(_ignored_signals(program) & (1 << signal.SIGHUP - 1))
+
+        await self.eventually(ignores_reloads)
+        program.process.send_signal(signal.SIGHUP)
+        regular = program.settings.with_suffix(".new")
+        regular.write_bytes(settings)
+        with program.settings.open("wb") as pipe:
+            regular.replace(program.settings)
+            pipe.write(settings)
+        await self.eventually(lambda: self.is_ready(program))
+        self.assertIsNone(program.process.returncode)
+
     def _fault(self, entry: Program, where: str):
         async def found() -> bool:
             return any(e.get("where") == where for e in entry.events())
@@ -181,6 +205,15 @@
         return found
 
 
+def _ignored_signals(program: Program) -> int:
+    """Returns the mask of the signals that a process ignores."""
+    status = pathlib.Path(f"/proc/{program.process.pid}/status").read_text()
+    (line,) = [
+        line for line in status.splitlines() if line.startswith("SigIgn")
+    ]
+    return int(line.split()[1], 16)
+
+
 class StandardOutputTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_reader_that_stops_costs_no_request(self):
         """Guards against a process that waits for the reader of its log."""
@@ -190,20 +223,14 @@
         await platform.add_worker("w0", "pool", lambda task: 0.01)
         platform.publish("keyed.op", "config", CONFIGURATION)
         with tempfile.TemporaryDirectory() as folder:
-            program = Program(platform, pathlib.Path(folder), "n0")
-            read, write = os.pipe()
-            program.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "sardinedrift.platform",
-                cwd=ROOT,
-                stdout=write,
-                env={
-                    **os.environ,
-                    "SARDINEDRIFT_CONFIG": str(program.settings),
-                    "SARDINEDRIFT_METRICS": program.metrics,
-                },
+            program = Program(
+                pathlib.Path(folder),
+                "n0",
+                platform.addresses["store"],
+                platform.addresses["machines"],
             )
+            read, write = os.pipe()
+            await program.start(write)
             os.close(write)
             try:
                 await self._load(program)
