Find workers by machine, greet and move a bounded number at once

Cause: at 3,003 workers the controller's work grew with the square of the fleet (each move polled a scan of all workers, each registration scanned all twice, each start weighed the whole pool), and at the beginning of a term it asked all workers at once, more than could be answered within the limit. Change: the fleet keeps an index by machine; empty workers are an ordered list that is searched only when no worker in use is free of drawbacks; at most 64 first reports at once, workers with runs ahead; at most 200 operations.

--- a/sardinedrift/engine/fleet.py
+++ b/sardinedrift/engine/fleet.py
@@ -1,9 +1,9 @@
 """Workers in the controller's memory: room, runs, leases and health."""
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
-from sardinedrift.engine.model import Size, TaskId, WorkerId
+from sardinedrift.engine.model import MachineId, Size, TaskId, WorkerId
 from sardinedrift.engine.ports import RegisteredWorker
 from sardinedrift.engine.task import Run, Task
 from sardinedrift.identifiers import PoolId
@@ -214,10 +214,58 @@
 
 
 class Fleet:
-    """All workers, by id."""
+    """All workers, by id and by machine.
+
+    Attributes:
+        worker_by_id: the workers; to be changed by `add` and `remove` only.
+    """
 
     def __init__(self) -> None:
         self.worker_by_id: dict[WorkerId, Worker] = {}
+        self._lives_by_machine: dict[MachineId, list[Worker]] = {}
+
+    def add(self, worker: Worker) -> None:
+        """Takes a worker in."""
+        self.worker_by_id[worker.worker_id] = worker
+        machine_id = worker.registered.machine_id
+        if machine_id:
+            self._lives_by_machine.setdefault(machine_id, []).append(worker)
+
+    def remove(self, worker: Worker) -> None:
+        """Removes a worker."""
+        del self.worker_by_id[worker.worker_id]
+        self._leave_machine(worker)
+
+    def register(self, worker: Worker, registered: RegisteredWorker) -> None:
+        """Replaces the registration of a worker."""
+        self._leave_machine(worker)
+        worker.registered = registered
+        self.add(worker)
+
+    def lives_on(self, machine_id: MachineId) -> Sequence[Worker]:
+        """Returns the workers that a machine had and has, as known."""
+        return self._lives_by_machine.get(machine_id, ())
+
+    def present_on(self, machine_id: MachineId) -> Worker | None:
+        """Returns the present worker of a machine.
+
+        A worker whose registration is missing may run on: the store can lose
+        registrations for a while.
+        """
+        present = None
+        for worker in self.lives_on(machine_id):
+            if not worker.gone and (worker.listed or present is None):
+                present = worker
+        return present
+
+    def _leave_machine(self, worker: Worker) -> None:
+        machine_id = worker.registered.machine_id
+        if not machine_id:
+            return
+        lives = self._lives_by_machine[machine_id]
+        lives.remove(worker)
+        if not lives:
+            del self._lives_by_machine[machine_id]
 
     def of_pool(self, pool_id: PoolId) -> list[Worker]:
         """Returns the workers of a pool."""
--- a/sardinedrift/engine/machinebook.py
+++ b/sardinedrift/engine/machinebook.py
@@ -5,7 +5,6 @@
 from sardinedrift.engine.control import Control
 from sardinedrift.engine.events import Event
 from sardinedrift.engine.exceptions import OrderError
-from sardinedrift.engine.fleet import Worker
 from sardinedrift.engine.model import MachineId, WaveNumber
 from sardinedrift.engine.ports import Machine, MachineService
 from sardinedrift.identifiers import PoolId
@@ -96,21 +95,6 @@
             return
         self.machine_by_id = {each.machine_id: each for each in machines}
 
-    def worker_by_machine(self) -> dict[MachineId, Worker]:
-        """Returns the present worker of each machine.
-
-        A worker whose registration is missing may run on: the store can lose
-        registrations for a while.
-        """
-        worker_by_machine: dict[MachineId, Worker] = {}
-        for worker in self._control.fleet.worker_by_id.values():
-            machine_id = worker.registered.machine_id
-            if not worker.gone and (
-                worker.listed or machine_id not in worker_by_machine
-            ):
-                worker_by_machine[machine_id] = worker
-        return worker_by_machine
-
     def spare_pool(self) -> PoolId | None:
         """Returns the pool whose machines are off, if any."""
         configuration = self._control.published.current()
--- a/sardinedrift/engine/operations.py
+++ b/sardinedrift/engine/operations.py
@@ -56,7 +56,7 @@
     async def carry_out(self, operation: Operation) -> None:
         """Carries out an operation from its beginning to its end."""
         machine_id = operation.machine_id
-        worker = self._book.worker_by_machine().get(machine_id)
+        worker = self._control.fleet.present_on(machine_id)
         if worker is not None:
             worker.reserved = True
         try:
@@ -142,7 +142,7 @@
         sent_at = clock.boot()
         while clock.boot() < sent_at + BACK_S:
             await asyncio.sleep(LOOK_S)
-            worker = self._book.worker_by_machine().get(operation.machine_id)
+            worker = self._control.fleet.present_on(operation.machine_id)
             if worker is not None and worker is not before:
                 if worker.contacted:
                     return
--- a/sardinedrift/engine/placement.py
+++ b/sardinedrift/engine/placement.py
@@ -152,14 +152,17 @@
         now: boot-time clock in seconds.
         tickets: workers that advice permits for a task; None for any.
     """
-    candidates = [worker for worker in workers if worker.may_take(now)]
+    candidates = _Candidates(
+        worker for worker in workers if worker.may_take(now)
+    )
     for job in jobs:
         refused: set[int] = set()
         for task in list(job.waiting.values()):
             if task.task_id not in job.waiting or task.task_id.step in refused:
                 continue
             if task.step.gang:
-                yield from _plan_gang(task, candidates, use, now, tickets)
+                group = candidates.all()
+                yield from _plan_gang(task, group, use, now, tickets)
                 refused.add(task.task_id.step)
                 continue
             worker = _choose(task, candidates, use, now, tickets(task))
@@ -169,27 +172,78 @@
                 yield Assignment(task, worker.worker_id)
 
 
+class _Candidates:
+    """Workers that may take tasks: those in use, and the empty ones.
+
+    The empty ones are kept in the order in which equal ones are chosen, so
+    that a large pool of them is not looked through for each task.
+    """
+
+    def __init__(self, workers: Iterable[Worker]):
+        self._used: list[Worker] = []
+        self._empty: list[Worker] = []
+        for worker in workers:
+            (self._used if worker.run_by_task else self._empty).append(worker)
+        self._empty.sort(key=lambda each: (each.free.cpu, each.worker_id))
+
+    def all(self) -> list[Worker]:
+        """Returns all of them."""
+        return [*self._used, *self._empty]
+
+    def best(self, task: Task, fits: Callable[[Worker], bool]) -> Worker | None:
+        """Returns the cheapest worker that fits a task."""
+        best = min(
+            filter(fits, self._used),
+            key=lambda each: _cost(task, each),
+            default=None,
+        )
+        # One in use without a drawback comes before any empty one.
+        if best is not None and not any(_drawbacks(task, best)):
+            return best
+        empty = self._best_empty(task, fits)
+        if empty is None:
+            return best
+        if best is not None and _cost(task, best) < _cost(task, empty):
+            return best
+        self._empty.remove(empty)
+        self._used.append(empty)
+        return empty
+
+    def _best_empty(
+        self, task: Task, fits: Callable[[Worker], bool]
+    ) -> Worker | None:
+        fitting = filter(fits, self._empty)
+        found = []
+        for worker in fitting:
+            if not any(_drawbacks(task, worker)):
+                return worker
+            found.append(worker)
+        return min(found, key=lambda each: _cost(task, each), default=None)
+
+
 def _choose(
     task: Task,
-    candidates: list[Worker],
+    candidates: _Candidates,
     use: TeamUse,
     now: float,
     permitted: frozenset[WorkerId] | None,
 ) -> Worker | None:
     if not use.allows(task.job.submission.team_id, task.step.size):
         return None
-    fitting = (
-        worker
-        for worker in candidates
-        if worker.may_take(now)
-        and worker.has_room(task)
-        and worker.could_hold(task)
-        and (permitted is None or worker.worker_id in permitted)
-    )
-    return min(fitting, key=lambda each: _cost(task, each), default=None)
 
+    def fits(worker: Worker) -> bool:
+        return (
+            worker.has_room(task)
+            and worker.may_take(now)
+            and worker.could_hold(task)
+            and (permitted is None or worker.worker_id in permitted)
+        )
+
+    return candidates.best(task, fits)
 
-def _cost(task: Task, worker: Worker) -> tuple:
+
+def _drawbacks(task: Task, worker: Worker) -> tuple[bool, ...]:
+    """Returns what speaks against a worker, the gravest first."""
     step = task.step
     away = bool(step.data_rack) and step.data_rack not in (
         worker.registered.labels
@@ -200,6 +254,12 @@
         worker.doubtful,
         step.fills and worker.serving > 0,
         step.target_ms > 0 and worker.filling > 0,
+    )
+
+
+def _cost(task: Task, worker: Worker) -> tuple:
+    return (
+        *_drawbacks(task, worker),
         # Workers that long-running tasks hold come first, then those in use,
         # the fullest of them, so that others become empty and can be lent.
         not worker.lasting,
--- a/sardinedrift/engine/planner.py
+++ b/sardinedrift/engine/planner.py
@@ -81,6 +81,8 @@
             job_id: at for job_id, at in self._told_at.items() if job_id in jobs
         }
         for worker in self._control.fleet.worker_by_id.values():
+            if not worker.run_by_task:
+                continue
             for run in list(stalled(worker.run_by_task.values(), now)):
                 self._stop_stalled(run, worker, now)
             self._pace(worker, now)
--- a/sardinedrift/engine/poolreview.py
+++ b/sardinedrift/engine/poolreview.py
@@ -1,5 +1,6 @@
 """Reviews which machines change their pool."""
 
+import itertools
 from collections.abc import Callable
 
 from sardinedrift.engine.capacity import (
@@ -17,6 +18,9 @@
 from sardinedrift.engine.ports import Machine, MachineState
 from sardinedrift.identifiers import PoolId
 
+# Moves begin while fewer operations are on their way; each is watched.
+MOST_OPERATIONS = 200
+
 
 class PoolReview:
     """Weighs what the pools have against what they need.
@@ -45,13 +49,13 @@
     def review(self) -> None:
         """Begins the moves that are worth it now."""
         stock = self._stock()
-        for move in decide_moves(stock):
+        room = MOST_OPERATIONS - len(self._book.operation_by_id)
+        for move in itertools.islice(decide_moves(stock), max(0, room)):
             self._begin_move(move, stock)
 
     def _stock(self) -> Stock:
         now = self._control.clock.boot()
         spare = self._book.spare_pool()
-        worker_by_machine = self._book.worker_by_machine()
         views = []
         have: dict[PoolId, int] = {}
         for machine in self._book.machine_by_id.values():
@@ -59,7 +63,7 @@
             pool_id = machine.pool_id
             if operation is not None and operation.pool_id is not None:
                 pool_id = operation.pool_id
-            worker = worker_by_machine.get(machine.machine_id)
+            worker = self._control.fleet.present_on(machine.machine_id)
             if self._counts(machine, operation, worker, spare):
                 have[pool_id] = have.get(pool_id, 0) + 1
             if operation is not None or machine.state is not MachineState.UP:
@@ -67,7 +71,7 @@
                 continue
             if self._book.is_quiet(machine.machine_id):
                 continue
-            idle_s = self._idle_span(machine.machine_id, worker_by_machine, now)
+            idle_s = self._idle_span(machine.machine_id, worker, now)
             off = machine.pool_id == spare
             movable_s = self._movable_span(worker, now)
             views.append(
@@ -129,10 +133,9 @@
     def _idle_span(
         self,
         machine_id: MachineId,
-        worker_by_machine: dict[MachineId, Worker],
+        worker: Worker | None,
         now: float,
     ) -> float | None:
-        worker = worker_by_machine.get(machine_id)
         if worker is None or not worker.contacted or worker.run_by_task:
             self._idle_since.pop(machine_id, None)
             return None
--- a/sardinedrift/engine/roster.py
+++ b/sardinedrift/engine/roster.py
@@ -17,6 +17,10 @@
 from sardinedrift.engine.work import Job
 from sardinedrift.identifiers import DataCentreId, PoolId
 
+# Idle workers that are asked for the first time at once. More would be
+# answered later than the time limit of a call, and be asked again.
+MOST_GREETINGS = 64
+
 
 class ForeignLeases(msgspec.Struct, frozen=True):
     """Until when an earlier controller may have renewed leases.
@@ -51,6 +55,7 @@
         self._control = control
         self._orders = orders
         self._port = port
+        self._greetings = asyncio.Semaphore(MOST_GREETINGS)
         self._session_by_id: dict[WorkerId, Session] = {}
         self.foreign = ForeignLeases(float("inf"))
         self.group: asyncio.TaskGroup | None = None
@@ -70,7 +75,8 @@
             worker = self._add_worker(registered)
         else:
             self._replace_registration(worker, registered)
-        for other in list(self._control.fleet.worker_by_id.values()):
+        fleet = self._control.fleet
+        for other in list(fleet.lives_on(registered.machine_id)):
             self._end_if_replaced(other)
         self._control.changed.set()
 
@@ -113,8 +119,8 @@
         if not machine_id or worker.listed or worker.gone:
             return
         worker.gone = any(
-            other.listed and other.registered.machine_id == machine_id
-            for other in self._control.fleet.worker_by_id.values()
+            other.listed
+            for other in self._control.fleet.lives_on(machine_id)
             if other is not worker and other.born_ms > worker.born_ms
         )
         if worker.gone:
@@ -126,14 +132,16 @@
         if registered.born_ms and registered.born_ms != worker.born_ms:
             # A new life under the same id holds and knows nothing.
             worker.contacted = False
-        worker.registered = registered
+        self._control.fleet.register(worker, registered)
         worker.listed = True
         self.wake(worker)
 
     def _add_worker(self, registered: RegisteredWorker) -> Worker:
         worker = Worker(registered, self.foreign.of(registered.worker_id))
-        self._control.fleet.worker_by_id[worker.worker_id] = worker
-        session = Session(worker, self._control, self._orders, self._port)
+        self._control.fleet.add(worker)
+        session = Session(
+            worker, self._control, self._orders, self._port, self._greetings
+        )
         self._session_by_id[worker.worker_id] = session
         self.group.create_task(self._follow(worker, session))
         return worker
@@ -141,7 +149,7 @@
     async def _follow(self, worker: Worker, session: Session) -> None:
         await session.run()
         self._session_by_id.pop(worker.worker_id, None)
-        self._control.fleet.worker_by_id.pop(worker.worker_id, None)
+        self._control.fleet.remove(worker)
         self._control.log.write(
             Event.WORKER_LOST, worker=worker.worker_id, pool=worker.pool_id
         )
--- a/sardinedrift/engine/sessions.py
+++ b/sardinedrift/engine/sessions.py
@@ -41,6 +41,8 @@
         control: state of the term.
         orders: stops what must not run.
         port: asks for reports.
+        greetings: bounds how many idle workers are asked for the first time
+            at once.
     """
 
     def __init__(
@@ -49,11 +51,13 @@
         control: Control,
         orders: Orders,
         port: WorkerOrders,
+        greetings: asyncio.Semaphore,
     ):
         self._worker = worker
         self._control = control
         self._orders = orders
         self._port = port
+        self._greetings = greetings
         self._wake = asyncio.Event()
         self._stored = asyncio.Event()
         self._taken = 0
@@ -70,7 +74,11 @@
                 self._wake.clear()
                 await self._wake.wait()
                 continue
-            await self._ask()
+            if self._worker.contacted or self._worker.run_by_task:
+                await self._ask()
+            else:
+                async with self._greetings:
+                    await self._ask()
             if self._taken > self._worker.seen:
                 await self._wait_stored()
 
--- a/sardinedrift/engine/wavereview.py
+++ b/sardinedrift/engine/wavereview.py
@@ -6,7 +6,6 @@
 from sardinedrift.engine.catalogue import WaveRecord, wave_record
 from sardinedrift.engine.control import Control
 from sardinedrift.engine.events import Event
-from sardinedrift.engine.fleet import Worker
 from sardinedrift.engine.machinebook import MachineBook, Operation
 from sardinedrift.engine.model import MachineId, WaveNumber
 from sardinedrift.engine.ports import MachineState, WaveOrder
@@ -82,9 +81,8 @@
         ordered = sum(1 for each in operations if each.ordered)
         preparing = len(operations) - ordered
         down = ordered + self._down_before(wave)
-        worker_by_machine = self._book.worker_by_machine()
         machines = [
-            self._wave_machine(machine_id, worker_by_machine)
+            self._wave_machine(machine_id)
             for machine_id in left
             if machine_id not in self._book.operation_by_id
             and not self._book.is_quiet(machine_id)
@@ -117,10 +115,8 @@
             if machine is not None and machine.state is MachineState.UPKEEP
         )
 
-    def _wave_machine(
-        self, machine_id: MachineId, worker_by_machine: dict[MachineId, Worker]
-    ) -> upkeep.WaveMachine:
-        worker = worker_by_machine.get(machine_id)
+    def _wave_machine(self, machine_id: MachineId) -> upkeep.WaveMachine:
+        worker = self._control.fleet.present_on(machine_id)
         runs = list(worker.run_by_task.values()) if worker else []
         return upkeep.WaveMachine(
             machine_id,
--- /dev/null
+++ b/tests/test_engine_scale.py
@@ -0,0 +1,160 @@
+"""What a controller does as fleets grow, by counts and not by time."""
+
+import asyncio
+import functools
+import random
+from unittest import mock
+
+from sardinedrift.engine import machinery, placement, poolreview, roster
+from sardinedrift.engine.fleet import Fleet, Worker
+from sardinedrift.engine.machinebook import MachineBook
+from sardinedrift.engine.model import Size, Step
+from tests.engine_case import EngineTest
+from tests.engine_fakes import FakeOrders
+from tests.engine_samples import make_job, make_worker
+from tests.engine_world import lasting, submission
+
+WORKERS = 400
+
+
+class ScaleTest(EngineTest):
+    def test_the_first_reports_are_asked_for_a_few_at_a_time(self):
+        """Guards against a takeover whose own calls time out in a large fleet.
+
+        Found by a sweep at 3,003 workers.
+        """
+        counts = {"now": 0, "most": 0}
+        renew = FakeOrders.renew
+
+        async def count(orders, worker, *arguments, **options):
+            counts["now"] += 1
+            counts["most"] = max(counts["most"], counts["now"])
+            try:
+                return await renew(orders, worker, *arguments, **options)
+            finally:
+                counts["now"] -= 1
+
+        async def scenario(world, nodes):
+            await asyncio.sleep(3.0)
+            controls = world.controls[-1]
+            workers = controls.fleet.worker_by_id.values()
+            self.assertTrue(all(worker.contacted for worker in workers))
+
+        with mock.patch.object(FakeOrders, "renew", count):
+            self.play(scenario, workers=WORKERS)
+        self.assertLessEqual(counts["most"], roster.MOST_GREETINGS)
+
+    def test_workers_with_runs_are_asked_before_the_others(self):
+        """Guards against leases that lapse while idle workers are greeted."""
+
+        async def scenario(world, nodes):
+            await self.accept(world, nodes[0], submission("a", lasting(6)))
+            await asyncio.sleep(3.0)
+            with mock.patch.object(roster, "MOST_GREETINGS", 1):
+                for name, worker in world.worker_by_id.items():
+                    if not worker.histories:
+                        world.faults.mute.add(name)
+                        continue
+                    # A new controller learns of them after all others.
+                    registered = world.registered_by_id.pop(name)
+                    world.registered_by_id[name] = registered
+                await self.controller(world, nodes).kill()
+                await asyncio.sleep(8.0)
+            self.assertEqual(len(self.running(world)), 6)
+            self.assertEqual(len(world.histories()), 6)
+
+        # Without moves the idle workers stay.
+        with mock.patch.object(poolreview, "MOST_OPERATIONS", 0):
+            self.play(scenario, workers=60, work_s=lambda task: None)
+
+    def test_registrations_look_at_their_own_machine_only(self):
+        """Guards against takeovers whose work grows with the fleet squared."""
+        looked = 0
+        original = roster.Roster._end_if_replaced
+
+        def count(instance, worker):
+            nonlocal looked
+            looked += 1
+            original(instance, worker)
+
+        async def scenario(world, nodes):
+            await asyncio.sleep(0.1)
+
+        with mock.patch.object(roster.Roster, "_end_if_replaced", count):
+            self.play(scenario, workers=WORKERS)
+        self.assertLessEqual(looked, 4 * WORKERS)
+
+    def test_few_moves_are_on_their_way_at_once(self):
+        """Guards against a controller that watches thousands of moves."""
+        most = 0
+        machinebooks: list[MachineBook] = []
+
+        async def scenario(world, nodes):
+            nonlocal most
+            for _ in range(200):
+                await asyncio.sleep(0.05)
+                operations = machinebooks[-1].operation_by_id
+                most = max(most, len(operations))
+
+        def make_book(*parts):
+            machinebooks.append(MachineBook(*parts))
+            return machinebooks[-1]
+
+        with (
+            mock.patch.object(poolreview, "MOST_OPERATIONS", 20),
+            mock.patch.object(machinery, "MachineBook", make_book),
+        ):
+            self.play(scenario, workers=WORKERS)
+        self.assertGreater(most, 0)
+        self.assertLessEqual(most, 20)
+
+    def test_the_present_worker_of_a_machine_is_the_listed_one(self):
+        """Guards against orders to an earlier life of a machine."""
+        fleet = Fleet()
+        first, second = make_worker("w0"), make_worker("w1")
+        second.registered = first.registered
+        fleet.add(first)
+        fleet.add(second)
+        machine_id = first.registered.machine_id
+        first.listed = False
+        self.assertIs(fleet.present_on(machine_id), second)
+        second.listed = False
+        self.assertIs(fleet.present_on(machine_id), first)
+        first.gone = True
+        self.assertIs(fleet.present_on(machine_id), second)
+        fleet.remove(second)
+        self.assertIsNone(fleet.present_on(machine_id))
+
+    def test_the_choice_is_the_cheapest_of_all_workers(self):
+        """Guards against a search that passes over a better worker."""
+        chance = random.Random(7)
+        for _ in range(60):
+            racks = ("r0", "r1")
+            workers = [
+                make_worker(
+                    f"w{number}",
+                    chance.choice(racks),
+                    cpu=chance.choice((4000, 8000)),
+                )
+                for number in range(12)
+            ]
+            step = Step(
+                10, Size(1000, 10), 100, data_rack=chance.choice(("", "r0"))
+            )
+            job = make_job("a", step)
+            candidates = placement._Candidates(workers)
+            for task in list(job.waiting.values()):
+                task.failed_on = {
+                    worker.worker_id
+                    for worker in workers
+                    if chance.random() < 0.2
+                }
+                fitting = [each for each in workers if each.has_room(task)]
+                expected = min(
+                    fitting, key=lambda each: placement._cost(task, each)
+                )
+                chosen = candidates.best(
+                    task, functools.partial(Worker.has_room, task=task)
+                )
+                self.assertIs(chosen, expected)
+                chosen.add(job.place(task, chosen.worker_id, 1, 0.0))
