Count an end as noted only while its lease lasts, in the stand-in worker

Cause: seeds 200 and 201 reported a start after an end: the controller had lost a worker until its lease was over, started the tasks elsewhere, and read of the old ends when the worker came back. The platform's rule leaves such ends out: an end whose lease lapsed before it was noted never counts. Change: the stand-in forgets, for the check, the ends from before a lapse. Ruled out: a start before the lease was over (explain shows `lapsed` 4.5 s after the last renewal, then the second run).

--- a/standins/platform/worker.py
+++ b/standins/platform/worker.py
@@ -12,7 +12,8 @@
     """One run as it happened, in loop time.
 
     Attributes:
-        noted: the controller has taken note of the end.
+        noted: the controller has taken note of the end, and the lease had
+            not lapsed in between.
     """
 
     task: str
@@ -142,7 +143,9 @@
         """Drops the ends that the controller has taken note of."""
         for row in self._ended:
             if row[0] <= seen:
-                self._history_by_number.pop(row[0]).noted = True
+                history = self._history_by_number.pop(row[0], None)
+                if history is not None:
+                    history.noted = True
         self._ended = [row for row in self._ended if row[0] > seen]
 
     def crash(self) -> None:
@@ -158,6 +161,8 @@
 
     def _expire(self) -> None:
         if self.clock_ms >= self._lease_ms:
+            # Ends from before may be taken as lapsed, whoever reads of them.
+            self._history_by_number.clear()
             for task in list(self._running_by_task):
                 self._end(task, "lapsed")
 
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -6,14 +6,20 @@
 import tempfile
 
 import click
+import yaml
 
 from standins.soak.run import Plan, play
 
+CASES = pathlib.Path(__file__).with_name("regressions.yaml")
+
 
 @click.command()
 @click.option("--seed", "seeds", type=int, multiple=True, default=(1,))
 @click.option("--seeds-from", type=int, help="First of a range of seeds.")
 @click.option("--count", type=int, default=10, help="Seeds of the range.")
+@click.option(
+    "--regressions", is_flag=True, help="Play the seeds that ever failed."
+)
 @click.option("--seconds", type=float, default=20.0, help="Time with faults.")
 @click.option("--entries", type=int, default=3)
 @click.option("--workers", type=int, default=4)
@@ -28,6 +34,7 @@
     seeds: tuple[int, ...],
     seeds_from: int | None,
     count: int,
+    regressions: bool,
     seconds: float,
     entries: int,
     workers: int,
@@ -42,6 +49,8 @@
     """
     if seeds_from is not None:
         seeds = tuple(range(seeds_from, seeds_from + count))
+    if regressions:
+        seeds = tuple(case["seed"] for case in yaml.safe_load(CASES.open()))
     broken = 0
     for seed in seeds:
         plan = Plan(
