Don't rely on the order in which the store's loss is noticed, in a test

Cause: test_a_refusal_is_explained_by_the_lost_store took the first outage that is shown as the store's; the election notices the same loss at its own time, and is first in some runs. Change: the test asks that the store is among the outages shown, and as before that all of them are of the refusing node.

--- a/tests/test_platform_explain.py
+++ b/tests/test_platform_explain.py
@@ -53,7 +53,8 @@
         self.assertEqual(told.decision.fields["code"], "store_unavailable")
         lost = [e for e in told.lines if e.event == "dependency_lost"]
         self.assertEqual({line.node for line in lost}, {"n0"})
-        self.assertEqual(lost[0].fields["dependency"], "store")
+        # The election may notice first.
+        self.assertIn("store", {line.fields["dependency"] for line in lost})
 
     async def test_a_late_job_is_explained_by_the_silent_worker(self):
         """Guards against a delay that no log connects with its worker."""
