--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Cases of the independent review."""
--- /dev/null
+++ b/review/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and its minions, shared by the cases' scripts."""
