Stop a run whose start is unanswered when its repetition is refused

Cause: a start is sent up to three times, and the refusal of a later attempt was taken as the outcome of all.

Change: such a refusal stops the run, like attempts that are all unanswered. A worker that has accepted a stop rejects the run from then on, so the task waits for that or for the end of the lease. "old" still settles a run.

Ruled out: a lost lease or an order of another term; the log has one term, and the second placement follows the report after the refusal.

--- a/sardinedrift/engine/orders.py
+++ b/sardinedrift/engine/orders.py
@@ -270,10 +270,14 @@
         if reason is Refusal.FENCED:
             self._control.term.end()
             return
-        if reason is Refusal.OLD or maybe_sent:
+        if reason is Refusal.OLD:
             # An earlier attempt may have started the run, and it may have
             # ended since; the worker's next report shows it.
             run.settled_at = self._control.clock.boot()
+        elif maybe_sent:
+            # The refusal says nothing of an earlier attempt, which the worker
+            # may carry out until it has accepted a stop.
+            self._begin_stop(run)
         else:
             self._control.finish(run, RunEnd.LAPSED)
         if reason is Refusal.TICKET and self.advisor is not None:
--- a/tests/engine_fakes.py
+++ b/tests/engine_fakes.py
@@ -211,6 +211,9 @@
             loop.call_later(delay, _ignore_refusal, start)
             await asyncio.sleep(0.6)
             raise OrderUnknown("no answer")
+        if self._world.faults.refused_starts:
+            self._world.faults.refused_starts -= 1
+            raise OrderRefused(Refusal.UNHEALTHY)
         _convert_refusal(start)
 
     async def stop(
--- a/tests/engine_world.py
+++ b/tests/engine_world.py
@@ -75,6 +75,8 @@
             decision to send an order to the machine service and the sending.
         late_start: delays in seconds of the next starts, which are carried out
             but not answered.
+        refused_starts: number of next starts, after those of `late_start`, that
+            an unhealthy worker refuses.
         lost_appends: number of next appends that are carried out but not
             answered.
         lost_joins: the same for joins.
@@ -90,6 +92,7 @@
         default_factory=dict
     )
     late_start: list[float] = dataclasses.field(default_factory=list)
+    refused_starts: int = 0
     lost_appends: int = 0
     lost_joins: int = 0
 
--- a/tests/test_engine_workers.py
+++ b/tests/test_engine_workers.py
@@ -160,6 +160,32 @@
 
         self.run_scenario(scenario)
 
+    def test_a_refused_repetition_does_not_settle_a_late_start(self):
+        """Guards against a start that is carried out beside its successor.
+
+        A start was left without an answer, and its repetition was refused by
+        the worker as unhealthy. The task was placed on another worker while the
+        first start could still be carried out.
+        """
+
+        async def scenario(world, nodes):
+            keeper = submission("k", long_running(3, max_per_worker=1))
+            await self.accept(world, nodes[0], keeper)
+            await self.wait_for(lambda: len(self.running(world)) == 3, 5.0)
+            for delay_ms in (700, 900, 1500, 2500):
+                world.faults.late_start = [delay_ms / 1000]
+                world.faults.refused_starts = 1
+                job = submission(f"j{delay_ms}", short(1))
+                await self.accept(world, nodes[0], job)
+                await asyncio.sleep(LEASE_S * CLOCK_DRIFT + 3.0)
+                state = self.state(nodes[0], f"j{delay_ms}")
+                self.assertIs(state, JobState.COMPLETED)
+
+        self.run_scenario(
+            scenario,
+            task_duration_s=lambda task: None if task[0] == "k" else 0.5,
+        )
+
     def test_recorded_leases_are_never_shorter_than_sent(self):
         """Guards against ending a run that its worker still has a lease for.
 
