Record the tasks of large jobs in blocks

Cause: the progress of a job was one record with a row for each task that ever had a run.

Change: the tasks of a job of more than 128 are recorded in blocks of 128, of which only the changed ones are written. The state of the job follows them, and a restored job whose blocks show its end is ended. Records of earlier versions are taken over. platform.record_bytes is read: a submission above it is refused with 413, as it would fail the call that it shares with others; other records above it are left out and logged, not repeated.

--- a/sardinedrift/engine/appends.py
+++ b/sardinedrift/engine/appends.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from sardinedrift.engine.exceptions import RecordTooLarge
 from sardinedrift.engine.storeports import KeyedRecord, RecordStore
 
 # Maximum number of concurrent calls; more than one, so that a lost answer does
@@ -37,9 +38,13 @@
         """Appends one record.
 
         Raises:
+            RecordTooLarge: it exceeds the limit, and was not sent: the store
+                would refuse it with all other records of the call.
             StoreRefused: nothing was appended.
             StoreUnknown: the record may have been or may still be appended.
         """
+        if not self._store.can_hold(record):
+            raise RecordTooLarge(f"{record.key}: {record.size} bytes")
         result = asyncio.get_running_loop().create_future()
         self._pending.append(_PendingAppend(record, result))
         self._start_calls()
--- a/sardinedrift/engine/catalogue.py
+++ b/sardinedrift/engine/catalogue.py
@@ -12,10 +12,16 @@
     MachineId,
     Progress,
     Submission,
+    TaskRecord,
     WaveNumber,
     WorkerId,
 )
 from sardinedrift.engine.storeports import KeyedRecord
+from sardinedrift.engine.taskblocks import (
+    BlockId,
+    format_block_id,
+    parse_block_id,
+)
 from sardinedrift.identifiers import JobId, QueueId, TeamId
 
 
@@ -25,6 +31,7 @@
     SUBMISSION = "j"
     CANCEL = "c"
     PROGRESS = "p"
+    TASKS = "b"
     WAVE = "w"
     TERM = "t"
     ENTRY = "n"
@@ -114,6 +121,7 @@
 _KIND_LETTERS = frozenset(kind.value for kind in KeyKind)
 _submission_decoder = msgspec.msgpack.Decoder(Submission)
 _progress_decoder = msgspec.msgpack.Decoder(Progress)
+_tasks_decoder = msgspec.msgpack.Decoder(tuple[TaskRecord, ...])
 _wave_decoder = msgspec.msgpack.Decoder(WaveRecord)
 _term_decoder = msgspec.msgpack.Decoder(TermRecord)
 _entry_capacity_decoder = msgspec.msgpack.Decoder(EntryCapacity)
@@ -143,6 +151,17 @@
     return KeyedRecord(key, _encoder.encode(progress))
 
 
+def tasks_record(
+    job_id: JobId, block_id: BlockId, tasks: tuple[TaskRecord, ...] | None
+) -> KeyedRecord:
+    """Returns the record of a block of tasks; without tasks it is removed."""
+    key = record_key(KeyKind.TASKS, job_id)
+    return KeyedRecord(
+        f"{key}/{format_block_id(block_id)}",
+        _encoder.encode(tasks) if tasks is not None else None,
+    )
+
+
 def wave_record(number: WaveNumber, record: WaveRecord) -> KeyedRecord:
     """Returns the record of a wave's progress."""
     return KeyedRecord(
@@ -176,14 +195,17 @@
         submission: the job, or None if only other records have been read.
         progress: newest recorded progress, if any.
         cancelled: a cancellation is stored.
+        tasks_by_block: newest records of the blocks of tasks, if the job is
+            divided into blocks.
     """
 
-    __slots__ = ("cancelled", "progress", "submission")
+    __slots__ = ("cancelled", "progress", "submission", "tasks_by_block")
 
     def __init__(self) -> None:
         self.submission: Submission | None = None
         self.progress: Progress | None = None
         self.cancelled = False
+        self.tasks_by_block: dict[BlockId, tuple[TaskRecord, ...]] = {}
 
     @property
     def state(self) -> JobState:
@@ -198,6 +220,21 @@
         """Whether a run of a task has been placed."""
         return self.progress is not None and self.progress.started
 
+    @property
+    def ended_ms(self) -> int:
+        """End of the job in Unix milliseconds, or 0."""
+        return self.progress.ended_ms if self.progress else 0
+
+    @property
+    def has_runs(self) -> bool:
+        """Whether a run is recorded as active."""
+        inline = self.progress.tasks if self.progress else ()
+        return any(
+            record.worker_id
+            for records in (inline, *self.tasks_by_block.values())
+            for record in records
+        )
+
 
 class JobCatalogue:
     """The known jobs, with the waves, terms and entries on record.
@@ -273,15 +310,14 @@
 
         Raises:
             msgspec.DecodeError: the value cannot be decoded; it is not applied.
-            ValueError: the key of a wave is not a number.
+            ValueError: the key of a wave or of a block is malformed.
         """
         letter, _, name = key.partition("/")
-        job_id = JobId(name)
         if letter not in _KIND_LETTERS:
             return
         kind = KeyKind(letter)
         if value is None:
-            self._remove(kind, job_id)
+            self._remove(kind, name)
         elif kind is KeyKind.WAVE:
             number = WaveNumber(int(name))
             self.wave_by_number[number] = _wave_decoder.decode(value)
@@ -291,8 +327,10 @@
             self.overload = _overload_decoder.decode(value)
         elif kind is KeyKind.TERM:
             self.newest_term = _term_decoder.decode(value)
+        elif kind is KeyKind.TASKS:
+            self._apply_tasks(name, value)
         else:
-            self._apply_job_record(kind, job_id, value)
+            self._apply_job_record(kind, JobId(name), value)
 
     def _apply_job_record(
         self, kind: KeyKind, job_id: JobId, value: bytes
@@ -307,9 +345,21 @@
             case KeyKind.PROGRESS:
                 known.progress = _progress_decoder.decode(value)
 
-    def _remove(self, kind: KeyKind, job_id: JobId) -> None:
+    def _apply_tasks(self, name: str, value: bytes) -> None:
+        job_id, _, block = name.partition("/")
+        block_id = parse_block_id(block)
+        records = _tasks_decoder.decode(value)
+        known = self.known_by_id.setdefault(JobId(job_id), KnownJob())
+        known.tasks_by_block[block_id] = records
+
+    def _remove(self, kind: KeyKind, name: str) -> None:
         if kind is KeyKind.SUBMISSION:
-            self.known_by_id.pop(job_id, None)
+            self.known_by_id.pop(JobId(name), None)
+        elif kind is KeyKind.TASKS:
+            job_id, _, block = name.partition("/")
+            known = self.known_by_id.get(JobId(job_id))
+            if known is not None:
+                known.tasks_by_block.pop(parse_block_id(block), None)
 
     def _notify(self, job_id: JobId) -> None:
         if self.observer is not None:
--- a/sardinedrift/engine/control.py
+++ b/sardinedrift/engine/control.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from sardinedrift.engine.catalogue import JobCatalogue
+from sardinedrift.engine.catalogue import JobCatalogue, KnownJob
 from sardinedrift.engine.clock import Clock
 from sardinedrift.engine.demand import ArrivalMeter
 from sardinedrift.engine.events import Event, EventLog
@@ -11,6 +11,8 @@
 from sardinedrift.engine.metrics import Metrics
 from sardinedrift.engine.model import (
     FencingToken,
+    JobState,
+    Progress,
     Queue,
     RunEnd,
     Submission,
@@ -21,7 +23,7 @@
 from sardinedrift.engine.task import Run, Task
 from sardinedrift.engine.teamuse import TeamUse
 from sardinedrift.engine.term import Term
-from sardinedrift.engine.work import Job
+from sardinedrift.engine.work import Job, TaskBlock
 from sardinedrift.identifiers import JobId, QueueId
 
 
@@ -108,8 +110,8 @@
         if known is None or submission.job_id in self.job_by_id:
             return None
         job = Job(submission)
-        if known.progress is not None:
-            job.restore(known.progress, self.clock.boot())
+        if known.progress is not None or known.tasks_by_block:
+            self._restore(job, known)
         else:
             self._record_arrival(submission)
         if known.cancelled and not job.ended:
@@ -122,6 +124,22 @@
         self.changed.set()
         return job
 
+    def _restore(self, job: Job, known: KnownJob) -> None:
+        blocks = (TaskBlock(*item) for item in known.tasks_by_block.items())
+        job.restore(
+            known.progress or Progress(JobState.PENDING, False),
+            self.clock.boot(),
+            blocks,
+        )
+        max_attempts = self._max_attempts(job)
+        if job.end_if_due(max_attempts, self.clock.unix_ms()):
+            self._report_job_end(job)
+            self.writer.mark_changed(job)
+
+    def _max_attempts(self, job: Job) -> int:
+        queue = self.queues().get(job.submission.queue_id)
+        return queue.max_attempts if queue else 1
+
     def _record_arrival(self, submission: Submission) -> None:
         queue = self.queues().get(submission.queue_id)
         if queue is None:
@@ -183,8 +201,7 @@
         task, job = run.task, run.task.job
         if task.run is not run:
             return
-        queue = self.queues().get(job.submission.queue_id)
-        max_attempts = queue.max_attempts if queue else 1
+        max_attempts = self._max_attempts(job)
         now_ms = self.clock.unix_ms()
         was_ended = job.ended
         for ended_run in job.end_run(
--- a/sardinedrift/engine/controller.py
+++ b/sardinedrift/engine/controller.py
@@ -55,7 +55,10 @@
         self._term = term
         self._clock = dependencies.clock
         self._writer = ProgressWriter(
-            dependencies.ports.store, dependencies.topic, term
+            dependencies.ports.store,
+            dependencies.topic,
+            term,
+            dependencies.log,
         )
         self._control = ControllerState(
             term,
@@ -245,12 +248,7 @@
 
     def _is_fully_ended(self, job_id: JobId) -> bool:
         known = self._dependencies.catalogue.find(job_id)
-        progress = known.progress if known else None
-        return (
-            progress is not None
-            and progress.ended_ms > 0
-            and not any(record.worker_id for record in progress.tasks)
-        )
+        return known is not None and known.ended_ms > 0 and not known.has_runs
 
     async def _plan_forever(self) -> None:
         while True:
@@ -296,7 +294,8 @@
                     self._dependencies.status_s,
                 )
             ):
-                for record in removal_records(job_id):
+                known = self._dependencies.catalogue.known_by_id[job_id]
+                for record in removal_records(job_id, known):
                     self._writer.add_record(record)
 
     def _open_due(self) -> None:
--- a/sardinedrift/engine/entry.py
+++ b/sardinedrift/engine/entry.py
@@ -15,6 +15,7 @@
 from sardinedrift.engine.events import Event, EventLog
 from sardinedrift.engine.exceptions import (
     CallError,
+    RecordTooLarge,
     StoreError,
     StoreRefused,
     StoreUnknown,
@@ -200,7 +201,8 @@
 
         Raises:
             CallError: 503 when the job was not stored, also because jobs like
-                it starve already, 504 when it is unknown whether it was.
+                it starve already, 413 when it exceeds the store's limit, 504
+                when it is unknown whether it was stored.
         """
         if self._catalogue.find(submission.job_id) is None:
             await self._require_capacity(submission)
@@ -336,6 +338,8 @@
                 return
             except TimeoutError as error:
                 raise CallError(504, "outcome_unknown") from error
+            except RecordTooLarge as error:
+                raise CallError(413, "job_too_large", str(error)) from error
             except StoreUnknown:
                 unknown = True
             except StoreRefused as error:
--- a/sardinedrift/engine/exceptions.py
+++ b/sardinedrift/engine/exceptions.py
@@ -12,6 +12,10 @@
     """The store rejected the call or was not reached; nothing was done."""
 
 
+class RecordTooLarge(StoreRefused):
+    """A record exceeds the store's limit, and so it was not sent."""
+
+
 class StoreUnknown(StoreError):  # noqa: N818
     """The store did not answer; the call may still take effect."""
 
--- a/sardinedrift/engine/progresswriter.py
+++ b/sardinedrift/engine/progresswriter.py
@@ -7,8 +7,10 @@
     TermRecord,
     progress_record,
     submission_record,
+    tasks_record,
     term_record,
 )
+from sardinedrift.engine.events import Event, EventLog
 from sardinedrift.engine.exceptions import (
     SequenceExpected,
     StoreError,
@@ -34,13 +36,17 @@
         store: store to append to.
         topic: keyed topic.
         term: the controller's term, with its fencing token and sequence number.
+        log: receives log lines.
 
     Attributes:
         make_term_record: returns the current record of the term; set after
             construction.
     """
 
-    def __init__(self, store: RecordStore, topic: str, term: Term):
+    def __init__(
+        self, store: RecordStore, topic: str, term: Term, log: EventLog
+    ):
+        self._log = log
         self._store = store
         self._topic = topic
         self._term = term
@@ -104,7 +110,21 @@
         if self._term_changed:
             self._term_changed = False
             records.append(term_record(self.make_term_record()))
-        return records
+        return [record for record in records if self._can_hold(record)]
+
+    def _can_hold(self, record: KeyedRecord) -> bool:
+        """Whether the store can hold a record; logs one that it cannot.
+
+        It would refuse all records of the call, now and at each retry.
+        """
+        if self._store.can_hold(record):
+            return True
+        self._log.write(
+            Event.FAULT,
+            where="records",
+            error=f"{record.key}: {record.size} bytes are too many to record",
+        )
+        return False
 
     async def fence(self) -> int:
         """Fences off earlier controllers; returns the end of the topic."""
@@ -148,10 +168,18 @@
 def _records(job: Job) -> Iterator[KeyedRecord]:
     """Yields the records of a changed job.
 
-    Once the job has fully ended, its submission is replaced by a short one.
+    Records may be appended by several calls, so the state of the job is never
+    newer than those of its tasks. Once the job has fully ended, the records of
+    its tasks are removed and its submission is replaced by a short one.
     """
+    blocks = list(job.take_changed_blocks())
+    if not job.fully_ended:
+        for block in blocks:
+            yield tasks_record(job.job_id, block.block_id, block.records)
     yield progress_record(job.job_id, job.record())
     if job.fully_ended:
+        for block_id in sorted(job.recorded_blocks):
+            yield tasks_record(job.job_id, block_id, None)
         yield submission_record(job.submission.shortened())
 
 
--- a/sardinedrift/engine/retention.py
+++ b/sardinedrift/engine/retention.py
@@ -2,7 +2,13 @@
 
 from collections.abc import Iterator
 
-from sardinedrift.engine.catalogue import JobCatalogue, KeyKind, record_key
+from sardinedrift.engine.catalogue import (
+    JobCatalogue,
+    KeyKind,
+    KnownJob,
+    record_key,
+    tasks_record,
+)
 from sardinedrift.engine.storeports import KeyedRecord
 from sardinedrift.identifiers import JobId
 
@@ -25,10 +31,7 @@
     ended_before_ms = now_ms - lifetime_s * RETENTION_FACTOR * 1000
     found = 0
     for job_id, known in catalogue.known_by_id.items():
-        progress = known.progress
-        if progress is None or not 0 < progress.ended_ms < ended_before_ms:
-            continue
-        if any(record.worker_id for record in progress.tasks):
+        if not 0 < known.ended_ms < ended_before_ms or known.has_runs:
             continue
         found += 1
         if found > MAX_REMOVALS:
@@ -36,9 +39,12 @@
         yield job_id
 
 
-def removal_records(job_id: JobId) -> list[KeyedRecord]:
-    """Returns the records that remove a job."""
-    return [KeyedRecord(record_key(kind, job_id), None) for kind in _KINDS]
+def removal_records(job_id: JobId, known: KnownJob) -> Iterator[KeyedRecord]:
+    """Yields the records that remove a job."""
+    for block_id in known.tasks_by_block:
+        yield tasks_record(job_id, block_id, None)
+    for kind in _KINDS:
+        yield KeyedRecord(record_key(kind, job_id), None)
 
 
 # The submission is removed last, so that a reader that stops in between still
--- a/sardinedrift/engine/sessions.py
+++ b/sardinedrift/engine/sessions.py
@@ -11,7 +11,7 @@
     OrderUnknown,
 )
 from sardinedrift.engine.fleet import Worker, WorkerClock
-from sardinedrift.engine.model import RunEnd, RunPhase
+from sardinedrift.engine.model import RunEnd, RunPhase, TaskId
 from sardinedrift.engine.orders import LEASE_MS, Orders
 from sardinedrift.engine.ports import (
     EndReport,
@@ -20,6 +20,7 @@
     WorkerOrders,
     WorkerReport,
 )
+from sardinedrift.engine.taskblocks import MAX_CHECKPOINT_BYTES
 
 # Longest time for which a worker may hold back a report until a run ends.
 # Leases are renewed at least at this interval.
@@ -278,6 +279,7 @@
                 self._control.finish(run, RunEnd.LAPSED)
                 continue
             run.born_ms = report.born_ms
+            run.task.job.mark_changed(run.task)
             self._control.writer.mark_changed(run.task.job)
             longest_ms = report.clock_ms + self._control.max_lease_ms
             worker.lease_ms = max(worker.lease_ms, longest_ms)
@@ -303,7 +305,8 @@
         self._last_received_end = end.number
         run = self._find_run(end.task_id, end.run)
         if run is not None:
-            self._control.finish(run, end.how, end.checkpoint)
+            checkpoint = self._recordable(end.checkpoint, end.task_id)
+            self._control.finish(run, end.how, checkpoint)
         self._ends_stored.clear()
         self._control.writer.call_when_durable(
             lambda: self._mark_stored(end.number)
@@ -328,8 +331,9 @@
             self._orders.stop_stray(self._worker, row.task_id, row.run)
             return
         run.observe(row.percent, row.figure, now)
-        if row.checkpoint:
-            run.task.checkpoint = row.checkpoint
+        checkpoint = self._recordable(row.checkpoint, row.task_id)
+        if checkpoint:
+            run.task.checkpoint = checkpoint
         if run.phase is RunPhase.ORDERED:
             run.phase = RunPhase.RUNNING
             run.settled_at = now
@@ -337,6 +341,22 @@
                 run.stop_wanted = False
                 self._orders.stop_soon(run)
 
+    def _recordable(self, checkpoint: str, task_id: TaskId) -> str:
+        """Returns a checkpoint, or "" if it is too large to be recorded."""
+        # A character takes up to four bytes.
+        if len(checkpoint) <= MAX_CHECKPOINT_BYTES // 4:
+            return checkpoint
+        size = len(checkpoint.encode(errors="replace"))
+        if size <= MAX_CHECKPOINT_BYTES:
+            return checkpoint
+        self._control.log.write(
+            Event.FAULT,
+            where="checkpoint",
+            job=task_id.job_id,
+            error=f"{size} bytes are too many to record",
+        )
+        return ""
+
     def _find_run(self, task_id, number: int):
         """Returns the run of a task if it is attached to this worker."""
         run = self._worker.run_by_task.get(task_id)
--- a/sardinedrift/engine/storeports.py
+++ b/sardinedrift/engine/storeports.py
@@ -16,6 +16,11 @@
     value: bytes | None
     offset: Offset = Offset(0)
 
+    @property
+    def size(self) -> int:
+        """Size in the store in bytes: length byte, key and value."""
+        return 1 + len(self.key.encode()) + len(self.value or b"")
+
 
 class NewestPage(msgspec.Struct, frozen=True):
     """A page of the newest records by key.
@@ -44,6 +49,16 @@
     when it did not answer.
     """
 
+    @property
+    @abc.abstractmethod
+    def max_record_bytes(self) -> int | None:
+        """Maximum size of a record in bytes, or None if it is not known."""
+
+    def can_hold(self, record: KeyedRecord) -> bool:
+        """Whether the size of a record is within the limit."""
+        limit = self.max_record_bytes
+        return limit is None or record.size <= limit
+
     @abc.abstractmethod
     async def append(
         self, topic: str, records: Sequence[KeyedRecord]
--- a/sardinedrift/engine/work.py
+++ b/sardinedrift/engine/work.py
@@ -1,6 +1,6 @@
 """In-memory state of jobs and their state transitions."""
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 from sardinedrift.engine.model import (
@@ -17,6 +17,12 @@
     WorkerId,
 )
 from sardinedrift.engine.task import Run, Task
+from sardinedrift.engine.taskblocks import (
+    MAX_BLOCK_TASKS,
+    BlockId,
+    block_of,
+    is_divided,
+)
 from sardinedrift.identifiers import JobId
 
 
@@ -56,6 +62,13 @@
     remaining: int
 
 
+class TaskBlock(NamedTuple):
+    """Records of the tasks of a block that have had a run."""
+
+    block_id: BlockId
+    records: tuple[TaskRecord, ...]
+
+
 class Job:
     """An unfinished job and its tasks.
 
@@ -71,6 +84,8 @@
         long_running: a step runs until the job is cancelled.
         waiting: tasks that can be started, by id.
         active: tasks with a current run, by id.
+        divided: its tasks are recorded in blocks.
+        recorded_blocks: blocks of which there may be a record.
     """
 
     def __init__(self, submission: Submission):
@@ -87,6 +102,9 @@
         self.first_start_confirmed = False
         self.waiting: dict[TaskId, Task] = {}
         self.active: dict[TaskId, Task] = {}
+        self.divided = is_divided(submission)
+        self.recorded_blocks: set[BlockId] = set()
+        self._changed_blocks: set[BlockId] = set()
 
     @property
     def ended(self) -> bool:
@@ -161,6 +179,7 @@
         self.started = True
         if self.state is JobState.PENDING:
             self.state = JobState.RUNNING
+        self.mark_changed(task)
         number = self._next_run_number(task, now)
         return task.place(number, worker_id, born_ms, now)
 
@@ -182,6 +201,7 @@
         worker_id = task.run.worker_id if task.run else WorkerId("")
         self.active.pop(task.task_id, None)
         task.release()
+        self.mark_changed(task)
         if checkpoint:
             task.checkpoint = checkpoint
         if how is RunEnd.FAILED:
@@ -203,9 +223,57 @@
         if not self.ended:
             self._end(JobState.CANCELLED, now_ms)
 
+    def end_if_due(self, max_attempts: int, now_ms: int) -> bool:
+        """Ends a restored job if the records of its tasks show its end.
+
+        They may be newer than the record of the job's state.
+
+        Returns:
+            Whether the job has ended now.
+        """
+        if self.ended:
+            return False
+        if self._all_done():
+            self._end(JobState.COMPLETED, now_ms)
+        elif any(
+            task.failures and self._exhausted(task, max_attempts)
+            for task in self.tasks()
+        ):
+            self._end(JobState.FAILED, now_ms)
+        return self.ended
+
+    def mark_changed(self, task: Task) -> None:
+        """Marks the record of a task as out of date."""
+        self._mark_block_changed(task.task_id)
+
+    def _mark_block_changed(self, task_id: TaskId) -> None:
+        if self.divided:
+            self._changed_blocks.add(block_of(task_id))
+
+    def take_changed_blocks(self) -> Iterator[TaskBlock]:
+        """Yields the blocks whose records are out of date, once each."""
+        changed, self._changed_blocks = self._changed_blocks, set()
+        self.recorded_blocks |= changed
+        for block_id in sorted(changed):
+            tasks = self._tasks_of_block(block_id)
+            yield TaskBlock(
+                block_id,
+                tuple(task.record() for task in tasks if task.ever_placed),
+            )
+
+    def _tasks_of_block(self, block_id: BlockId) -> list[Task]:
+        occurrence = self.occurrence_by_number[block_id.occurrence]
+        begin = block_id.number * MAX_BLOCK_TASKS
+        tasks = occurrence.tasks_by_step[block_id.step]
+        return tasks[begin : begin + MAX_BLOCK_TASKS]
+
     def record(self) -> Progress:
-        """Returns the progress record, without tasks once fully ended."""
-        tasks = () if self.fully_ended else self.tasks()
+        """Returns the progress record.
+
+        It has no tasks if they are recorded in blocks or the job has fully
+        ended.
+        """
+        tasks = () if self.fully_ended or self.divided else self.tasks()
         return Progress(
             self.state,
             self.started,
@@ -213,31 +281,52 @@
             self.ended_ms,
         )
 
-    def restore(self, progress: Progress, now: float) -> None:
+    def restore(
+        self, progress: Progress, now: float, blocks: Iterable[TaskBlock] = ()
+    ) -> None:
         """Restores the progress that an earlier controller recorded.
 
         Active runs become ORDERED, as only a report of the worker shows whether
         they have started.
+
+        Args:
+            progress: the progress record.
+            now: boot-time clock in seconds.
+            blocks: the records of blocks; they are at least as new as those in
+                the progress record.
         """
+        blocks = list(blocks)
+        self.recorded_blocks.update(block.block_id for block in blocks)
+        records = [
+            *progress.tasks,
+            *(record for block in blocks for record in block.records),
+        ]
         self.state = progress.state
-        self.started = progress.started
-        self.first_start_confirmed = progress.started
+        self.started = progress.started or bool(records)
+        if self.started and self.state is JobState.PENDING:
+            self.state = JobState.RUNNING
+        self.first_start_confirmed = self.started
         self.ended_ms = progress.ended_ms
         occurrences = 1 + max(
-            (record.occurrence for record in progress.tasks), default=-1
+            (record.occurrence for record in records), default=-1
         )
         for _ in range(occurrences):
             self._open_occurrence()
-        for record in progress.tasks:
+        newest_by_id = {self._task_id_of(each): each for each in records}
+        for record in newest_by_id.values():
             self._restore_task(record, now)
+        # An earlier version recorded the tasks of any job in this record.
+        for record in progress.tasks:
+            self._mark_block_changed(self._task_id_of(record))
         for occurrence in self.occurrence_by_number.values():
             self._open_steps(occurrence)
         self._update_remaining_path()
 
+    def _task_id_of(self, record: TaskRecord) -> TaskId:
+        return TaskId(self.job_id, record.occurrence, record.step, record.index)
+
     def _restore_task(self, record: TaskRecord, now: float) -> None:
-        task_id = TaskId(
-            self.job_id, record.occurrence, record.step, record.index
-        )
+        task_id = self._task_id_of(record)
         task = self.task(task_id)
         if task is None:
             return
@@ -298,6 +387,7 @@
                     ended_runs.append(each.run)
                 each.state = TaskState.DONE
                 each.run = None
+                self.mark_changed(each)
                 self.active.pop(each.task_id, None)
                 self.waiting.pop(each.task_id, None)
                 occurrence.remaining_by_step[task.task_id.step] -= 1
--- a/sardinedrift/platform/daemon.py
+++ b/sardinedrift/platform/daemon.py
@@ -142,6 +142,7 @@
             store_client,
             lambda: self._settings.store.address,
             self._settings.node,
+            lambda: self._settings.store.record_bytes,
         )
         catalogue = JobCatalogue()
         job_feed = Feed(
--- a/sardinedrift/platform/settings.py
+++ b/sardinedrift/platform/settings.py
@@ -59,10 +59,12 @@
         address: "host:port".
         reads_per_s: rate limit for the reads of all entries together; 0 when
             it is not stated.
+        record_bytes: maximum size of a record; None when it is not stated.
     """
 
     address: str = ""
     reads_per_s: float = 0.0
+    record_bytes: int | None = None
 
 
 class Limits(msgspec.Struct, frozen=True):
--- a/sardinedrift/platform/store.py
+++ b/sardinedrift/platform/store.py
@@ -101,18 +101,30 @@
         client: HTTP client with its connection pool.
         address: returns the store's address.
         node: name of this entry as a member of the group.
+        max_record_bytes: returns the store's limit for the size of a record in
+            bytes, or None if it is not stated.
     """
 
     def __init__(
-        self, client: HttpClient, address: Callable[[], str], node: str
+        self,
+        client: HttpClient,
+        address: Callable[[], str],
+        node: str,
+        max_record_bytes: Callable[[], int | None] = lambda: None,
     ):
         self._client = client
+        self._max_record_bytes = max_record_bytes
         self._address = address
         self._node = node
         self._append_timeout = AnswerTimeout(
             MIN_APPEND_TIMEOUT_S, CALL_TIMEOUT_S
         )
 
+    @property
+    def max_record_bytes(self) -> int | None:
+        """Maximum size of a record in bytes, or None if it is not known."""
+        return self._max_record_bytes()
+
     async def append(
         self, topic: str, records: Sequence[KeyedRecord]
     ) -> Offset:
--- a/standins/platform/log.py
+++ b/standins/platform/log.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+MAX_RECORD_BYTES = 262_144
+
 
 class Refused(Exception):  # noqa: N818
     """A request that the log or a worker rejects.
@@ -114,9 +116,14 @@
 
 
 class Log:
-    """All topics and consumer groups; a group assigns a single partition."""
+    """All topics and consumer groups; a group assigns a single partition.
 
-    def __init__(self) -> None:
+    Attributes:
+        max_record_bytes: size above which a record is refused, in bytes.
+    """
+
+    def __init__(self, max_record_bytes: int = MAX_RECORD_BYTES) -> None:
+        self.max_record_bytes = max_record_bytes
         self._partition_by_name: dict[tuple[str, int], Partition] = {}
         self._group_by_name: dict[str, Group] = {}
 
@@ -140,8 +147,11 @@
             The offset of the first record and the end of the partition.
 
         Raises:
-            Refused: the epoch is fenced or the sequence number has a gap.
+            Refused: the epoch is fenced, the sequence number has a gap or a
+                record is too large.
         """
+        if any(len(record) > self.max_record_bytes for record in records):
+            raise Refused(400, {"reason": "record_bytes"})
         partition = self.partition(topic)
         if producer is None:
             return partition.append(records)
--- a/standins/platform/program.py
+++ b/standins/platform/program.py
@@ -9,6 +9,8 @@
 import socket
 import sys
 
+from standins.platform.log import MAX_RECORD_BYTES
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 
 
@@ -75,6 +77,7 @@
             f"listen.front={self.front_address}\n"
             f"listen.readiness_addr={self.readiness_address}\n"
             f"platform.address={self._store_address}\n"
+            f"platform.record_bytes={MAX_RECORD_BYTES}\n"
             f"cloud.address={self._machines_address}\n"
             "new.unknown.field=1\nbounds.revoke_ms=5000\n"
         )
--- a/tests/engine_fakes.py
+++ b/tests/engine_fakes.py
@@ -74,6 +74,10 @@
         self._world = world
         self._node = node
 
+    @property
+    def max_record_bytes(self) -> int:
+        return self._world.log.max_record_bytes
+
     async def append(
         self, topic: str, records: Sequence[KeyedRecord]
     ) -> Offset:
@@ -97,6 +101,8 @@
         except Refused as error:
             if error.body["reason"] == "seq":
                 raise SequenceExpected(error.body["seq"]) from error
+            if error.body["reason"] == "record_bytes":
+                raise StoreRefused(str(error)) from error
             raise StoreFenced(str(error)) from error
         await self._lose_answer_if_faulty()
         return Offset(end)
@@ -258,7 +264,12 @@
         return WorkerReport(
             target.clock_ms,
             target.born_ms,
-            tuple(RunReport(_task_id(row[0]), *row[1:]) for row in running),
+            tuple(
+                RunReport(
+                    _task_id(row[0]), row[1], self._world.checkpoint, *row[3:]
+                )
+                for row in running
+            ),
             tuple(
                 EndReport(
                     row[0], _task_id(row[1]), row[2], RunEnd(row[3]), row[4]
