End no run because a full page of ends leaves it out

Cause: a worker lists 500 ends at the most, and a session took each report for a full list: runs that were neither running nor among the 500 counted as lapsed.

Change: a report says whether it lists all ends, and only a complete one ends the runs that it leaves out; also those of an earlier process under the id.

Ruled out: expired leases (no run in the record ended so).

--- a/sardinedrift/engine/ports.py
+++ b/sardinedrift/engine/ports.py
@@ -119,12 +119,16 @@
     Attributes:
         clock_ms: the worker's own clock.
         born_ms: start time of the worker's process, or 0 when not reported.
+        ended: the oldest ends that are not acknowledged.
+        complete: `ended` lists all of them, so a run that is not listed at all
+            is neither running nor has its end been kept.
     """
 
     clock_ms: int
     born_ms: int
     running: tuple[RunReport, ...]
     ended: tuple[EndReport, ...]
+    complete: bool = True
 
 
 class WorkerOrders(abc.ABC):
--- a/sardinedrift/engine/sessions.py
+++ b/sardinedrift/engine/sessions.py
@@ -275,7 +275,8 @@
             if run.born_ms in (0, report.born_ms):
                 continue
             settled = run.settled_at is not None and run.settled_at < sent_at
-            if settled and (run.task.task_id, run.number) not in reported:
+            known_ended = settled and report.complete
+            if known_ended and (run.task.task_id, run.number) not in reported:
                 self._control.finish(run, RunEnd.LAPSED)
                 continue
             run.born_ms = report.born_ms
@@ -366,8 +367,11 @@
         """Ends runs missing from a report, if their order was settled before.
 
         Runs whose order was settled after the report was requested are kept:
-        the report may be older than their start.
+        the report may be older than their start. So are all runs while the
+        worker has more ends than it lists: theirs may be among the others.
         """
+        if not report.complete:
+            return
         listed = {(row.task_id, row.run) for row in report.running}
         for run in list(self._worker.run_by_task.values()):
             if run.settled_at is None or run.settled_at >= sent_at:
--- a/sardinedrift/platform/workers.py
+++ b/sardinedrift/platform/workers.py
@@ -37,6 +37,8 @@
 # Workers respond to orders within milliseconds.
 ORDER_TIMEOUT_S = 0.35
 ADVICE_TIMEOUT_S = 3.0
+# A report lists the oldest ends, at most this many.
+MAX_LISTED_ENDS = 500
 
 _REFUSAL_BY_REASON = {
     "fence": Refusal.FENCED,
@@ -318,6 +320,7 @@
             report.born,
             tuple(_to_run_report(row) for row in report.running),
             tuple(_to_end_report(row) for row in report.ended),
+            complete=len(report.ended) < MAX_LISTED_ENDS,
         )
     except (msgspec.DecodeError, ValueError) as error:
         raise OrderUnknown(f"report cannot be decoded: {error}") from error
--- a/standins/platform/worker.py
+++ b/standins/platform/worker.py
@@ -8,6 +8,8 @@
 
 # Longest lease that a worker grants; longer ones are shortened.
 MAX_LEASE_MS = 10_000
+# Number of ends that a report lists at the most.
+MAX_LISTED_ENDS = 500
 
 
 @dataclasses.dataclass
@@ -50,6 +52,7 @@
     Attributes:
         alive: whether it has not crashed.
         histories: all runs that it started.
+        max_listed_ends: number of ends that a report lists at the most.
     """
 
     def __init__(
@@ -66,6 +69,7 @@
         self.cpu = cpu
         self.alive = True
         self.histories: list[RunHistory] = []
+        self.max_listed_ends = MAX_LISTED_ENDS
         self._task_duration_s = task_duration_s
         self._fails = fails
         self._clock_rate = clock_rate
@@ -170,7 +174,8 @@
             [task, current.history.run, "", 100, 0]
             for task, current in self._running_by_task.items()
         ]
-        return running, [list(row) for row in self._end_reports[:500]]
+        listed = self._end_reports[: self.max_listed_ends]
+        return running, [list(row) for row in listed]
 
     def _acknowledge(self, last_seen: int) -> None:
         """Drops the end reports that the controller has read."""
--- a/tests/engine_fakes.py
+++ b/tests/engine_fakes.py
@@ -276,6 +276,7 @@
                 )
                 for row in ended
             ),
+            complete=len(ended) < target.max_listed_ends,
         )
 
     async def set_pace(
--- a/tests/test_engine_faults.py
+++ b/tests/test_engine_faults.py
@@ -115,6 +115,25 @@
             with self.subTest(bad=bad), self.assertRaises(OrderUnknown):
                 await HttpWorkerOrders(client).renew(worker, 1, 0, None, 0, 0.4)
 
+    async def test_a_full_page_of_ends_is_not_taken_for_all_of_them(self):
+        """Guards against runs that count as lost, as their ends follow later."""
+        for count, complete in ((0, True), (499, True), (500, False)):
+            ended = [
+                [number, f"00000000000000aa.0.0.{number}", 1, "done", ""]
+                for number in range(count)
+            ]
+            body = {"clock_ms": 5, "running": [], "ended": ended}
+            client = mock.Mock()
+            client.call = mock.AsyncMock(
+                return_value=Response(200, msgspec.json.encode(body))
+            )
+            worker = mock.Mock(address="10.0.0.1:1", worker_id="w")
+            report = await HttpWorkerOrders(client).renew(
+                worker, 1, 0, None, 0, 0.4
+            )
+            with self.subTest(count=count):
+                self.assertEqual(report.complete, complete)
+
     async def test_a_server_error_leaves_the_outcome_unknown(self):
         """Guards against telling a caller that a stored job was refused."""
         for status, expected in (
--- a/tests/test_engine_scale.py
+++ b/tests/test_engine_scale.py
@@ -15,6 +15,9 @@
 from tests.engine_world import long_running, short, submission
 
 WORKERS = 400
+# Ends that a worker lists at once, and duration of a task.
+LISTED_ENDS = 4
+RUN_S = 1.0
 
 
 class ScaleTest(EngineTest):
@@ -107,12 +110,39 @@
         await self.controller(world, nodes).kill()
         await asyncio.sleep(6.0)
 
-    def _run_without_moves(self, scenario, task_duration_s) -> None:
+    def _run_without_moves(
+        self, scenario, task_duration_s, workers: int = 40
+    ) -> None:
         with mock.patch.object(poolreview, "MAX_OPERATIONS", 0):
             self.run_scenario(
-                scenario, workers=40, task_duration_s=task_duration_s
+                scenario, workers=workers, task_duration_s=task_duration_s
             )
 
+    def test_ends_beyond_the_first_page_of_a_report_count(self):
+        """Guards against tasks that run again although they are done.
+
+        A worker lists a limited number of ends at once. While there was no
+        controller more of them had ended, and the next one took those that the
+        first report did not list as lapsed.
+        """
+
+        async def scenario(world, nodes):
+            for worker in world.worker_by_id.values():
+                worker.max_listed_ends = LISTED_ENDS
+            await self.accept(world, nodes[0], submission("a", short(48)))
+            await self.wait_for(lambda: len(world.histories()) == 48, 1.0)
+            await self.controller(world, nodes).kill()
+            await self.wait_for(lambda: not self.running(world), RUN_S)
+            for worker in world.worker_by_id.values():
+                ends = len(worker._end_reports)
+                self.assertGreater(ends, 2 * LISTED_ENDS)
+            await asyncio.sleep(12.0)
+            survivor = self.controller(world, nodes)
+            self.assertIs(self.state(survivor, "a"), JobState.COMPLETED)
+            self.assertEqual(len(world.histories()), 48)
+
+        self._run_without_moves(scenario, lambda task: RUN_S, workers=3)
+
     def test_a_registration_examines_only_its_own_machine(self):
         """Guards against takeovers with work quadratic in the fleet size."""
         calls = 0
