Take a feed for current only at the end of the topic

A caller could be told 410 for an accepted job by an entry that was further behind than one page of the store: Feed.refresh read one page (1 MB) and took the feed for current.

Change: a page says where the topic ends, as the store's answer does, and the feed counts as current once it has read to there. Refreshes read on, and there is no pause between the pages of a backlog.

The test failed before the change (410, no_such_job) and passes with it.

--- a/sardinedrift/engine/feed.py
+++ b/sardinedrift/engine/feed.py
@@ -9,7 +9,11 @@
 from sardinedrift.engine.clock import Clock
 from sardinedrift.engine.dependencylog import DependencyLog
 from sardinedrift.engine.events import Event, EventLog
-from sardinedrift.engine.exceptions import RecordsExpired, StoreError
+from sardinedrift.engine.exceptions import (
+    RecordsExpired,
+    StoreError,
+    StoreUnknown,
+)
 from sardinedrift.engine.storeports import KeyedRecord, ReadPage, RecordStore
 from sardinedrift.identifiers import Offset
 
@@ -108,7 +112,7 @@
         self._log = log
         self._offset_by_key: dict[str, Offset] = {}
         self._next = Offset(0)
-        self._confirmed = asyncio.Event()
+        self._advanced = asyncio.Event()
         self.confirmed_at = float("-inf")
         self.loaded = False
         self._frequent = False
@@ -151,9 +155,10 @@
                 # A caller that has ended the pause waits for the answer.
                 wait_ms = 0 if self._resume.is_set() else POLL_WAIT_MS
                 self._resume.clear()
-                await self._poll(wait_ms)
+                at_end = await self._poll(wait_ms)
                 self._dependency_log.record_success()
-                await self._pause()
+                if at_end:
+                    await self._pause()
             except RecordsExpired:
                 self.loaded = False
             except StoreError as error:
@@ -169,13 +174,14 @@
         """
         if not self.loaded:
             raise RecordsExpired("feed is not loaded yet")
-        await self._poll(0)
+        while not await self._poll(0):
+            pass
 
     async def wait_for_offset(self, end: Offset) -> None:
         """Waits until all records before an offset have been passed on."""
         while not self.loaded or self._next < end:
-            self._confirmed.clear()
-            await self._confirmed.wait()
+            self._advanced.clear()
+            await self._advanced.wait()
 
     async def catch_up(self) -> None:
         """Ends the pause between two polls, and waits for the next one.
@@ -191,8 +197,8 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CATCH_UP_TIMEOUT_S):
                 while self.confirmed_at < called_at:
-                    self._confirmed.clear()
-                    await self._confirmed.wait()
+                    self._advanced.clear()
+                    await self._advanced.wait()
 
     async def _pause(self) -> None:
         """Waits for the rest of the minimum interval between polls."""
@@ -238,7 +244,8 @@
             del self._offset_by_key[key]
             self._listener(key, None)
 
-    async def _poll(self, wait_ms: int) -> None:
+    async def _poll(self, wait_ms: int) -> bool:
+        """Reads a page of records; returns whether no further ones follow."""
         sent_at = self._clock.boot()
         page: ReadPage = await self._store.read(
             self._topic, self._next, wait_ms
@@ -246,7 +253,13 @@
         for record in page.records:
             self._apply(record)
         self._next = max(self._next, page.next)
-        self._confirm(sent_at)
+        self._advanced.set()
+        if self._next >= page.end:
+            self._confirm(sent_at)
+            return True
+        if not page.records:
+            raise StoreUnknown(f"no records from {self._next} to {page.end}")
+        return False
 
     def _apply(self, record: KeyedRecord) -> None:
         if record.offset <= self._offset_by_key.get(record.key, -1):
@@ -268,4 +281,4 @@
 
     def _confirm(self, sent_at: float) -> None:
         self.confirmed_at = max(self.confirmed_at, sent_at)
-        self._confirmed.set()
+        self._advanced.set()
--- a/sardinedrift/engine/storeports.py
+++ b/sardinedrift/engine/storeports.py
@@ -36,10 +36,17 @@
 
 
 class ReadPage(msgspec.Struct, frozen=True):
-    """Consecutive records; `next` is the offset at which to continue."""
+    """Consecutive records of a topic.
+
+    Attributes:
+        next: offset at which to continue.
+        end: offset that the next appended record had when the store answered;
+            higher than `next` if further records follow.
+    """
 
     records: tuple[KeyedRecord, ...]
     next: Offset
+    end: Offset
 
 
 class RecordStore(abc.ABC):
--- a/sardinedrift/platform/store.py
+++ b/sardinedrift/platform/store.py
@@ -329,13 +329,14 @@
 def _decode_page(body: bytes, start: Offset) -> ReadPage:
     if len(body) < _READ_HEADER.size:
         raise StoreUnknown("response is shorter than its header")
+    end, _ = _READ_HEADER.unpack_from(body)
     records = tuple(
         KeyedRecord(key, value, Offset(start + index))
         for index, (key, value) in enumerate(
             _decode_records(body, _READ_HEADER.size)
         )
     )
-    return ReadPage(records, Offset(start + len(records)))
+    return ReadPage(records, Offset(start + len(records)), Offset(end))
 
 
 def _decode_records(
--- a/tests/engine_fakes.py
+++ b/tests/engine_fakes.py
@@ -130,9 +130,11 @@
             raise RecordsExpired(str(error)) from error
         records = tuple(
             _decode_record(record, start + index)
-            for index, record in enumerate(raw)
+            for index, record in enumerate(raw[: self._world.records_per_page])
+        )
+        return ReadPage(
+            records, Offset(start + len(records)), Offset(start + len(raw))
         )
-        return ReadPage(records, Offset(start + len(records)))
 
     async def join(self, generation: int) -> JoinResult:
         await self._connect()
--- a/tests/engine_world.py
+++ b/tests/engine_world.py
@@ -120,6 +120,8 @@
         machine_orders: orders to machines, in the order of their arrival.
         reports: wave reports, as wave number and whether it was completed.
         registrations_per_page: registrations that the store returns at once.
+        records_per_page: records that the store returns at once to a reader
+            that follows a topic.
         checkpoint: checkpoint that workers report of each run.
         controller_states: states of all controllers so far, oldest first.
         listeners: callbacks for changes of registrations.
@@ -149,6 +151,7 @@
         self.task_duration_s = task_duration_s
         self.listeners: list = []
         self.registrations_per_page = 500
+        self.records_per_page = 500
         self.checkpoint = ""
         for number in range(workers):
             self.add_worker(f"w{number}")
--- a/tests/test_engine_faults.py
+++ b/tests/test_engine_faults.py
@@ -116,7 +116,7 @@
                 await HttpWorkerOrders(client).renew(worker, 1, 0, None, 0, 0.4)
 
     async def test_a_full_page_of_ends_is_not_taken_for_all_of_them(self):
-        """Guards against runs that count as lost, as their ends follow later."""
+        """Guards against runs that count as lost, as their ends come later."""
         for count, complete in ((0, True), (499, True), (500, False)):
             ended = [
                 [number, f"00000000000000aa.0.0.{number}", 1, "done", ""]
--- a/tests/test_engine_load.py
+++ b/tests/test_engine_load.py
@@ -62,7 +62,8 @@
     async def read(self, topic, start, wait_ms):
         self.reads += 1
         await asyncio.sleep(0.004)
-        return ReadPage((KeyedRecord("a", b"1", start),), Offset(start + 1))
+        record = KeyedRecord("a", b"1", start)
+        return ReadPage((record,), Offset(start + 1), Offset(start + 1))
 
 
 class PollTest(unittest.TestCase):
--- a/tests/test_engine_store.py
+++ b/tests/test_engine_store.py
@@ -74,6 +74,31 @@
 
         self.run_scenario(scenario)
 
+    def test_a_reader_that_lags_behind_does_not_say_410(self):
+        """Guards against a page of records that is taken for all of them.
+
+        An entry that was further behind than one page of the store said that
+        an accepted job did not exist.
+        """
+
+        async def scenario(world, nodes):
+            late = next(
+                node
+                for node in nodes
+                if node is not self.controller(world, nodes)
+            )
+            other = self.controller(world, nodes)
+            world.records_per_page = 2
+            world.faults.store_cut.add(late.name)
+            await asyncio.sleep(2.0)
+            for number in range(12):
+                await self.accept(world, other, submission(f"{number}"))
+            world.faults.store_cut.clear()
+            state = await late.entry.state(JobId("11"))
+            self.assertIs(state, JobState.PENDING)
+
+        self.run_scenario(scenario)
+
     def test_jobs_continue_after_an_outage(self):
         """Guards against progress that is lost when an append is unanswered."""
 
