Keep the policy of a job's queue with the job

Cause: a controller knew withdrawn queues from its own term only. The next one found no queue for the job, assumed one attempt, and left the job out of planning as its pool was not known.

Change: an entry stores pool, priority, attempts and objective of the queue with each job; what is published goes before it. An unknown number of attempts fails no job. Nothing is placed before a configuration has been read, because the limits of the client accounts are not known until then. The decisions get policies in place of queues, which they used for nothing else.

Ruled out: the time limit of the removed route; the job's record has none.

--- a/sardinedrift/engine/control.py
+++ b/sardinedrift/engine/control.py
@@ -13,7 +13,7 @@
     FencingToken,
     JobState,
     Progress,
-    Queue,
+    QueuePolicy,
     RunEnd,
     Submission,
 )
@@ -77,7 +77,7 @@
         self.changed = asyncio.Event()
         self.stop_run: Callable[[Run], None] = lambda run: None
         self.published = published
-        self._known_queue_by_id: dict[QueueId, Queue] = {}
+        self._policy_by_id: dict[QueueId, QueuePolicy] = {}
         self.team_use = TeamUse({})
         self.arrivals = ArrivalMeter()
         self.placement_limited = False
@@ -89,15 +89,20 @@
         """Fencing token of the term."""
         return self.term.token
 
-    def queues(self) -> dict[QueueId, Queue]:
-        """Returns the queues, including withdrawn ones as last published.
+    def policies(self) -> dict[QueueId, QueuePolicy]:
+        """Returns the policies of the queues.
 
-        Jobs accepted on a queue are finished after its withdrawal.
+        Jobs accepted on a queue are finished after its withdrawal, so that of
+        a withdrawn queue is included: as it was last published in this term,
+        else as it was when one of its jobs was accepted.
         """
         configuration = self.published.current()
         if configuration is not None:
-            self._known_queue_by_id.update(configuration.queue_by_id)
-        return self._known_queue_by_id
+            self._policy_by_id.update(
+                (queue_id, queue.policy)
+                for queue_id, queue in configuration.queue_by_id.items()
+            )
+        return self._policy_by_id
 
     def admit(self, submission: Submission) -> Job | None:
         """Adds a stored job, with its progress if there is any.
@@ -109,6 +114,10 @@
         known = self.catalogue.find(submission.job_id)
         if known is None or submission.job_id in self.job_by_id:
             return None
+        if submission.policy is not None:
+            self._policy_by_id.setdefault(
+                submission.queue_id, submission.policy
+            )
         job = Job(submission)
         if known.progress is not None or known.tasks_by_block:
             self._restore(job, known)
@@ -136,19 +145,19 @@
             self._report_job_end(job)
             self.writer.mark_changed(job)
 
-    def _max_attempts(self, job: Job) -> int:
-        queue = self.queues().get(job.submission.queue_id)
-        return queue.max_attempts if queue else 1
+    def _max_attempts(self, job: Job) -> int | None:
+        policy = self.policies().get(job.submission.queue_id)
+        return policy.max_attempts if policy else None
 
     def _record_arrival(self, submission: Submission) -> None:
-        queue = self.queues().get(submission.queue_id)
-        if queue is None:
+        policy = self.policies().get(submission.queue_id)
+        if policy is None:
             return
         # The arrival time is that of the acceptance, also for a job that
         # reaches this controller late.
         age_s = (self.clock.unix_ms() - submission.accepted_ms) / 1000
         at = self.clock.boot() - max(0.0, age_s)
-        self.arrivals.record(queue.pool_id, submission, at)
+        self.arrivals.record(policy.pool_id, submission, at)
 
     def cancel(self, job: Job) -> None:
         """Cancels a job and stops its runs."""
--- a/sardinedrift/engine/demand.py
+++ b/sardinedrift/engine/demand.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from sardinedrift.engine.model import Queue, Size, Step, Submission
+from sardinedrift.engine.model import QueuePolicy, Size, Step, Submission
 from sardinedrift.engine.objectives import misses_objective
 from sardinedrift.engine.work import Job
 from sardinedrift.identifiers import PoolId, QueueId
@@ -159,23 +159,23 @@
 
 
 def measure_demand(
-    jobs: Iterable[Job], queue_by_id: dict[QueueId, Queue], now_ms: float
+    jobs: Iterable[Job], policy_by_id: dict[QueueId, QueuePolicy], now_ms: float
 ) -> dict[PoolId, PoolDemand]:
     """Returns the demand of each pool.
 
     Args:
         jobs: the unfinished jobs.
-        queue_by_id: their queues.
+        policy_by_id: the policies of their queues.
         now_ms: current time in Unix ms.
     """
     demand_by_pool: dict[PoolId, PoolDemand] = {}
     for job in jobs:
-        queue = queue_by_id.get(job.submission.queue_id)
-        if queue is None:
+        policy = policy_by_id.get(job.submission.queue_id)
+        if policy is None:
             continue
-        demand = demand_by_pool.setdefault(queue.pool_id, PoolDemand())
+        demand = demand_by_pool.setdefault(policy.pool_id, PoolDemand())
         demand.min_workers = max(demand.min_workers, _min_workers(job))
-        _add_job(demand, job, misses_objective(job, queue, now_ms))
+        _add_job(demand, job, misses_objective(job, policy, now_ms))
     return demand_by_pool
 
 
--- a/sardinedrift/engine/gauges.py
+++ b/sardinedrift/engine/gauges.py
@@ -37,7 +37,7 @@
         free = sum(max(0, worker.free.cpu) for worker in workers)
         gauge(pool_id, "free_cpu").set(free)
     demand_by_pool = measure_demand(
-        control.job_by_id.values(), control.queues(), control.clock.unix_ms()
+        control.job_by_id.values(), control.policies(), control.clock.unix_ms()
     )
     for pool_id, demand in demand_by_pool.items():
         metrics.pool_gauges.labels(pool_id, "demand_cpu").set(demand.cpu)
--- a/sardinedrift/engine/model.py
+++ b/sardinedrift/engine/model.py
@@ -127,6 +127,31 @@
     may_miss: int = 0
 
 
+class QueuePolicy(msgspec.Struct, frozen=True, array_like=True):
+    """How the jobs of a queue are run.
+
+    It is kept with each job, since a job is finished also after its queue has
+    been withdrawn. A job should be completed within `stretch` times its
+    critical path plus `latency_ms`.
+
+    Attributes:
+        pool_id: pool of workers that runs the queue's tasks.
+        priority: 0 is the highest.
+        max_attempts: number of failed runs of a task after which its job
+            fails.
+        stretch: factor of the critical path in the objective.
+        latency_ms: constant part of the objective.
+        advised: only workers named by the advice service may run a step.
+    """
+
+    pool_id: PoolId
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    latency_ms: int = 0
+    advised: bool = False
+
+
 class Submission(msgspec.Struct, frozen=True, array_like=True):
     """An accepted job.
 
@@ -137,6 +162,8 @@
         repeats: number of occurrences; 0 for a job without a schedule.
         start_ms: time at which occurrence 0 is due, in Unix milliseconds.
         interval_ms: time between occurrences.
+        policy: that of its queue when it was accepted; None in records of
+            versions that did not keep it, and of ended jobs.
     """
 
     job_id: JobId
@@ -148,6 +175,7 @@
     repeats: int = 0
     start_ms: int = 0
     interval_ms: int = 0
+    policy: QueuePolicy | None = None
 
     def shortened(self) -> "Submission":
         """Returns a copy without payload and steps, kept for an ended job."""
@@ -207,32 +235,18 @@
 class Queue(msgspec.Struct, frozen=True):
     """A queue, as published by operators.
 
-    A job should be completed within `stretch` times its critical path plus
-    `latency_ms`.
-
     Attributes:
         host: host name at which callers reach the queue.
         prefix: path prefix of the queue.
-        pool_id: pool of workers that runs the queue's tasks.
-        priority: 0 is the highest.
-        max_attempts: number of failed runs of a task after which its job
-            fails.
+        policy: how its jobs are run.
         anonymous: calls need no key.
-        stretch: factor of the critical path in the objective.
-        latency_ms: constant part of the objective.
-        advised: only workers named by the advice service may run a step.
     """
 
     queue_id: QueueId
     host: str
     prefix: str
-    pool_id: PoolId
-    priority: int = 0
-    max_attempts: int = 1
+    policy: QueuePolicy
     anonymous: bool = False
-    stretch: float = 1.0
-    latency_ms: int = 0
-    advised: bool = False
 
 
 class Team(msgspec.Struct, frozen=True):
--- a/sardinedrift/engine/objectives.py
+++ b/sardinedrift/engine/objectives.py
@@ -1,6 +1,6 @@
 """Completion objectives of jobs; performs no I/O."""
 
-from sardinedrift.engine.model import Queue
+from sardinedrift.engine.model import QueuePolicy
 from sardinedrift.engine.work import Job
 
 # Share of the estimated time that the rest of a job takes at least: estimates
@@ -10,13 +10,13 @@
 OVERDUE_FACTOR = 3.0
 
 
-def objective_ms(job: Job, queue: Queue) -> float:
+def objective_ms(job: Job, policy: QueuePolicy) -> float:
     """Returns the time by which a job should complete, in Unix ms."""
-    span_ms = queue.stretch * job.critical_path_ms + queue.latency_ms
+    span_ms = policy.stretch * job.critical_path_ms + policy.latency_ms
     return _start_ms(job) + span_ms
 
 
-def misses_objective(job: Job, queue: Queue, now_ms: float) -> bool:
+def misses_objective(job: Job, policy: QueuePolicy, now_ms: float) -> bool:
     """Whether a job can no longer complete by its objective.
 
     That is judged by the least time that the steps which are not done may take.
@@ -24,27 +24,27 @@
 
     Args:
         job: the job.
-        queue: its queue.
+        policy: that of its queue.
         now_ms: current time in Unix ms.
     """
     if not has_objective(job):
         return False
     rest_ms = MIN_ESTIMATE_SHARE * job.remaining_path_ms
-    return now_ms + rest_ms > objective_ms(job, queue)
+    return now_ms + rest_ms > objective_ms(job, policy)
 
 
-def is_overdue(job: Job, queue: Queue, now_ms: float) -> bool:
+def is_overdue(job: Job, policy: QueuePolicy, now_ms: float) -> bool:
     """Whether a job has taken so long that its result is of little use.
 
     Args:
         job: the job.
-        queue: its queue.
+        policy: that of its queue.
         now_ms: current time in Unix ms.
     """
     if not has_objective(job):
         return False
     start_ms = _start_ms(job)
-    span_ms = objective_ms(job, queue) - start_ms
+    span_ms = objective_ms(job, policy) - start_ms
     return now_ms > start_ms + OVERDUE_FACTOR * span_ms
 
 
--- a/sardinedrift/engine/overload.py
+++ b/sardinedrift/engine/overload.py
@@ -17,7 +17,7 @@
 from sardinedrift.engine.control import ControllerState
 from sardinedrift.engine.events import Event
 from sardinedrift.engine.fleet import Worker
-from sardinedrift.engine.model import Queue, Size, Step
+from sardinedrift.engine.model import QueuePolicy, Size, Step
 from sardinedrift.engine.objectives import has_objective, is_overdue
 from sardinedrift.engine.work import Job
 from sardinedrift.identifiers import QueueId
@@ -104,7 +104,7 @@
 
 def find_backlogs(
     jobs: Iterable[Job],
-    queue_by_id: dict[QueueId, Queue],
+    policy_by_id: dict[QueueId, QueuePolicy],
     largest: LargestWorker,
     now: float,
     now_ms: float,
@@ -117,13 +117,13 @@
 
     Args:
         jobs: the unfinished jobs.
-        queue_by_id: their queues.
+        policy_by_id: the policies of their queues.
         largest: bounds of what workers offer.
         now: boot-time clock in seconds.
         now_ms: current time in Unix ms.
         reported: the backlogs found before.
     """
-    counts_by_backlog = _count_jobs(jobs, queue_by_id, largest, now, now_ms)
+    counts_by_backlog = _count_jobs(jobs, policy_by_id, largest, now, now_ms)
     found = {
         backlog
         for backlog, counts in counts_by_backlog.items()
@@ -144,20 +144,20 @@
 
 def _count_jobs(
     jobs: Iterable[Job],
-    queue_by_id: dict[QueueId, Queue],
+    policy_by_id: dict[QueueId, QueuePolicy],
     largest: LargestWorker,
     now: float,
     now_ms: float,
 ) -> dict[Backlog, _Counts]:
     counts_by_backlog: dict[Backlog, _Counts] = {}
     for job in jobs:
-        queue = queue_by_id.get(job.submission.queue_id)
-        if queue is None or job.ended or not _is_possible(job, largest):
+        policy = policy_by_id.get(job.submission.queue_id)
+        if policy is None or job.ended or not _is_possible(job, largest):
             continue
         backlog = Backlog(job.submission.queue_id, job.submission.team_id)
         counts = counts_by_backlog.setdefault(backlog, _Counts())
         counts.unfinished += 1
-        if job.waiting and is_overdue(job, queue, now_ms):
+        if job.waiting and is_overdue(job, policy, now_ms):
             counts.overdue += 1
             counts.starving += _starves(job, now)
     return counts_by_backlog
@@ -227,7 +227,7 @@
         jobs = control.job_by_id.values()
         backlogs = find_backlogs(
             jobs,
-            control.queues(),
+            control.policies(),
             LargestWorker(control.fleet.worker_by_id.values()),
             control.clock.boot(),
             now_ms,
--- a/sardinedrift/engine/placement.py
+++ b/sardinedrift/engine/placement.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from sardinedrift.engine.fleet import Worker
-from sardinedrift.engine.model import Queue, Size, WorkerId
+from sardinedrift.engine.model import QueuePolicy, Size, WorkerId
 from sardinedrift.engine.objectives import misses_objective, objective_ms
 from sardinedrift.engine.task import Task
 from sardinedrift.engine.teamuse import TeamUse
@@ -22,20 +22,20 @@
 
 
 def group_by_pool(
-    jobs: Iterable[Job], queue_by_id: dict[QueueId, Queue]
+    jobs: Iterable[Job], policy_by_id: dict[QueueId, QueuePolicy]
 ) -> dict[PoolId, list[Job]]:
     """Returns the jobs with startable tasks, keyed by their queue's pool."""
     jobs_by_pool: dict[PoolId, list[Job]] = {}
     for job in jobs:
-        queue = queue_by_id.get(job.submission.queue_id)
-        if queue is not None and job.waiting and not job.ended:
-            jobs_by_pool.setdefault(queue.pool_id, []).append(job)
+        policy = policy_by_id.get(job.submission.queue_id)
+        if policy is not None and job.waiting and not job.ended:
+            jobs_by_pool.setdefault(policy.pool_id, []).append(job)
     return jobs_by_pool
 
 
 def order_jobs(
     jobs: Iterable[Job],
-    queue_by_id: dict[QueueId, Queue],
+    policy_by_id: dict[QueueId, QueuePolicy],
     use: TeamUse,
     now_ms: float,
 ) -> list[Job]:
@@ -51,21 +51,21 @@
 
     Args:
         jobs: the jobs.
-        queue_by_id: their queues.
+        policy_by_id: the policies of their queues.
         use: use of the client accounts.
         now_ms: current time in Unix ms.
     """
 
     def rank(job: Job) -> tuple:
         submission = job.submission
-        queue = queue_by_id[submission.queue_id]
+        policy = policy_by_id[submission.queue_id]
         return (
-            queue.priority,
+            policy.priority,
             not job.long_running,
-            misses_objective(job, queue, now_ms),
+            misses_objective(job, policy, now_ms),
             not job.started,
             use.weighted_cpu(submission.team_id),
-            objective_ms(job, queue),
+            objective_ms(job, policy),
         )
 
     return sorted(jobs, key=rank)
--- a/sardinedrift/engine/planner.py
+++ b/sardinedrift/engine/planner.py
@@ -7,7 +7,7 @@
 from sardinedrift.engine.events import Event
 from sardinedrift.engine.fleet import Worker
 from sardinedrift.engine.limiter import OrderLimiter
-from sardinedrift.engine.model import Queue, WorkerId
+from sardinedrift.engine.model import QueuePolicy, WorkerId
 from sardinedrift.engine.orders import Orders
 from sardinedrift.engine.pacing import decide_paces
 from sardinedrift.engine.placement import (
@@ -55,24 +55,29 @@
     def plan(self) -> None:
         """Places waiting tasks, and preempts runs if one waits too long."""
         control = self._control
+        if control.published.current() is None:
+            # The limits of the client accounts are not known yet.
+            return
         now, now_ms = control.clock.boot(), control.clock.unix_ms()
-        queue_by_id = control.queues()
+        policy_by_id = control.policies()
         self._refresh_teams()
-        jobs_by_pool = group_by_pool(control.job_by_id.values(), queue_by_id)
+        jobs_by_pool = group_by_pool(control.job_by_id.values(), policy_by_id)
         workers_by_pool = control.fleet.by_pool()
         placed: list[Run] = []
         self._waiting_log.begin_pass()
         allowance = self._limiter.free
         for index, (pool_id, jobs) in enumerate(jobs_by_pool.items()):
-            ordered = order_jobs(jobs, queue_by_id, control.team_use, now_ms)
+            ordered = order_jobs(jobs, policy_by_id, control.team_use, now_ms)
             workers = workers_by_pool.get(pool_id, [])
             share = math.ceil(
                 (allowance - len(placed)) / (len(jobs_by_pool) - index)
             )
-            placed += self._plan_pool(ordered, workers, queue_by_id, now, share)
+            placed += self._plan_pool(
+                ordered, workers, policy_by_id, now, share
+            )
             _record_waits(ordered, now)
             self._waiting_log.write(ordered, workers, now)
-            self._preempt(ordered, workers, queue_by_id, now)
+            self._preempt(ordered, workers, policy_by_id, now)
         control.placement_limited = len(placed) >= allowance
         control.saturation.record_pass(
             bool(jobs_by_pool)
@@ -101,13 +106,13 @@
         self,
         jobs: list[Job],
         workers: list[Worker],
-        queue_by_id: dict[QueueId, Queue],
+        policy_by_id: dict[QueueId, QueuePolicy],
         now: float,
         max_count: int,
     ) -> list[Run]:
         def permitted(task: Task) -> frozenset[WorkerId] | None:
-            queue = queue_by_id[task.job.submission.queue_id]
-            if not queue.advised:
+            policy = policy_by_id[task.job.submission.queue_id]
+            if not policy.advised:
                 return None
             return self._advisor.permitted_workers(task, workers)
 
@@ -129,10 +134,10 @@
         self,
         jobs: list[Job],
         workers: list[Worker],
-        queue_by_id: dict[QueueId, Queue],
+        policy_by_id: dict[QueueId, QueuePolicy],
         now: float,
     ) -> None:
-        for run in Preemption(queue_by_id, now).choose(jobs, workers):
+        for run in Preemption(policy_by_id, now).choose(jobs, workers):
             self._control.log.write(
                 Event.PREEMPTED,
                 job=run.task.job.job_id,
--- a/sardinedrift/engine/poolreview.py
+++ b/sardinedrift/engine/poolreview.py
@@ -141,13 +141,13 @@
         control = self._control
         demand_by_pool = measure_demand(
             control.job_by_id.values(),
-            control.queues(),
+            control.policies(),
             control.clock.unix_ms(),
         )
         size = self._average_size()
         with_unplaced = machines_with_unplaced(
             control.job_by_id.values(),
-            control.queues(),
+            control.policies(),
             control.fleet.of_pool,
             control.team_use,
             size,
@@ -164,8 +164,8 @@
         return share_machines(need_by_pool, len(self._inventory.machine_by_id))
 
     def _pools_in_use(self) -> set[PoolId]:
-        queues = self._control.queues().values()
-        return {queue.pool_id for queue in queues}
+        policies = self._control.policies().values()
+        return {policy.pool_id for policy in policies}
 
     def _average_size(self) -> Size:
         machines = self._inventory.machine_by_id.values()
--- a/sardinedrift/engine/preemption.py
+++ b/sardinedrift/engine/preemption.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from sardinedrift.engine.fleet import Worker
-from sardinedrift.engine.model import Queue, RunPhase
+from sardinedrift.engine.model import QueuePolicy, RunPhase
 from sardinedrift.engine.task import Run, Task
 from sardinedrift.engine.work import Job
 from sardinedrift.identifiers import QueueId
@@ -19,12 +19,12 @@
     """Selects victims for tasks that fit on no worker.
 
     Args:
-        queue_by_id: the queues, with their priorities.
+        policy_by_id: the policies of the queues.
         now: boot-time clock in seconds.
     """
 
-    def __init__(self, queue_by_id: dict[QueueId, Queue], now: float):
-        self._queue_by_id = queue_by_id
+    def __init__(self, policy_by_id: dict[QueueId, QueuePolicy], now: float):
+        self._queue_by_id = policy_by_id
         self._now = now
 
     def choose(self, jobs: Iterable[Job], workers: list[Worker]) -> list[Run]:
@@ -95,8 +95,8 @@
         return task_priority < run_priority or long_running_first
 
     def _priority(self, task: Task) -> int:
-        queue = self._queue_by_id.get(task.job.submission.queue_id)
-        return queue.priority if queue else 0
+        policy = self._queue_by_id.get(task.job.submission.queue_id)
+        return policy.priority if policy else 0
 
 
 def _may_host(worker: Worker, task: Task) -> bool:
--- a/sardinedrift/engine/unplaced.py
+++ b/sardinedrift/engine/unplaced.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable, Iterator, Sequence
 
 from sardinedrift.engine.fleet import Worker, step_key
-from sardinedrift.engine.model import Queue, Size, Step, TaskId
+from sardinedrift.engine.model import QueuePolicy, Size, Step, TaskId
 from sardinedrift.engine.task import Task
 from sardinedrift.engine.teamuse import TeamUse
 from sardinedrift.engine.work import Job
@@ -23,7 +23,7 @@
 
 def machines_with_unplaced(
     jobs: Iterable[Job],
-    queue_by_id: dict[QueueId, Queue],
+    policy_by_id: dict[QueueId, QueuePolicy],
     workers_of: Callable[[PoolId], Sequence[Worker]],
     use: TeamUse,
     size: Size,
@@ -36,7 +36,7 @@
 
     Args:
         jobs: the unfinished jobs.
-        queue_by_id: their queues.
+        policy_by_id: the policies of their queues.
         workers_of: returns the workers of a pool.
         use: use of the client accounts; tasks beyond a limit need no machine.
         size: average capacity of a machine.
@@ -44,9 +44,9 @@
     """
     tasks_by_pool = collections.defaultdict(list)
     for job in jobs:
-        queue = queue_by_id.get(job.submission.queue_id)
-        if queue is not None and job.long_running:
-            tasks_by_pool[queue.pool_id] += _long_waiting(job, use, now)
+        policy = policy_by_id.get(job.submission.queue_id)
+        if policy is not None and job.long_running:
+            tasks_by_pool[policy.pool_id] += _long_waiting(job, use, now)
     needed_by_pool = {}
     for pool_id, tasks in tasks_by_pool.items():
         workers = [
--- a/sardinedrift/engine/waitinglog.py
+++ b/sardinedrift/engine/waitinglog.py
@@ -135,7 +135,7 @@
             return WaitReason.NO_WORKER
         if not any(worker.can_fit(task) for worker in ready):
             return WaitReason.CAPACITY
-        queue = self._control.queues().get(submission.queue_id)
-        if self._control.placement_limited or not (queue and queue.advised):
+        policy = self._control.policies().get(submission.queue_id)
+        if self._control.placement_limited or not (policy and policy.advised):
             return WaitReason.ORDERS
         return WaitReason.ADVICE
--- a/sardinedrift/engine/work.py
+++ b/sardinedrift/engine/work.py
@@ -188,11 +188,19 @@
         task: Task,
         how: RunEnd,
         checkpoint: str,
-        max_attempts: int,
+        max_attempts: int | None,
         now_ms: int,
     ) -> list[Run]:
         """Applies the end of a task's current run.
 
+        Args:
+            task: the task.
+            how: how the run ended.
+            checkpoint: its last checkpoint, or "".
+            max_attempts: number of failures after which the job fails; None if
+                it is not known, and then the job goes on.
+            now_ms: current time in Unix ms.
+
         Returns:
             The ended runs: this one and, when a gang is done, the runs of its
             other members.
@@ -223,7 +231,7 @@
         if not self.ended:
             self._end(JobState.CANCELLED, now_ms)
 
-    def end_if_due(self, max_attempts: int, now_ms: int) -> bool:
+    def end_if_due(self, max_attempts: int | None, now_ms: int) -> bool:
         """Ends a restored job if the records of its tasks show its end.
 
         They may be newer than the record of the job's state.
@@ -411,7 +419,9 @@
             each.done for each in self.occurrence_by_number.values()
         )
 
-    def _exhausted(self, task: Task, max_attempts: int) -> bool:
+    def _exhausted(self, task: Task, max_attempts: int | None) -> bool:
+        if max_attempts is None:
+            return False
         members = self.siblings(task) if task.step.gang else (task,)
         failures = sum(each.failures for each in members)
         return failures >= max_attempts and not task.step.long_running
--- a/sardinedrift/platform/configuration.py
+++ b/sardinedrift/platform/configuration.py
@@ -7,6 +7,7 @@
     MachineId,
     Pool,
     Queue,
+    QueuePolicy,
     Size,
     Team,
     WaveNumber,
@@ -119,13 +120,15 @@
         queue_id=QueueId(route.name),
         host=route.host,
         prefix=route.path_prefix,
-        pool_id=PoolId(route.service),
-        priority=route.priority,
-        max_attempts=route.max_attempts,
+        policy=QueuePolicy(
+            pool_id=PoolId(route.service),
+            priority=route.priority,
+            max_attempts=route.max_attempts,
+            stretch=route.stretch,
+            latency_ms=route.target_latency_ms,
+            advised=route.advice is not None,
+        ),
         anonymous=route.anonymous,
-        stretch=route.stretch,
-        latency_ms=route.target_latency_ms,
-        advised=route.advice is not None,
     )
 
 
--- a/sardinedrift/platform/jobs.py
+++ b/sardinedrift/platform/jobs.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from sardinedrift.engine.exceptions import CallError
-from sardinedrift.engine.model import Size, Step, Submission, TaskId
-from sardinedrift.identifiers import JobId, QueueId, TeamId
+from sardinedrift.engine.model import Queue, Size, Step, Submission, TaskId
+from sardinedrift.identifiers import JobId, TeamId
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}", re.IGNORECASE)
 MAX_PAYLOAD_BYTES = 4000
@@ -67,7 +67,7 @@
 def decode_job(
     body: bytes,
     job_id: JobId,
-    queue_id: QueueId,
+    queue: Queue,
     team_id: TeamId,
     accepted_ms: int,
 ) -> Submission:
@@ -87,7 +87,7 @@
         raise CallError(400, "bad_job", "too many tasks are due at once")
     return Submission(
         job_id,
-        queue_id,
+        queue.queue_id,
         team_id,
         accepted_ms,
         job.spec,
@@ -95,6 +95,7 @@
         job.repeats,
         job.start_at_ms,
         job.interval_ms,
+        queue.policy,
     )
 
 
--- a/sardinedrift/platform/server.py
+++ b/sardinedrift/platform/server.py
@@ -124,7 +124,7 @@
             case "POST":
                 body = await self._read_body(request)
                 submission = decode_job(
-                    body, job_id, queue.queue_id, team_id, self._clock.unix_ms()
+                    body, job_id, queue, team_id, self._clock.unix_ms()
                 )
                 await self._entry.accept(submission, deadline)
                 return _json_response(200, {})
--- a/tests/engine_world.py
+++ b/tests/engine_world.py
@@ -19,6 +19,7 @@
     MachineId,
     Pool,
     Queue,
+    QueuePolicy,
     Size,
     Step,
     Submission,
@@ -80,6 +81,8 @@
         lost_appends: number of next appends that are carried out but not
             answered.
         lost_joins: the same for joins.
+        appends_held: appends of a controller are carried out and answered once
+            this has ended.
     """
 
     store_down: bool = False
@@ -95,6 +98,7 @@
     refused_starts: int = 0
     lost_appends: int = 0
     lost_joins: int = 0
+    appends_held: bool = False
 
 
 class MachineOrder(NamedTuple):
@@ -282,7 +286,8 @@
     limit: Size = ANY_SIZE, max_attempts: int = 2
 ) -> Configuration:
     """Returns a configuration with a queue, a client account and two pools."""
-    queue = Queue(QUEUE, "host", "/q/", POOL, max_attempts=max_attempts)
+    policy = QueuePolicy(POOL, max_attempts=max_attempts)
+    queue = Queue(QUEUE, "host", "/q/", policy)
     return Configuration(
         1,
         {QUEUE: queue},
@@ -293,6 +298,11 @@
     )
 
 
+def policies() -> dict[QueueId, QueuePolicy]:
+    """Returns the policies of the queues of the configuration."""
+    return {QUEUE: configuration().queue_by_id[QUEUE].policy}
+
+
 class FixedRegistrations:
     """Feed of the registered workers."""
 
@@ -323,7 +333,15 @@
     job: str, *steps: Step, team_id: TeamId = TEAM, accepted_ms: int = 0
 ) -> Submission:
     """Returns a job on the world's queue."""
-    return Submission(JobId(job), QUEUE, team_id, accepted_ms, "text", steps)
+    return Submission(
+        JobId(job),
+        QUEUE,
+        team_id,
+        accepted_ms,
+        "text",
+        steps,
+        policy=policies()[QUEUE],
+    )
 
 
 def short(count: int = 2, **fields) -> Step:
--- a/tests/test_engine_decisions.py
+++ b/tests/test_engine_decisions.py
@@ -40,8 +40,8 @@
     SIZE,
     SPARE,
     TASK_SIZE,
-    configuration,
     long_running,
+    policies,
     short,
     submission,
 )
@@ -120,12 +120,12 @@
         The larger of both was the need, so a pool whose long-running tasks took
         19 machines got too few of them for a burst until its jobs waited.
         """
-        queues = configuration().queue_by_id
+        policy_by_id = policies()
         lasting = make_job("a", long_running(15))
         burst = [make_job(f"j{number}", short(5)) for number in range(3)]
         for jobs, arriving_cpu in (([lasting], 30_000), ([lasting, *burst], 0)):
             needed = demand.machines_needed(
-                demand.measure_demand(jobs, queues, 0)[POOL],
+                demand.measure_demand(jobs, policy_by_id, 0)[POOL],
                 demand.ArrivingLoad(arriving_cpu),
                 SIZE,
             )
@@ -146,11 +146,11 @@
         After a change of controllers, one pool asked for more machines than the
         fleet has, for jobs that were late already.
         """
-        queues = configuration().queue_by_id
+        policy_by_id = policies()
         jobs = [make_job(f"j{number}", short(10)) for number in range(100)]
         cpu = 100 * 10 * TASK_SIZE.cpu
         for now_ms, late_cpu in ((0, 0), (10_000, cpu)):
-            measured = demand.measure_demand(jobs, queues, now_ms)[POOL]
+            measured = demand.measure_demand(jobs, policy_by_id, now_ms)[POOL]
             self.assertEqual(measured.cpu, cpu)
             self.assertEqual(measured.late_cpu, late_cpu)
             need = demand.machines_needed(measured, demand.ArrivingLoad(), SIZE)
@@ -160,9 +160,9 @@
     def test_a_spread_step_needs_as_many_machines(self):
         """Guards against a pool too small for the spread of its tasks."""
         job = make_job("a", long_running(6, max_per_worker=1))
-        queues = configuration().queue_by_id
+        policy_by_id = policies()
         needed = demand.machines_needed(
-            demand.measure_demand([job], queues, 0)[POOL],
+            demand.measure_demand([job], policy_by_id, 0)[POOL],
             demand.ArrivingLoad(),
             SIZE,
         )
@@ -253,8 +253,8 @@
 
 class PreemptionTest(unittest.TestCase):
     def _choose(self, waiting: Step, waited_s: float):
-        queues = configuration().queue_by_id
-        low = msgspec.structs.replace(queues[QUEUE], priority=1)
+        policy_by_id = policies()
+        low = msgspec.structs.replace(policy_by_id[QUEUE], priority=1)
         first = make_job("a", short(16))
         worker = make_worker("w0")
         plan([first], [worker])
--- a/tests/test_engine_faults.py
+++ b/tests/test_engine_faults.py
@@ -16,14 +16,21 @@
 )
 from sardinedrift.engine.model import JobState
 from sardinedrift.engine.storeports import KeyedRecord
-from sardinedrift.identifiers import JobId, QueueId, TeamId
+from sardinedrift.identifiers import JobId, TeamId
 from sardinedrift.platform.http import Response
 from sardinedrift.platform.jobs import decode_job
 from sardinedrift.platform.store import LogStore
 from sardinedrift.platform.workers import HttpWorkerOrders
 from tests.engine_case import EngineTest
 from tests.engine_fakes import _encode_records
-from tests.engine_world import TOPIC, long_running, short, submission
+from tests.engine_world import (
+    QUEUE,
+    TOPIC,
+    configuration,
+    long_running,
+    short,
+    submission,
+)
 
 
 class UnexpectedErrorTest(EngineTest):
@@ -153,6 +160,7 @@
     def test_a_job_with_countless_due_times_is_refused(self):
         """Guards against a call that fills the memory of the controller."""
         now_ms = 1_700_000_000_000
+        queue = configuration().queue_by_id[QUEUE]
         job = {"steps": [{"count": 1}], "repeats": 1_000_000_000}
         for times in (
             {},
@@ -161,12 +169,12 @@
         ):
             body = msgspec.json.encode({**job, **times})
             with self.subTest(times=times), self.assertRaises(CallError):
-                decode_job(body, JobId("a"), QueueId("q"), TeamId("t"), now_ms)
+                decode_job(body, JobId("a"), queue, TeamId("t"), now_ms)
         future = {**job, "start_at_ms": now_ms, "interval_ms": 60_000}
         decode_job(
             msgspec.json.encode(future),
             JobId("a"),
-            QueueId("q"),
+            queue,
             TeamId("t"),
             now_ms,
         )
--- a/tests/test_engine_load.py
+++ b/tests/test_engine_load.py
@@ -32,8 +32,8 @@
     POOL,
     QUEUE,
     SIZE,
-    configuration,
     long_running,
+    policies,
     short,
 )
 from tests.engine_world import submission as new_submission
@@ -186,7 +186,7 @@
         control = mock.Mock(
             team_use=TeamUse({}), placement_limited=True, job_by_id={}
         )
-        control.queues.return_value = configuration().queue_by_id
+        control.policies.return_value = policies()
         return WaitingLog(control), control
 
     def _waiting_job(self, name: str) -> Job:
@@ -272,7 +272,7 @@
     def _need(self, jobs: int, machines: int) -> MachineNeed:
         jobs = [make_job(f"j{number}", short(10)) for number in range(jobs)]
         control = mock.Mock(job_by_id=dict(enumerate(jobs)))
-        control.queues.return_value = configuration().queue_by_id
+        control.policies.return_value = policies()
         control.clock.unix_ms.return_value = 10_000
         control.arrivals.arriving_load.return_value = ArrivingLoad()
         inventory = mock.Mock(
@@ -298,7 +298,7 @@
     def test_demand_is_the_sum_over_all_tasks(self):
         """Guards against a sum by steps that differs from that by tasks."""
         rng = random.Random(5)
-        queues = configuration().queue_by_id
+        policy_by_id = policies()
         for _ in range(50):
             jobs = [
                 make_job(f"{number}", short(4), short(3, after=(0,)))
@@ -312,12 +312,12 @@
                         how = rng.choice((RunEnd.DONE, RunEnd.LAPSED))
                         job.end_run(task, how, "", 3, 0)
             now_ms = rng.choice((0, 10_000))
-            measured = demand.measure_demand(jobs, queues, now_ms)[POOL]
+            measured = demand.measure_demand(jobs, policy_by_id, now_ms)[POOL]
             self.assertEqual(measured.cpu, sum(map(_requested_cpu, jobs)))
             late = [
                 job
                 for job in jobs
-                if misses_objective(job, queues[QueueId(QUEUE)], now_ms)
+                if misses_objective(job, policy_by_id[QueueId(QUEUE)], now_ms)
             ]
             self.assertEqual(measured.late_cpu, sum(map(_requested_cpu, late)))
 
--- a/tests/test_engine_overload.py
+++ b/tests/test_engine_overload.py
@@ -32,8 +32,8 @@
 from tests.engine_world import (
     QUEUE,
     TOPIC,
-    configuration,
     long_running,
+    policies,
     short,
 )
 from tests.engine_world import submission as new_submission
@@ -50,8 +50,10 @@
         self, jobs, now=100.0, now_ms=OVERDUE_MS, reported=frozenset()
     ) -> list[Backlog]:
         largest = LargestWorker([make_worker("w0")])
-        queues = configuration().queue_by_id
-        return list(find_backlogs(jobs, queues, largest, now, now_ms, reported))
+        policy_by_id = policies()
+        return list(
+            find_backlogs(jobs, policy_by_id, largest, now, now_ms, reported)
+        )
 
     def _waiting(self, name: str, step: Step | None = None, **fields):
         job = make_job(name, step or short(2), **fields)
--- a/tests/test_engine_placement.py
+++ b/tests/test_engine_placement.py
@@ -21,8 +21,8 @@
 from tests.engine_world import (
     QUEUE,
     TEAM,
-    configuration,
     long_running,
+    policies,
     short,
     submission,
 )
@@ -87,7 +87,7 @@
 
     def test_the_team_with_least_use_for_its_weight_comes_first(self):
         """Guards against a client account that occupies a full pool alone."""
-        queues = configuration().queue_by_id
+        policy_by_id = policies()
         use = TeamUse(
             {TEAM: Team(TEAM, 3.0), OTHER_TEAM: Team(OTHER_TEAM, 1.0)}
         )
@@ -97,7 +97,7 @@
             make_job("a", short(1), team_id=OTHER_TEAM),
             make_job("b", short(1)),
         ]
-        ordered = order_jobs(jobs, queues, use, 0)
+        ordered = order_jobs(jobs, policy_by_id, use, 0)
         self.assertEqual([job.job_id for job in ordered], ["b", "a"])
 
     def test_jobs_that_can_be_on_time_come_first(self):
@@ -106,15 +106,17 @@
         With the earliest objective first, a backlog that is late already keeps
         the jobs behind it waiting until they are late as well.
         """
-        queues = configuration().queue_by_id
+        policy_by_id = policies()
         late = make_job("a", short(1), accepted_ms=1000)
         on_time = make_job("b", short(1), accepted_ms=1600)
         for now_ms, expected in ((1000, ["a", "b"]), (2000, ["b", "a"])):
-            for queue_id, queue in queues.items():
-                queues[queue_id] = msgspec.structs.replace(
-                    queue, latency_ms=150
+            for queue_id, policy in policy_by_id.items():
+                policy_by_id[queue_id] = msgspec.structs.replace(
+                    policy, latency_ms=150
                 )
-            ordered = order_jobs([late, on_time], queues, TeamUse({}), now_ms)
+            ordered = order_jobs(
+                [late, on_time], policy_by_id, TeamUse({}), now_ms
+            )
             self.assertEqual([job.job_id for job in ordered], expected)
 
     def test_started_jobs_are_completed_before_others_start(self):
@@ -122,24 +124,24 @@
 
         When each arriving job gets some tasks started, all become late.
         """
-        queues = configuration().queue_by_id
+        policy_by_id = policies()
         first = make_job("a", short(20), accepted_ms=100)
         plan([first], [make_worker("w0", cpu=4_000)])
         second = make_job("b", short(1), team_id=OTHER_TEAM)
-        ordered = order_jobs([second, first], queues, TeamUse({}), 0)
+        ordered = order_jobs([second, first], policy_by_id, TeamUse({}), 0)
         self.assertEqual([job.job_id for job in ordered], ["a", "b"])
 
     def test_a_later_step_is_late_by_what_remains(self):
         """Guards against a job put behind others although it can be on time."""
-        queues = configuration().queue_by_id
-        (queue,) = queues.values()
+        policy_by_id = policies()
+        (policy,) = policy_by_id.values()
         job = make_job("a", short(1), short(1, after=(0,)))
-        self.assertTrue(misses_objective(job, queue, 501))
+        self.assertTrue(misses_objective(job, policy, 501))
         plan([job], [make_worker("w0")])
         (task,) = job.active.values()
         job.end_run(task, RunEnd.DONE, "", 3, 0)
-        self.assertFalse(misses_objective(job, queue, 750))
-        self.assertTrue(misses_objective(job, queue, 751))
+        self.assertFalse(misses_objective(job, policy, 750))
+        self.assertTrue(misses_objective(job, policy, 751))
 
     def test_a_worker_that_fails_everything_gets_no_more(self):
         """Guards against a faulty worker that uses up all attempts of tasks."""
--- a/tests/test_engine_sharing.py
+++ b/tests/test_engine_sharing.py
@@ -35,6 +35,7 @@
     SPARE,
     configuration,
     long_running,
+    policies,
     short,
 )
 from tests.virtual_time import LoopClock
@@ -123,7 +124,7 @@
 class ReviewTest(unittest.TestCase):
     def _review(self, jobs, workers) -> list[capacity.MachineView]:
         control = mock.Mock(job_by_id=dict(enumerate(jobs)))
-        control.queues.return_value = configuration().queue_by_id
+        control.policies.return_value = policies()
         control.clock.unix_ms.return_value = 10_000
         control.clock.boot.return_value = 0.2
         control.arrivals.arriving_load.return_value = ArrivingLoad()
@@ -196,7 +197,7 @@
             task.waiting_since = 10.0 - waited_s
         return machines_with_unplaced(
             [job],
-            configuration().queue_by_id,
+            policies(),
             lambda pool_id: workers,
             TeamUse(configuration(limit).team_by_id),
             SIZE,
--- a/tests/test_platform_server.py
+++ b/tests/test_platform_server.py
@@ -9,7 +9,7 @@
 from sardinedrift.engine.clock import SystemClock
 from sardinedrift.engine.events import EventLog
 from sardinedrift.engine.metrics import Metrics
-from sardinedrift.engine.model import Queue
+from sardinedrift.engine.model import Queue, QueuePolicy
 from sardinedrift.identifiers import PoolId, QueueId, TeamId
 from sardinedrift.platform import server
 from sardinedrift.runtime import new_event_loop
@@ -51,7 +51,7 @@
 
     def find_queue(self, host, path):
         self.called.set()
-        return Queue(QueueId("q"), host, "/q/", PoolId("pool"))
+        return Queue(QueueId("q"), host, "/q/", QueuePolicy(PoolId("pool")))
 
     def authenticate(self, queue, key):
         return TeamId("")
