Acknowledge ends only to the process that listed them

Cause: the number of the newest stored end is sent to the worker as acknowledgement.

Change: a stored end counts only for the process that listed it.

Ruled out: stops of stray runs; the lost ends are `done` at the worker.

--- a/sardinedrift/engine/sessions.py
+++ b/sardinedrift/engine/sessions.py
@@ -146,7 +146,7 @@
             await asyncio.sleep(RETRY_INTERVAL_S)
             return
         sent_at = self._control.clock.boot()
-        acknowledged_end = worker.last_stored_end
+        acknowledged_end = self._end_to_acknowledge()
         try:
             report = await self._port.renew(
                 worker.registered,
@@ -166,9 +166,25 @@
                 await asyncio.sleep(RETRY_INTERVAL_S)
         else:
             self._answer_timeout.record_answer()
-            self._last_acknowledged_end = acknowledged_end
+            self._last_acknowledged_end = max(
+                self._last_acknowledged_end, acknowledged_end
+            )
             self._apply_report(report, sent_at)
 
+    def _end_to_acknowledge(self) -> int:
+        """Returns the number of the newest stored end; 0 if that is known.
+
+        A process that was started under the same id would forget ends up to
+        that number unread. So it is not repeated, nor sent in the first call
+        after one that the worker did not answer.
+        """
+        worker = self._worker
+        if worker.suspect or worker.last_stored_end <= (
+            self._last_acknowledged_end
+        ):
+            return 0
+        return worker.last_stored_end
+
     def _next_lease_ms(self) -> int | None:
         """Returns the lease deadline to send, on the worker's clock, if any.
 
@@ -309,11 +325,18 @@
             checkpoint = self._recordable(end.checkpoint, end.task_id)
             self._control.finish(run, end.how, checkpoint)
         self._ends_stored.clear()
+        born_ms = self._worker.born_ms
         self._control.writer.call_when_durable(
-            lambda: self._mark_stored(end.number)
+            lambda: self._mark_stored(end.number, born_ms)
         )
 
-    def _mark_stored(self, number: int) -> None:
+    def _mark_stored(self, number: int, born_ms: int) -> None:
+        """Records that an end of a process of the worker is stored.
+
+        The numbers of a later process have nothing to do with it.
+        """
+        if self._worker.born_ms != born_ms:
+            return
         self._worker.last_stored_end = max(self._worker.last_stored_end, number)
         if self._worker.last_stored_end >= self._last_received_end:
             self._ends_stored.set()
--- a/tests/engine_fakes.py
+++ b/tests/engine_fakes.py
@@ -94,6 +94,8 @@
         sequence: int,
     ) -> Offset:
         await self._connect()
+        while self._world.faults.appends_held:  # noqa: ASYNC110
+            await asyncio.sleep(RESPONSE_DELAY_S)
         try:
             _, end = self._world.log.append(
                 topic, _encode_records(records), "controller", token, sequence
--- a/tests/test_engine_restarts.py
+++ b/tests/test_engine_restarts.py
@@ -1,7 +1,9 @@
 """Tests of the job engine with workers that restart under their id."""
 
 import asyncio
+from unittest import mock
 
+from sardinedrift.engine import poolreview
 from sardinedrift.engine.model import JobState
 from tests.engine_case import EngineTest
 from tests.engine_world import World, long_running, short, submission
@@ -108,6 +110,92 @@
         self.run_scenario(scenario, task_duration_s=lambda task: None)
 
 
+class AcknowledgementTest(EngineTest):
+    """Ends of a worker's earlier process are stored after its restart."""
+
+    def _restart(self, world: World, name: str) -> None:
+        world.worker_by_id[name].crash()
+        world.restart_worker(name)
+        world.register_restarted(name)
+
+    def _check_runs(self, world: World, job: str, count: int) -> None:
+        runs = [each for each in world.histories() if each.task[0] == job]
+        self.assertEqual(len(runs), count)
+
+    def test_ends_stored_late_acknowledge_none_of_the_new_process(self):
+        """Guards against ends that a restarted worker forgets unread.
+
+        The ends of the process before were stored after the restart. Their
+        numbers were sent to the new process, whose numbers start anew.
+        """
+
+        async def scenario(world, nodes):
+            await self.accept(world, nodes[0], submission("a", short(48)))
+            await self.wait_for(lambda: len(world.histories()) == 48, 2.0)
+            world.faults.appends_held = True
+            await self.wait_for(lambda: not self.running(world), 2.0)
+            await asyncio.sleep(1.0)
+            for name in list(world.worker_by_id):
+                self._restart(world, name)
+            await asyncio.sleep(1.5)
+            world.faults.appends_held = False
+            await self.accept(world, nodes[0], submission("b", short(48)))
+            await self.wait_for(
+                lambda: self.state(nodes[0], "b") is JobState.COMPLETED, 20.0
+            )
+            self._check_runs(world, "b", 48)
+
+        self._run_with_staggered_ends(scenario)
+
+    def test_a_restarted_worker_gets_no_acknowledgement_meant_for_another(self):
+        """Guards against an acknowledgement that is repeated after a restart.
+
+        The worker was not reached, and the call with the number was repeated
+        until its next process answered. That one may have ended a run already.
+        """
+
+        async def scenario(world, nodes):
+            await self.accept(world, nodes[0], submission("a", short(48)))
+            await self.wait_for(lambda: not self.running(world), 3.0)
+            await asyncio.sleep(2.0)
+            seen = []
+            for name in list(world.worker_by_id):
+                world.worker_by_id[name].crash()
+            await asyncio.sleep(1.0)
+            for name in list(world.worker_by_id):
+                worker = world.restart_worker(name)
+                seen.append(self._record_acknowledgements(worker))
+                world.register_restarted(name)
+            await self.accept(world, nodes[0], submission("b", short(4)))
+            await asyncio.sleep(4.0)
+            for numbers in seen:
+                self.assertTrue(numbers)
+                self.assertEqual(numbers[0], 0)
+
+        self._run_with_staggered_ends(scenario)
+
+    def _record_acknowledgements(self, worker) -> list[int]:
+        """Returns a list that receives the numbers sent to a worker."""
+        numbers: list[int] = []
+        renew_lease = worker.renew_lease
+
+        async def record(token, last_seen, *arguments):
+            numbers.append(last_seen)
+            return await renew_lease(token, last_seen, *arguments)
+
+        worker.renew_lease = record
+        return numbers
+
+    def _run_with_staggered_ends(self, scenario) -> None:
+        with mock.patch.object(poolreview, "MAX_OPERATIONS", 0):
+            self.run_scenario(
+                scenario,
+                task_duration_s=lambda task: (
+                    0.3 + 0.001 * int(task.rpartition(".")[2])
+                ),
+            )
+
+
 class DepartedWorkerTest(EngineTest):
     """A worker that has left is known from stored runs, and still answers."""
 
