Treat odd registrations and messages as malformed where they are decoded

Operators of similar systems saw processes end, and readers stop, on one odd entry among the registrations: nested very deeply, with a number too large or a port out of range. Whether that can happen here was tried first.

Cause, by the tests: deep nesting raises RecursionError, which nothing took for malformed; numbers above 64 bits were accepted and could not be recorded, nor a malformed worker id be sent; a list of machines was lost with one row.

Change: one function decodes what others have written; counts, names, addresses and ids have bounds in the adapter; a malformed registration names no worker, also if an earlier one did; rows of machines are decoded one at a time; a request that cannot be built was not sent.

Ruled out: ends of processes.

--- a/sardinedrift/platform/configuration.py
+++ b/sardinedrift/platform/configuration.py
@@ -8,35 +8,27 @@
     Pool,
     Queue,
     QueuePolicy,
-    Size,
     Team,
     WaveNumber,
 )
 from sardinedrift.engine.ports import WaveOrder
 from sardinedrift.identifiers import PoolId, QueueId, TeamId
+from sardinedrift.jsoncodec import decode_json
+from sardinedrift.platform.fields import Count, Name, Resources
 
 CONFIGURATION_KEY = "config"
 WAVE_PREFIX = "wave/"
 
 
-class _Resources(msgspec.Struct, frozen=True):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-
-    def size(self) -> Size:
-        return Size(self.cpu, self.mem_mb, self.gpu)
-
-
 class _Route(msgspec.Struct, frozen=True):
     name: str
     host: str
     path_prefix: str
     service: str
-    priority: int = 0
-    max_attempts: int = 1
+    priority: Count = 0
+    max_attempts: Count = 1
     stretch: float = 1.0
-    target_latency_ms: int = 0
+    target_latency_ms: Count = 0
     # Calls without an API key are accepted.
     anonymous: bool = False
     # Present when the advice service names the workers that may run a step.
@@ -55,15 +47,15 @@
     weight: float = 1.0
     # Despite its name not a count: the resources that the running tasks of a
     # client account may use in all pools together.
-    max_count: _Resources = _Resources()
+    max_count: Resources = Resources()
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_body_bytes: int = 262144
+    max_body_bytes: Count = 262144
 
 
 class _Configuration(msgspec.Struct, frozen=True):
-    version: int
+    version: Count
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
@@ -71,15 +63,11 @@
 
 
 class _Wave(msgspec.Struct, frozen=True):
-    wave: int
-    machines: tuple[str, ...]
+    wave: Count
+    machines: tuple[Name, ...]
     duration_s: float
     # Maximum number of machines in upkeep at the same time.
-    max_count: int = 1
-
-
-_configuration_decoder = msgspec.json.Decoder(_Configuration)
-_wave_decoder = msgspec.json.Decoder(_Wave)
+    max_count: Count = 1
 
 
 def decode_configuration(data: bytes) -> Configuration:
@@ -88,7 +76,7 @@
     Raises:
         msgspec.DecodeError: the record is malformed or lacks a field.
     """
-    record = _configuration_decoder.decode(data)
+    record = decode_json(data, _Configuration)
     return Configuration(
         version=record.version,
         queue_by_id={
@@ -138,7 +126,7 @@
     Raises:
         msgspec.DecodeError: the record is malformed or lacks a field.
     """
-    record = _wave_decoder.decode(data)
+    record = decode_json(data, _Wave)
     return WaveOrder(
         WaveNumber(record.wave),
         tuple(MachineId(name) for name in record.machines),
--- a/sardinedrift/platform/daemon.py
+++ b/sardinedrift/platform/daemon.py
@@ -235,6 +235,7 @@
                 client,
                 lambda: self._settings.machines.address,
                 self._settings.node,
+                self._log,
             ),
             HttpAdvice(client, lambda: self._settings.advice),
             store,
--- a/sardinedrift/platform/jobs.py
+++ b/sardinedrift/platform/jobs.py
@@ -7,6 +7,8 @@
 from sardinedrift.engine.exceptions import CallError
 from sardinedrift.engine.model import Queue, Size, Step, Submission, TaskId
 from sardinedrift.identifiers import JobId, TeamId
+from sardinedrift.jsoncodec import decode_json
+from sardinedrift.platform.fields import Count
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}", re.IGNORECASE)
 MAX_PAYLOAD_BYTES = 4000
@@ -15,36 +17,33 @@
 
 
 class _Step(msgspec.Struct, frozen=True):
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
-    after: tuple[int, ...] = ()
+    count: Count = 1
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
+    estimate_ms: Count = 0
+    after: tuple[Count, ...] = ()
     gang: bool = False
     rack_sensitive: bool = False
     required_label: str = ""
     data_rack: str = ""
-    max_per_server: int = 0
+    max_per_server: Count = 0
     checkpoints: bool = False
     speculative: bool = False
     long_running: bool = False
     image: str = ""
     # Upper bound on the tail latency of a task that serves users.
-    target_ms: int = 0
+    target_ms: Count = 0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: Count = 0
 
 
 class _Job(msgspec.Struct, frozen=True):
     steps: tuple[_Step, ...]
     spec: str = ""
-    repeats: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
-
-
-_decoder = msgspec.json.Decoder(_Job)
+    repeats: Count = 0
+    start_at_ms: Count = 0
+    interval_ms: Count = 0
 
 
 def parse_job_id(text: str) -> JobId:
@@ -77,11 +76,9 @@
         CallError: the body is malformed or a value is out of range.
     """
     try:
-        job = _decoder.decode(body)
+        job = decode_json(body, _Job)
     except msgspec.DecodeError as error:
         raise CallError(400, "bad_job", str(error)) from error
-    except UnicodeDecodeError as error:
-        raise CallError(400, "bad_job", str(error)) from error
     _validate(job)
     if _tasks_due_at(job, accepted_ms) > MAX_TASKS:
         raise CallError(400, "bad_job", "too many tasks are due at once")
--- a/sardinedrift/platform/machines.py
+++ b/sardinedrift/platform/machines.py
@@ -1,9 +1,10 @@
 """Client of the platform's machine service."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import msgspec
 
+from sardinedrift.engine.events import Event, EventLog
 from sardinedrift.engine.exceptions import (
     OrderNotSent,
     OrderRefused,
@@ -12,7 +13,6 @@
 from sardinedrift.engine.model import (
     FencingToken,
     MachineId,
-    Size,
     WaveNumber,
     WorkerId,
 )
@@ -23,31 +23,27 @@
     Refusal,
 )
 from sardinedrift.identifiers import DataCentreId, PoolId
+from sardinedrift.jsoncodec import decode_json
+from sardinedrift.platform.fields import Name, Resources
 from sardinedrift.platform.http import HttpClient, NoResponse, NotSent
 from sardinedrift.platform.workers import send_order
 
 CALL_TIMEOUT_S = 1.0
 
 
-class _Capacity(msgspec.Struct, frozen=True):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-
-
 class _MachineRecord(msgspec.Struct, frozen=True):
-    machine: str
+    machine: Name
     pool: str
     state: str
     zone: str = ""
     labels: tuple[str, ...] = ()
-    capacity: _Capacity = _Capacity()
+    capacity: Resources = Resources()
     # Id of the worker that runs on the machine, or None.
     id: str | None = None
 
 
 class _MachinePage(msgspec.Struct, frozen=True):
-    machines: tuple[_MachineRecord, ...]
+    machines: tuple[msgspec.Raw, ...]
     next_token: str | int | None = None
 
 
@@ -58,11 +54,17 @@
         client: HTTP client with its connection pool.
         address: returns the service's address.
         node: name of the lease holder, sent with each order.
+        log: receives log lines.
     """
 
     def __init__(
-        self, client: HttpClient, address: Callable[[], str], node: str
+        self,
+        client: HttpClient,
+        address: Callable[[], str],
+        node: str,
+        log: EventLog,
     ):
+        self._log = log
         self._client = client
         self._address = address
         self._node = node
@@ -73,11 +75,21 @@
         token: str | int | None = None
         while True:
             page = await self._fetch_page(token)
-            machines += [_to_machine(record) for record in page.machines]
+            machines += self._decode_machines(page)
             token = page.next_token
             if token is None or token == "":
                 return machines
 
+    def _decode_machines(self, page: _MachinePage) -> Iterator[Machine]:
+        """Yields the machines of a page, without malformed ones."""
+        for row in page.machines:
+            try:
+                yield _to_machine(decode_json(row, _MachineRecord))
+            except ValueError as error:
+                self._log.write(
+                    Event.ENTRY_IGNORED, key="machine", error=repr(error)
+                )
+
     async def move(
         self,
         machine_id: MachineId,
@@ -135,7 +147,7 @@
         if response.status != 200:
             raise OrderRefused(Refusal.UNHEALTHY)
         try:
-            return msgspec.json.decode(response.body, type=_MachinePage)
+            return decode_json(response.body, _MachinePage)
         except msgspec.DecodeError as error:
             raise OrderUnknown(
                 f"machine list cannot be decoded: {error}"
@@ -143,19 +155,12 @@
 
 
 def _to_machine(record: _MachineRecord) -> Machine:
-    try:
-        state = MachineState(record.state)
-    except ValueError as error:
-        raise OrderUnknown(
-            f"unknown machine state: {record.state!r}"
-        ) from error
-    capacity = record.capacity
     return Machine(
         MachineId(record.machine),
         PoolId(record.pool),
-        state,
+        MachineState(record.state),
         DataCentreId(record.zone),
         frozenset(record.labels),
-        Size(capacity.cpu, capacity.mem_mb, capacity.gpu),
+        record.capacity.size(),
         WorkerId(record.id or ""),
     )
--- a/sardinedrift/platform/store.py
+++ b/sardinedrift/platform/store.py
@@ -29,6 +29,7 @@
 )
 from sardinedrift.engine.term import MEMBER_TIMEOUT_MS
 from sardinedrift.identifiers import Offset
+from sardinedrift.jsoncodec import decode_json
 from sardinedrift.platform.configuration import (
     WAVE_PREFIX,
     encode_wave_state,
@@ -305,7 +306,7 @@
 
 def _decode(response: Response, expected_type: type):
     try:
-        return msgspec.json.decode(response.body, type=expected_type)
+        return decode_json(response.body, expected_type)
     except msgspec.DecodeError as error:
         raise StoreUnknown(f"response cannot be decoded: {error}") from error
 
--- a/sardinedrift/platform/workers.py
+++ b/sardinedrift/platform/workers.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from sardinedrift.addresses import split_address
 from sardinedrift.engine.exceptions import (
     OrderNotSent,
     OrderRefused,
@@ -14,7 +15,6 @@
     FencingToken,
     MachineId,
     RunEnd,
-    Size,
     TaskId,
     WorkerId,
 )
@@ -31,6 +31,13 @@
     WorkerReport,
 )
 from sardinedrift.identifiers import DataCentreId, PoolId
+from sardinedrift.jsoncodec import decode_json
+from sardinedrift.platform.fields import (
+    MAX_NAME_LENGTH,
+    Count,
+    Name,
+    Resources,
+)
 from sardinedrift.platform.http import HttpClient, NoResponse, NotSent, Response
 from sardinedrift.platform.jobs import parse_task_name, step_name, task_name
 
@@ -57,23 +64,17 @@
 }
 
 
-class _Capacity(msgspec.Struct, frozen=True):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-
-
 class _Registration(msgspec.Struct, frozen=True):
     service: str
     address: str
     zone: str
     state: str
-    capacity: _Capacity
+    capacity: Resources
     # Kind of the worker, then its rack.
     labels: tuple[str, ...] = ()
     # Start of the worker, in Unix milliseconds.
-    born: int = 0
-    machine: str = ""
+    born: Count = 0
+    machine: Name = ""
 
 
 class _RefusalBody(msgspec.Struct, frozen=True):
@@ -82,7 +83,7 @@
 
 class _RunRow(msgspec.Struct, frozen=True, array_like=True):
     task: str
-    run: int
+    run: Count
     saved: str
     percent: float
     # Tail latency in ms of a task that serves, CPU use of any other.
@@ -90,28 +91,26 @@
 
 
 class _EndRow(msgspec.Struct, frozen=True, array_like=True):
-    number: int
+    number: Count
     task: str
-    run: int
+    run: Count
     how: str
     saved: str
 
 
 class _ReportBody(msgspec.Struct, frozen=True):
-    clock_ms: int
+    clock_ms: Count
     running: tuple[_RunRow, ...] = ()
     ended: tuple[_EndRow, ...] = ()
-    born: int = 0
+    born: Count = 0
 
 
 class _AdviceBody(msgspec.Struct, frozen=True):
     # Rows of worker id and ticket.
     good: tuple[tuple[str, str], ...]
-    valid_ms: int
+    valid_ms: Count
 
 
-_registration_decoder = msgspec.json.Decoder(_Registration)
-_report_decoder = msgspec.json.Decoder(_ReportBody)
 _WORKER_STATES = ("ready", "draining")
 
 
@@ -119,13 +118,14 @@
     """Decodes the record of a worker's registration.
 
     Raises:
-        msgspec.DecodeError: the record is malformed or lacks a field.
-        ValueError: the state in the record is unknown.
+        ValueError: the id or the record is malformed, or a field is missing.
     """
-    registration = _registration_decoder.decode(data)
+    if not _is_worker_id(worker_id):
+        raise ValueError(f"malformed worker id: {worker_id!r}")
+    registration = decode_json(data, _Registration)
+    split_address(registration.address)
     if registration.state not in _WORKER_STATES:
         raise ValueError(f"unknown worker state: {registration.state!r}")
-    capacity = registration.capacity
     return RegisteredWorker(
         WorkerId(worker_id),
         PoolId(registration.service),
@@ -133,13 +133,20 @@
         DataCentreId(registration.zone),
         registration.born,
         registration.state == "draining",
-        Size(capacity.cpu, capacity.mem_mb, capacity.gpu),
+        registration.capacity.size(),
         frozenset(registration.labels),
         registration.labels[-1] if registration.labels else "",
         MachineId(registration.machine),
     )
 
 
+def _is_worker_id(text: str) -> bool:
+    """Whether an id can be sent in a header and recorded."""
+    return 0 < len(text) <= MAX_NAME_LENGTH and bool(
+        text.isascii() and text.isprintable()
+    )
+
+
 class HttpWorkerOrders(WorkerOrders):
     """Sends orders to workers over HTTP."""
 
@@ -250,7 +257,7 @@
             self._client, self._address(), "/advise", body, {}, ADVICE_TIMEOUT_S
         )
         try:
-            advice = msgspec.json.decode(response.body, type=_AdviceBody)
+            advice = decode_json(response.body, _AdviceBody)
         except msgspec.DecodeError as error:
             raise OrderUnknown(str(error)) from error
         tickets = tuple(
@@ -299,7 +306,7 @@
 def _to_error(response: Response) -> OrderRefused | OrderUnknown:
     if response.status == 409:
         try:
-            refusal = msgspec.json.decode(response.body, type=_RefusalBody)
+            refusal = decode_json(response.body, _RefusalBody)
         except msgspec.DecodeError as error:
             return OrderUnknown(f"refusal cannot be decoded: {error}")
         reason = _REFUSAL_BY_REASON.get(refusal.reason)
@@ -314,7 +321,7 @@
 
 def _decode_report(data: bytes) -> WorkerReport:
     try:
-        report = _report_decoder.decode(data)
+        report = decode_json(data, _ReportBody)
         return WorkerReport(
             report.clock_ms,
             report.born,
