Let one odd row or record stop no reader of the own interface

Change: rows of the list are decoded one at a time, after values nested deeper than 100 are cut out; addresses are checked. A batch nested deeper than that contains no changes for any reader: whether msgspec gives up depends on the stack of its caller, so readers could have disagreed.

The tests in test_fold and test_instancelist failed before the change (a record at depth 101 had changes, the list was refused) and pass with it.

--- a/sardinedrift/adminchanges.py
+++ b/sardinedrift/adminchanges.py
@@ -6,6 +6,7 @@
 
 from sardinedrift import changes as ch
 from sardinedrift.exceptions import StateError
+from sardinedrift.jsoncodec import decode_json
 
 _LOCATION = re.compile(r" - at `\$\.?([^`]*)`$")
 _NAMED_FIELD = re.compile(r"field `([^`]+)`")
@@ -32,7 +33,7 @@
         StateError: with code "malformed" and the path of the field.
     """
     try:
-        body = msgspec.json.decode(data, type=_Body)
+        body = decode_json(data, _Body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise _malformed("", error) from error
     if not body.changes:
@@ -56,7 +57,7 @@
 def _decode_change(path: str, raw: msgspec.Raw) -> ch.AnyChange:
     try:
         change = ch.decode_change(bytes(raw))
-        fields = msgspec.json.decode(raw, type=dict[str, msgspec.Raw])
+        fields = decode_json(raw, dict[str, msgspec.Raw])
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise _malformed(path, error) from error
     if not isinstance(change, ch.OPERATOR_CHANGES):
--- a/sardinedrift/callers.py
+++ b/sardinedrift/callers.py
@@ -19,6 +19,7 @@
 from sardinedrift.exceptions import AdmissionError
 from sardinedrift.follower import Follower
 from sardinedrift.identifiers import Identity, RequestId
+from sardinedrift.jsoncodec import decode_json
 from sardinedrift.messages import RelayedRequest
 from sardinedrift.ports import Answer, Clock
 from sardinedrift.recorder import RequestObserver
@@ -135,8 +136,8 @@
         """Handles a request relayed by another entry."""
         with self._count_in_progress():
             try:
-                relayed = msgspec.json.decode(
-                    request.headers.get(RELAY_HEADER, ""), type=RelayedRequest
+                relayed = decode_json(
+                    request.headers.get(RELAY_HEADER, ""), RelayedRequest
                 )
             except msgspec.DecodeError as error:
                 return web.Response(status=400, text=str(error))
--- a/sardinedrift/changes.py
+++ b/sardinedrift/changes.py
@@ -39,6 +39,7 @@
     SubmitJob,
     TakeWorkerLease,
 )
+from sardinedrift.jsoncodec import decode_json, is_too_deep
 
 
 class PutDataCentre(OperatorChange, frozen=True, kw_only=True):
@@ -356,8 +357,6 @@
     message: str = ""
 
 
-_batch_decoder = msgspec.json.Decoder(Batch)
-_change_decoder = msgspec.json.Decoder(AnyChange)
 _encoder = msgspec.json.Encoder()
 
 
@@ -373,7 +372,10 @@
         msgspec.DecodeError: the data is not a batch; every reader of the log
             skips such a record.
     """
-    return _batch_decoder.decode(data)
+    if is_too_deep(data):
+        # All readers have to agree on what a record contains.
+        raise msgspec.DecodeError("batch is nested too deeply")
+    return decode_json(data, Batch)
 
 
 def decode_change(data: bytes) -> AnyChange:
@@ -383,4 +385,4 @@
         msgspec.DecodeError: the data is not a change; the message names the
             field.
     """
-    return _change_decoder.decode(data)
+    return decode_json(data, AnyChange)
--- a/sardinedrift/instancelist.py
+++ b/sardinedrift/instancelist.py
@@ -1,14 +1,17 @@
 """HTTP client of the instance list, and a cached view of the list."""
 
 import asyncio
+from collections.abc import Iterator
 from typing import Literal
 
 import aiohttp
 import msgspec
 from loguru import logger
 
+from sardinedrift.addresses import split_address
 from sardinedrift.exceptions import InstanceListError
 from sardinedrift.identifiers import DataCentreId, InstanceId
+from sardinedrift.jsoncodec import cut_deep_values, decode_json
 from sardinedrift.ports import Clock, InstanceList, ListedInstance
 from sardinedrift.sessions import PlatformClient, call_timeout
 
@@ -33,7 +36,7 @@
     """Answer to a read; has no instances if the version is unchanged."""
 
     version: int
-    instances: list[_InstanceBody] | None = None
+    instances: list[msgspec.Raw] | None = None
 
 
 class _RebootBody(msgspec.Struct):
@@ -56,7 +59,7 @@
             "GET", "/instances", wait + READ_MARGIN_SECONDS, params=query
         )
         try:
-            listing = msgspec.json.decode(body, type=_ListBody)
+            listing = decode_json(cut_deep_values(body), _ListBody)
         except msgspec.MsgspecError as error:
             raise InstanceListError(
                 "invalid answer to an instance list read"
@@ -64,8 +67,7 @@
         if listing.instances is None:
             return listing.version, None
         return listing.version, tuple(
-            _to_listed_instance(instance, data_centre_id)
-            for instance in listing.instances
+            _decode_instances(listing.instances, data_centre_id)
         )
 
     async def reboot(
@@ -78,7 +80,7 @@
         order = {"instance_id": instance_id, "token": token}
         body = await self._call("POST", "/reboot", remaining, json=order)
         try:
-            return msgspec.json.decode(body, type=_RebootBody).done
+            return decode_json(body, _RebootBody).done
         except msgspec.MsgspecError as error:
             raise InstanceListError("invalid answer to a reboot") from error
 
@@ -191,6 +193,20 @@
             logger.warning("instance list unreachable: {}", reason)
 
 
+def _decode_instances(
+    rows: list[msgspec.Raw], data_centre_id: DataCentreId
+) -> Iterator[ListedInstance]:
+    """Yields the instances of a list, without malformed ones."""
+    for row in rows:
+        try:
+            instance = decode_json(row, _InstanceBody)
+            split_address(instance.address)
+        except ValueError as error:
+            logger.warning("instance ignored: {}", error)
+        else:
+            yield _to_listed_instance(instance, data_centre_id)
+
+
 def _to_listed_instance(
     instance: _InstanceBody, data_centre_id: DataCentreId
 ) -> ListedInstance:
--- a/sardinedrift/logservice.py
+++ b/sardinedrift/logservice.py
@@ -9,6 +9,7 @@
     OffsetExpired,
 )
 from sardinedrift.identifiers import Offset
+from sardinedrift.jsoncodec import decode_json
 from sardinedrift.ports import LogPage, LogService
 from sardinedrift.sessions import PlatformClient, call_timeout
 
@@ -54,7 +55,7 @@
         if status != 200:
             raise AppendUnknown(f"append answered with status {status}")
         try:
-            appended = msgspec.json.decode(body, type=_AppendedBody)
+            appended = decode_json(body, _AppendedBody)
         except msgspec.MsgspecError as error:
             raise AppendUnknown("unreadable answer to an append") from error
         return Offset(appended.offset)
@@ -70,8 +71,8 @@
             raise LogUnavailable(f"read refused with status {status}")
         try:
             if status == 200:
-                return msgspec.json.decode(body, type=LogPage)
-            expired = msgspec.json.decode(body, type=_ExpiredBody)
+                return decode_json(body, LogPage)
+            expired = decode_json(body, _ExpiredBody)
         except msgspec.MsgspecError as error:
             raise LogUnavailable("unreadable answer to a read") from error
         raise OffsetExpired(f"offset {start} expired", Offset(expired.first))
--- a/sardinedrift/peerapi.py
+++ b/sardinedrift/peerapi.py
@@ -10,6 +10,7 @@
 from sardinedrift.exceptions import PeerError
 from sardinedrift.follower import Follower
 from sardinedrift.identifiers import Offset
+from sardinedrift.jsoncodec import decode_json
 from sardinedrift.messages import Exchange, RecordsReply
 from sardinedrift.peers import Peers
 
@@ -57,11 +58,10 @@
         message_type: type of the message.
         handler: returns the reply to a message.
     """
-    decoder = msgspec.json.Decoder(message_type)
 
     async def handle(request: web.Request) -> web.Response:
         try:
-            message = decoder.decode(await request.read())
+            message = decode_json(await request.read(), message_type)
         except msgspec.DecodeError as error:
             return _error_response(400, "bad_message", str(error))
         try:
--- a/sardinedrift/peerclient.py
+++ b/sardinedrift/peerclient.py
@@ -13,6 +13,7 @@
 
 from sardinedrift import snapshots
 from sardinedrift.exceptions import PeerError
+from sardinedrift.jsoncodec import decode_json
 from sardinedrift.ports import Clock
 from sardinedrift.state import State
 
@@ -137,7 +138,7 @@
     if status != 200:
         raise PeerError(f"{source} answered {status}: {body[:200]!r}")
     try:
-        return msgspec.json.decode(body, type=reply_type)
+        return decode_json(body, reply_type)
     except msgspec.DecodeError as error:
         raise PeerError(f"{source}: {error}") from error
 
--- a/sardinedrift/relays.py
+++ b/sardinedrift/relays.py
@@ -14,6 +14,7 @@
     Identity,
     Outcome,
 )
+from sardinedrift.jsoncodec import decode_json
 from sardinedrift.messages import RelayedRequest
 from sardinedrift.peers import Peers
 from sardinedrift.ports import Answer
@@ -167,7 +168,7 @@
     status: int, outcome: Outcome, body: bytes
 ) -> AdmissionError:
     try:
-        error = msgspec.json.decode(body, type=ErrorBody)
+        error = decode_json(body, ErrorBody)
     except msgspec.DecodeError:
         phrase = http.HTTPStatus.BAD_GATEWAY.phrase
         return AdmissionError("relay_refused", phrase, status, outcome)
--- a/sardinedrift/snapshots.py
+++ b/sardinedrift/snapshots.py
@@ -10,14 +10,13 @@
 from sardinedrift import changes as ch
 from sardinedrift import objects
 from sardinedrift.identifiers import ChangeId, Offset
+from sardinedrift.jsoncodec import decode_json
 from sardinedrift.state import State, Tables
 
 # Keeps a record, a chunk as base85 text, well below a common record limit of
 # 256 KiB.
 CHUNK_BYTES = 128 * 1024
 
-_decoder = msgspec.json.Decoder(Tables)
-
 
 def encode(state: State) -> bytes:
     """Returns the compressed JSON form of the state."""
@@ -44,7 +43,7 @@
         msgspec.DecodeError: the data is not a snapshot.
         zlib.error: the data is damaged.
     """
-    return State(_decoder.decode(zlib.decompress(data)))
+    return State(decode_json(zlib.decompress(data), Tables))
 
 
 def chunks(state: State, snapshot_id: str) -> Iterator[ch.SnapshotChunk]:
--- a/sardinedrift/workers.py
+++ b/sardinedrift/workers.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from sardinedrift.exceptions import WorkerRefused, WorkerUnknown
+from sardinedrift.jsoncodec import decode_json
 from sardinedrift.ports import Clock, UsageReport, WorkerPort, WorkerTask
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -147,11 +148,9 @@
 ) -> Any:
     try:
         if status in _REFUSAL_STATUSES:
-            raise WorkerRefused(
-                msgspec.json.decode(content, type=_Refusal).code
-            )
+            raise WorkerRefused(decode_json(content, _Refusal).code)
         if status == 200:
-            return msgspec.json.decode(content, type=reply_type)
+            return decode_json(content, reply_type)
     except msgspec.DecodeError as error:
         raise WorkerUnknown(f"{address}: {error}") from error
     raise WorkerUnknown(f"{address} answered {status}")
--- a/tests/test_fold.py
+++ b/tests/test_fold.py
@@ -5,6 +5,7 @@
 from sardinedrift import changes as ch
 from sardinedrift import fold, snapshots
 from sardinedrift.identifiers import InstanceState
+from sardinedrift.jsoncodec import MAX_DEPTH
 from tests.sample_changes import (
     Log,
     drain_ack,
@@ -33,6 +34,24 @@
         self.assertEqual(second.code, "revision_conflict")
         self.assertEqual(log.state.tables.team_by_id["red"].limit, 5)
 
+    def test_a_record_nested_too_deeply_contains_no_changes(self):
+        """Guards against one record that stops all readers of the log.
+
+        Nor may it depend on a reader's stack whether it contains changes.
+        """
+        for depth in (MAX_DEPTH + 1, 600, 100_000):
+            log = Log()
+            log.append(put_team())
+            more = b"[" * depth + b"]" * depth
+            encoded = ch.encode_batch(ch.Batch((put_team("blue"),)))
+            nested = encoded[:-1] + b',"more":' + more + b"}"
+            log.records.append((5.0, nested))
+            results = fold.apply_record(log.state, 1, 5.0, nested)
+            self.assertEqual(results, [])
+            self.assertNotIn("blue", log.state.tables.team_by_id)
+            (later,) = log.append(put_team(revision=1, limit=5))
+            self.assertTrue(later.accepted)
+
     def test_repeated_change_id_is_applied_once(self):
         """Guards against a repeated append after a lost answer."""
         log = Log()
--- a/tests/test_instancelist.py
+++ b/tests/test_instancelist.py
@@ -4,6 +4,9 @@
 import contextlib
 import time
 import unittest
+from unittest import mock
+
+import msgspec
 
 from sardinedrift.exceptions import InstanceListError
 from sardinedrift.instancelist import HttpInstanceList, InstanceView
@@ -11,6 +14,8 @@
 from tests import servers
 from tests.fakes import SystemClock
 
+DEPTH = 100_000
+
 
 def instance(instance_id, kind="minion", **fields):
     return {
@@ -61,6 +66,34 @@
         await servers.control(self.address, put=put, outage=False)
         await self.wait_until(lambda: self.view.leaving("e1"))
 
+    async def test_one_odd_instance_does_not_hide_the_others(self):
+        """Guards against one entry that stops all readers of the list."""
+        good = {"id": "m1", "kind": "minion", "address": "127.0.0.1:1"}
+        good["state"] = "live"
+        odd = [
+            {**good, "id": "m2", "address": "127.0.0.1:99999"},
+            {**good, "id": "m3", "state": "unheard"},
+            {**good, "id": 10**40},
+            [],
+        ]
+        rows = [msgspec.json.encode(each) for each in (*odd, good)]
+        rows.append(b'{"id":"m4","more":' + b"[" * DEPTH + b"]" * DEPTH + b"}")
+        body = b'{"version":1,"instances":[' + b",".join(rows) + b"]}"
+        answer = mock.AsyncMock(return_value=body)
+        with mock.patch.object(HttpInstanceList, "_call", answer):
+            _, listed = await self.list.read("dc1", 0, time.time() + 1)
+        self.assertEqual([each.instance_id for each in listed], ["m1"])
+
+    async def test_an_unreadable_list_is_an_outage(self):
+        """Guards against an error that ends the reader of the list."""
+        body = b"[" * DEPTH
+        answer = mock.AsyncMock(return_value=body)
+        with (
+            mock.patch.object(HttpInstanceList, "_call", answer),
+            self.assertRaises(InstanceListError),
+        ):
+            await self.list.read("dc1", 0, time.time() + 1)
+
     async def test_reboot_returns_all_but_the_lost_instances(self):
         """Guards against a missed reboot and a false return of an instance."""
         app = minion.make_app()
