--- a/sardinedrift/engine/sessions.py
+++ b/sardinedrift/engine/sessions.py
@@ -20,7 +20,7 @@
     WorkerOrders,
     WorkerReport,
 )
-from sardinedrift.engine.taskblocks import MAX_CHECKPOINT_BYTES
+from sardinedrift.engine.taskblocks import is_recordable
 
 # Longest time for which a worker may hold back a report until a run ends.
 # Leases are renewed at least at this interval.
@@ -367,17 +367,13 @@
 
     def _recordable(self, checkpoint: str, task_id: TaskId) -> str:
         """Returns a checkpoint, or "" if it is too large to be recorded."""
-        # A character takes up to four bytes.
-        if len(checkpoint) <= MAX_CHECKPOINT_BYTES // 4:
-            return checkpoint
-        size = len(checkpoint.encode(errors="replace"))
-        if size <= MAX_CHECKPOINT_BYTES:
+        if is_recordable(checkpoint):
             return checkpoint
         self._control.log.write(
             Event.FAULT,
             where="checkpoint",
             job=task_id.job_id,
-            error=f"{size} bytes are too many to record",
+            error=f"{len(checkpoint)} characters are too many to record",
         )
         return ""
 
--- a/sardinedrift/engine/taskblocks.py
+++ b/sardinedrift/engine/taskblocks.py
@@ -41,6 +41,14 @@
     return count * max(1, submission.repeats) > MAX_BLOCK_TASKS
 
 
+def is_recordable(checkpoint: str) -> bool:
+    """Whether the size of a checkpoint is within the limit."""
+    # A character takes up to four bytes.
+    return len(checkpoint) <= MAX_CHECKPOINT_BYTES // 4 or (
+        len(checkpoint.encode(errors="replace")) <= MAX_CHECKPOINT_BYTES
+    )
+
+
 def format_block_id(block_id: BlockId) -> str:
     """Returns the text form of a block's id, for use in a key."""
     return ".".join(str(part) for part in block_id)
--- a/sardinedrift/engine/work.py
+++ b/sardinedrift/engine/work.py
@@ -1,6 +1,6 @@
 """In-memory state of jobs and their state transitions."""
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 from sardinedrift.engine.model import (
@@ -9,13 +9,17 @@
     Progress,
     RunEnd,
     RunPhase,
-    Step,
     Submission,
     TaskId,
     TaskRecord,
     TaskState,
     WorkerId,
 )
+from sardinedrift.engine.occurrence import (
+    Occurrence,
+    OpenedStep,
+    critical_path_ms,
+)
 from sardinedrift.engine.task import Run, Task
 from sardinedrift.engine.taskblocks import (
     MAX_BLOCK_TASKS,
@@ -26,42 +30,6 @@
 from sardinedrift.identifiers import JobId
 
 
-class Occurrence:
-    """One occurrence of a job.
-
-    Attributes:
-        number: its number, from 0 on.
-        tasks_by_step: all tasks, by step number.
-        remaining_by_step: number of tasks that are not done, by step number.
-        opened: by step number, whether its tasks were made available.
-    """
-
-    def __init__(self, job: "Job", number: int):
-        self.number = number
-        steps = job.submission.steps
-        self.tasks_by_step = [
-            [
-                Task(job, TaskId(job.job_id, number, step_number, index), step)
-                for index in range(step.count)
-            ]
-            for step_number, step in enumerate(steps)
-        ]
-        self.remaining_by_step = [step.count for step in steps]
-        self.opened = [False] * len(steps)
-
-    @property
-    def done(self) -> bool:
-        """Whether all its tasks are done."""
-        return not any(self.remaining_by_step)
-
-
-class OpenedStep(NamedTuple):
-    """A step whose tasks were made available, with those that are not done."""
-
-    step: Step
-    remaining: int
-
-
 class TaskBlock(NamedTuple):
     """Records of the tasks of a block that have had a run."""
 
@@ -430,20 +398,3 @@
         self.state = state
         self.ended_ms = now_ms
         self.waiting.clear()
-
-
-def critical_path_ms(
-    steps: Sequence[Step], remaining: Sequence[bool] | None = None
-) -> int:
-    """Returns the estimated duration of the critical path, in ms.
-
-    Args:
-        steps: steps of a job.
-        remaining: for each step, whether it counts; None counts all.
-    """
-    ends: list[int] = []
-    for number, step in enumerate(steps):
-        begin = max((ends[each] for each in step.after), default=0)
-        counts = remaining is None or remaining[number]
-        ends.append(begin + (step.estimate_ms if counts else 0))
-    return max(ends, default=0)
--- a/tests/engine_node.py
+++ b/tests/engine_node.py
@@ -15,7 +15,8 @@
 from sardinedrift.engine.supervision import keep_running
 from sardinedrift.engine.term import Candidate
 from standins.platform.worker import MAX_LEASE_MS
-from tests.engine_fakes import FakeMachines, FakeOrders, FakeStore
+from tests.engine_fakes import FakeMachines, FakeOrders
+from tests.engine_store import FakeStore
 from tests.engine_world import (
     MACHINE_COOLDOWN_S,
     STATUS_S,
--- a/tests/test_engine_faults.py
+++ b/tests/test_engine_faults.py
@@ -22,7 +22,7 @@
 from sardinedrift.platform.store import LogStore
 from sardinedrift.platform.workers import HttpWorkerOrders
 from tests.engine_case import EngineTest
-from tests.engine_fakes import _encode_records
+from tests.engine_store import encode_records
 from tests.engine_world import (
     QUEUE,
     TOPIC,
@@ -43,7 +43,7 @@
 
         async def scenario(world, nodes):
             bad = submission("bad", short(1, after=(3,)))
-            world.log.append(TOPIC, _encode_records([submission_record(bad)]))
+            world.log.append(TOPIC, encode_records([submission_record(bad)]))
             await self.accept(world, nodes[0], submission("a", short(1)))
             await asyncio.sleep(2.0)
             self.assertIs(self.state(nodes[1], "a"), JobState.COMPLETED)
--- a/tests/test_engine_placement.py
+++ b/tests/test_engine_placement.py
@@ -14,9 +14,10 @@
     WorkerId,
 )
 from sardinedrift.engine.objectives import misses_objective
+from sardinedrift.engine.occurrence import critical_path_ms
 from sardinedrift.engine.placement import order_jobs
 from sardinedrift.engine.teamuse import TeamUse
-from sardinedrift.engine.work import Job, critical_path_ms
+from sardinedrift.engine.work import Job
 from tests.engine_samples import OTHER_TEAM, make_job, make_worker, plan
 from tests.engine_world import (
     QUEUE,
