Count jobs whose start was refused as waiting, and keep jobs to their account

A queue's waiting count left out a job once a run had been placed for it, also when no worker had started one (0 for 4 jobs in the test). A job is pending again when all its runs lapsed and none was confirmed or reported.

A job was found by its id alone, so that a client account could read or cancel a job of another one, or was told that its own job was accepted under an id in use. The account is compared now: 410 for calls, 409 (id_in_use) for a submission. The queue is not: a version may rename it under its path.

--- a/sardinedrift/engine/control.py
+++ b/sardinedrift/engine/control.py
@@ -21,9 +21,10 @@
 from sardinedrift.engine.progresswriter import ProgressWriter
 from sardinedrift.engine.saturation import Saturation
 from sardinedrift.engine.task import Run, Task
+from sardinedrift.engine.taskblocks import TaskBlock
 from sardinedrift.engine.teamuse import TeamUse
 from sardinedrift.engine.term import Term
-from sardinedrift.engine.work import Job, TaskBlock
+from sardinedrift.engine.work import Job
 from sardinedrift.identifiers import JobId, QueueId
 
 
--- a/sardinedrift/engine/entry.py
+++ b/sardinedrift/engine/entry.py
@@ -7,6 +7,7 @@
 from sardinedrift.engine.catalogue import (
     JobCatalogue,
     KeyKind,
+    KnownJob,
     cancel_record,
     record_key,
     submission_record,
@@ -200,12 +201,16 @@
             deadline: boot-time clock at which the caller stops waiting.
 
         Raises:
-            CallError: 503 when the job was not stored, also because jobs like
+            CallError: 409 when the id is that of a job of another client
+                account, 503 when the job was not stored, also because jobs like
                 it starve already, 413 when it exceeds the store's limit, 504
                 when it is unknown whether it was stored.
         """
         if self._catalogue.find(submission.job_id) is None:
             await self._require_capacity(submission)
+        known = self._catalogue.find(submission.job_id)
+        if known and not _may_use(known.submission, submission.team_id):
+            raise CallError(409, "id_in_use")
         if self._catalogue.find(submission.job_id) is None:
             await self._append(submission_record(submission), deadline)
             self._catalogue.apply_submission(submission)
@@ -220,27 +225,36 @@
                 configuration_age_s=round(self._view.age, 3),
             )
 
-    async def state(self, job_id: JobId) -> JobState:
+    async def state(self, job_id: JobId, team_id: TeamId) -> JobState:
         """Returns the state of a job.
 
+        Args:
+            job_id: the job.
+            team_id: client account of the caller; "" on an anonymous queue.
+
         Raises:
-            CallError: 410 when there is no such job, 503 when it is unknown
-                whether there is one.
+            CallError: 410 when the client account has no such job, 503 when it
+                is unknown whether it has.
         """
-        await self._require_known(job_id)
-        known = self._catalogue.known_by_id[job_id]
+        known = await self._require_known(job_id, team_id)
         if known.state not in ENDED_STATES:
             await self._feed.catch_up()
         return known.state
 
-    async def cancel(self, job_id: JobId, deadline: float) -> None:
+    async def cancel(
+        self, job_id: JobId, team_id: TeamId, deadline: float
+    ) -> None:
         """Cancels a job.
 
+        Args:
+            job_id: the job.
+            team_id: client account of the caller; "" on an anonymous queue.
+            deadline: boot-time clock at which the caller stops waiting.
+
         Raises:
             CallError: as for `state` and `accept`.
         """
-        await self._require_known(job_id)
-        known = self._catalogue.known_by_id[job_id]
+        known = await self._require_known(job_id, team_id)
         if known.cancelled:
             return
         await self._append(cancel_record(job_id), deadline)
@@ -279,12 +293,13 @@
                 503, "overloaded", retry_after_s=OVERLOAD_RETRY_AFTER_S
             )
 
-    async def _require_known(self, job_id: JobId) -> None:
-        if self._catalogue.find(job_id) is not None:
-            return
-        await self._refresh_for_absence()
+    async def _require_known(self, job_id: JobId, team_id: TeamId) -> KnownJob:
         if self._catalogue.find(job_id) is None:
+            await self._refresh_for_absence()
+        known = self._catalogue.find(job_id)
+        if known is None or not _may_use(known.submission, team_id):
             raise CallError(410, "no_such_job")
+        return known
 
     async def _refresh_for_absence(self) -> None:
         """Makes sure that a job missing in the catalogue is not stored.
@@ -348,3 +363,12 @@
                         503, "store_unavailable", retry_after_s=RETRY_AFTER_S
                     ) from error
             await asyncio.sleep(APPEND_RETRY_INTERVAL_S)
+
+
+def _may_use(job: Submission, team_id: TeamId) -> bool:
+    """Whether a job may be that of a caller's client account.
+
+    A queue may have become anonymous, or have ceased to be, since a job was
+    accepted on it.
+    """
+    return not job.team_id or not team_id or job.team_id == team_id
--- a/sardinedrift/engine/sessions.py
+++ b/sardinedrift/engine/sessions.py
@@ -361,6 +361,7 @@
         if run.phase is RunPhase.ORDERED:
             run.phase = RunPhase.RUNNING
             run.settled_at = now
+            self._control.record_first_start(run.task.job)
             if run.stop_wanted or run.task.job.ended:
                 run.stop_wanted = False
                 self._orders.stop_soon(run)
--- a/sardinedrift/engine/taskblocks.py
+++ b/sardinedrift/engine/taskblocks.py
@@ -7,7 +7,7 @@
 
 from typing import NamedTuple
 
-from sardinedrift.engine.model import Submission, TaskId
+from sardinedrift.engine.model import Submission, TaskId, TaskRecord
 
 # Maximum number of tasks in a record.
 MAX_BLOCK_TASKS = 128
@@ -28,6 +28,13 @@
     number: int
 
 
+class TaskBlock(NamedTuple):
+    """Records of the tasks of a block that have had a run."""
+
+    block_id: BlockId
+    records: tuple[TaskRecord, ...]
+
+
 def block_of(task_id: TaskId) -> BlockId:
     """Returns the block that a task belongs to."""
     return BlockId(
--- a/sardinedrift/engine/work.py
+++ b/sardinedrift/engine/work.py
@@ -1,7 +1,6 @@
 """In-memory state of jobs and their state transitions."""
 
 from collections.abc import Iterable, Iterator
-from typing import NamedTuple
 
 from sardinedrift.engine.model import (
     ENDED_STATES,
@@ -24,28 +23,22 @@
 from sardinedrift.engine.taskblocks import (
     MAX_BLOCK_TASKS,
     BlockId,
+    TaskBlock,
     block_of,
     is_divided,
 )
 from sardinedrift.identifiers import JobId
 
 
-class TaskBlock(NamedTuple):
-    """Records of the tasks of a block that have had a run."""
-
-    block_id: BlockId
-    records: tuple[TaskRecord, ...]
-
-
 class Job:
     """An unfinished job and its tasks.
 
     Attributes:
-        started: a run of a task has been placed.
+        started: a run of a task has been placed, and was not refused.
         cancelled: a caller has requested the cancellation.
         ended_ms: end of the job in Unix milliseconds, or 0.
-        first_start_confirmed: a worker confirmed the start of a run; assumed
-            after a restore.
+        first_start_confirmed: a worker confirmed the start of a run or reported
+            one; assumed after a restore.
         critical_path_ms: estimated duration of its critical path, in ms.
         remaining_path_ms: the same of the steps that are not done, in its first
             occurrence.
@@ -185,6 +178,8 @@
             task.failed_on.add(worker_id)
         if self.ended:
             return ended_runs
+        if how is RunEnd.LAPSED:
+            self._reset_if_not_started()
         if how is RunEnd.DONE and not task.step.long_running:
             ended_runs += self._complete(task, now_ms)
         elif self._exhausted(task, max_attempts):
@@ -193,6 +188,12 @@
             self.waiting[task.task_id] = task
         return ended_runs
 
+    def _reset_if_not_started(self) -> None:
+        """Makes the job pending again if no worker has started a run of it."""
+        if not self.active and not self.first_start_confirmed:
+            self.started = False
+            self.state = JobState.PENDING
+
     def cancel(self, now_ms: int) -> None:
         """Cancels the job; its active runs must be stopped by the caller."""
         self.cancelled = True
--- a/sardinedrift/platform/server.py
+++ b/sardinedrift/platform/server.py
@@ -129,11 +129,11 @@
                 await self._entry.accept(submission, deadline)
                 return _json_response(200, {})
             case "GET":
-                state = await self._entry.state(job_id)
+                state = await self._entry.state(job_id, team_id)
                 self._log.write(Event.ANSWERED, job=job_id, state=state.value)
                 return _json_response(200, {"state": state.value})
             case "DELETE":
-                await self._entry.cancel(job_id, deadline)
+                await self._entry.cancel(job_id, team_id, deadline)
                 return _json_response(200, {})
         raise CallError(405, "method_not_allowed")
 
--- a/tests/test_engine_large_jobs.py
+++ b/tests/test_engine_large_jobs.py
@@ -20,8 +20,9 @@
 from sardinedrift.engine.taskblocks import (
     MAX_BLOCK_TASKS,
     MAX_CHECKPOINT_BYTES,
+    TaskBlock,
 )
-from sardinedrift.engine.work import Job, TaskBlock
+from sardinedrift.engine.work import Job
 from sardinedrift.identifiers import JobId
 from standins.platform.log import MAX_RECORD_BYTES
 from tests.engine_case import EngineTest
--- a/tests/test_engine_load.py
+++ b/tests/test_engine_load.py
@@ -32,6 +32,7 @@
     POOL,
     QUEUE,
     SIZE,
+    TEAM,
     long_running,
     policies,
     short,
@@ -168,7 +169,7 @@
                 3.0,
             )
             await asyncio.sleep(STORING_S)
-            state = await other.entry.state(job_id)
+            state = await other.entry.state(job_id, TEAM)
             self.assertIs(state, JobState.COMPLETED)
 
         self.run_scenario(scenario)
--- a/tests/test_engine_operation.py
+++ b/tests/test_engine_operation.py
@@ -2,12 +2,15 @@
 
 import asyncio
 
+from sardinedrift.engine.exceptions import CallError
 from sardinedrift.engine.model import JobState
-from sardinedrift.identifiers import JobId
+from sardinedrift.identifiers import JobId, TeamId
 from tests.engine_case import (
     EngineTest,
 )
 from tests.engine_world import (
+    QUEUE,
+    TEAM,
     long_running,
     short,
     submission,
@@ -60,13 +63,61 @@
         async def scenario(world, nodes):
             await self.accept(world, nodes[0], submission("a", long_running(3)))
             await self.wait_for(lambda: len(self.running(world)) == 3, 2.0)
-            await nodes[1].entry.cancel(JobId("a"), world.clock.boot() + 3.0)
+            await nodes[1].entry.cancel(
+                JobId("a"), TEAM, world.clock.boot() + 3.0
+            )
             await self.wait_for(lambda: not self.running(world), 2.0)
             await asyncio.sleep(2.0)
             self.assertIs(self.state(nodes[2], "a"), JobState.CANCELLED)
 
         self.run_scenario(scenario, task_duration_s=lambda task: None)
 
+    def test_a_job_whose_start_was_refused_counts_as_waiting(self):
+        """Guards against waiting jobs that are not counted.
+
+        A job no longer counted once a run had been placed for it, although no
+        worker had started one.
+        """
+
+        async def scenario(world, nodes):
+            world.faults.refused_starts = 1_000_000
+            for number in range(4):
+                job = submission(f"{number}", short(1))
+                await self.accept(world, nodes[0], job)
+            await asyncio.sleep(5.0)
+            for node in nodes:
+                self.assertEqual(node.catalogue.waiting_count(QUEUE), 4)
+            self.assertEqual(world.histories(), [])
+            world.faults.refused_starts = 0
+            await asyncio.sleep(10.0)
+            for node in nodes:
+                self.assertEqual(node.catalogue.waiting_count(QUEUE), 0)
+
+        self.run_scenario(scenario)
+
+    def test_a_job_belongs_to_its_client_account(self):
+        """Guards against access to a job of another client account."""
+
+        async def scenario(world, nodes):
+            await self.accept(world, nodes[0], submission("a", long_running(1)))
+            await asyncio.sleep(1.0)
+            entry, other = nodes[1].entry, TeamId("other")
+            deadline = world.clock.boot() + 3.0
+            with self.assertRaises(CallError) as caught:
+                await entry.state(JobId("a"), other)
+            self.assertEqual(caught.exception.status, 410)
+            with self.assertRaises(CallError) as caught:
+                await entry.cancel(JobId("a"), other, deadline)
+            self.assertEqual(caught.exception.status, 410)
+            foreign = submission("a", short(1), team_id=other)
+            with self.assertRaises(CallError) as caught:
+                await entry.accept(foreign, deadline)
+            self.assertEqual(caught.exception.status, 409)
+            state = await entry.state(JobId("a"), TEAM)
+            self.assertIs(state, JobState.RUNNING)
+
+        self.run_scenario(scenario, task_duration_s=lambda task: None)
+
     def test_a_job_fails_after_its_attempts(self):
         """Guards against a task that is retried without limit."""
 
--- a/tests/test_engine_store.py
+++ b/tests/test_engine_store.py
@@ -10,7 +10,7 @@
 from sardinedrift.identifiers import JobId
 from tests.engine_case import EngineTest
 from tests.engine_node import Node
-from tests.engine_world import STATUS_S, long_running, short, submission
+from tests.engine_world import STATUS_S, TEAM, long_running, short, submission
 
 
 class StoreTest(EngineTest):
@@ -64,12 +64,12 @@
 
         async def scenario(world, nodes):
             with self.assertRaises(CallError) as caught:
-                await nodes[0].entry.state(JobId("a"))
+                await nodes[0].entry.state(JobId("a"), TEAM)
             self.assertEqual(caught.exception.status, 410)
             world.faults.store_down = True
             await asyncio.sleep(0.1)
             with self.assertRaises(CallError) as caught:
-                await nodes[0].entry.state(JobId("a"))
+                await nodes[0].entry.state(JobId("a"), TEAM)
             self.assertEqual(caught.exception.status, 503)
 
         self.run_scenario(scenario)
@@ -94,7 +94,7 @@
             for number in range(12):
                 await self.accept(world, other, submission(f"{number}"))
             world.faults.store_cut.clear()
-            state = await late.entry.state(JobId("11"))
+            state = await late.entry.state(JobId("11"), TEAM)
             self.assertIs(state, JobState.PENDING)
 
         self.run_scenario(scenario)
