Keep refused jobs waiting over a change of the controller

A successor took a job for started if any of its tasks had ever been placed, as the test shows (0 waiting for 4 jobs after a planned stop). Only a record of an active, done or failed run shows a start now.

--- a/sardinedrift/engine/work.py
+++ b/sardinedrift/engine/work.py
@@ -279,7 +279,7 @@
             *(record for block in blocks for record in block.records),
         ]
         self.state = progress.state
-        self.started = progress.started or bool(records)
+        self.started = progress.started or any(map(_shows_start, records))
         if self.started and self.state is JobState.PENDING:
             self.state = JobState.RUNNING
         self.first_start_confirmed = self.started
@@ -399,3 +399,8 @@
         self.state = state
         self.ended_ms = now_ms
         self.waiting.clear()
+
+
+def _shows_start(record: TaskRecord) -> bool:
+    """Whether a run may have started, by the record of its task."""
+    return record.state is not TaskState.WAITING or record.failures > 0
--- a/tests/test_engine_operation.py
+++ b/tests/test_engine_operation.py
@@ -88,10 +88,13 @@
             for node in nodes:
                 self.assertEqual(node.catalogue.waiting_count(QUEUE), 4)
             self.assertEqual(world.histories(), [])
+            await self.controller(world, nodes).stop()
+            await asyncio.sleep(5.0)
+            survivor = self.controller(world, nodes)
+            self.assertEqual(survivor.catalogue.waiting_count(QUEUE), 4)
             world.faults.refused_starts = 0
             await asyncio.sleep(10.0)
-            for node in nodes:
-                self.assertEqual(node.catalogue.waiting_count(QUEUE), 0)
+            self.assertEqual(survivor.catalogue.waiting_count(QUEUE), 0)
 
         self.run_scenario(scenario)
 
