Give no port to two programs of the soak before they listen

Ports were drawn at random, each anew, so two programs could get the same one. They are given in turn now, from another first port in each process.

--- a/standins/platform/program.py
+++ b/standins/platform/program.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import pathlib
 import random
 import socket
 import sys
+from collections.abc import Iterator
 
 from standins.platform.log import MAX_RECORD_BYTES
 
@@ -19,10 +21,24 @@
 _PORTS = range(20_000, 32_000)
 
 
+def _ports_in_turn() -> Iterator[int]:
+    """Yields the ports in turn, from a different one in each process.
+
+    So an address is not given to two programs before they listen on it.
+    """
+    first = random.SystemRandom().choice(_PORTS)
+    yield from itertools.cycle(
+        (*range(first, _PORTS.stop), *_PORTS[: first - _PORTS.start])
+    )
+
+
+_next_ports = _ports_in_turn()
+
+
 def free_address() -> str:
     """Returns a loopback address whose port is unused at present."""
     while True:
-        port = random.choice(_PORTS)
+        port = next(_next_ports)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
             return f"127.0.0.1:{port}"
