--- a/tests/test_instancelist.py
+++ b/tests/test_instancelist.py
@@ -66,17 +66,17 @@
         await servers.control(self.address, put=put, outage=False)
         await self.wait_until(lambda: self.view.leaving("e1"))
 
-    async def test_one_odd_instance_does_not_hide_the_others(self):
+    async def test_one_malformed_instance_does_not_hide_the_others(self):
         """Guards against one entry that stops all readers of the list."""
         good = {"id": "m1", "kind": "minion", "address": "127.0.0.1:1"}
         good["state"] = "live"
-        odd = [
+        bad = [
             {**good, "id": "m2", "address": "127.0.0.1:99999"},
             {**good, "id": "m3", "state": "unheard"},
             {**good, "id": 10**40},
             [],
         ]
-        rows = [msgspec.json.encode(each) for each in (*odd, good)]
+        rows = [msgspec.json.encode(each) for each in (*bad, good)]
         rows.append(b'{"id":"m4","more":' + b"[" * DEPTH + b"]" * DEPTH + b"}")
         body = b'{"version":1,"instances":[' + b",".join(rows) + b"]}"
         answer = mock.AsyncMock(return_value=body)
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -42,7 +42,7 @@
     return msgspec.json.encode({**REGISTRATION, **fields})
 
 
-ODD_ENTRY_BY_NAME = {
+MALFORMED_BY_NAME = {
     "nested": _extended("more", b"[" * DEPTH + b"]" * DEPTH),
     "unclosed": b'{"a":' * DEPTH,
     "born-too-large": _extended("born", str(HUGE).encode()),
@@ -62,25 +62,25 @@
     "other-type": b"[1]",
     "no-text": b"\xff\xfe",
 }
-ODD_KEYS = ("line\nbreak", "\x00", "\u00fc")
+MALFORMED_IDS = ("line\nbreak", "\x00", "\u00fc")
 
 
-class OddEntryTest(PlatformTest):
+class MalformedEntryTest(PlatformTest):
     def _publish(self, key: str, value: bytes) -> None:
         content = bytes((len(key.encode()),)) + key.encode() + value
         self.platform.log.append("keyed.servers", [content])
 
-    async def test_odd_registrations_stop_nothing(self):
-        """Guards against one odd entry that ends or stops its readers.
+    async def test_malformed_registrations_stop_nothing(self):
+        """Guards against one malformed entry that ends or stops its readers.
 
         A number too large for the store's records ended the controller's term
         again and again; a worker's id that is no header value left its tasks
         without an outcome.
         """
-        for name, value in ODD_ENTRY_BY_NAME.items():
+        for name, value in MALFORMED_BY_NAME.items():
             self._publish(name, value)
-        for number, key in enumerate(ODD_KEYS):
-            machine = f"m-odd-{number}"
+        for number, key in enumerate(MALFORMED_IDS):
+            machine = f"m-bad-{number}"
             self._publish(key, _changed(machine=machine))
         first, second = await self.start("n0", "n1")
         for number in range(4):
@@ -90,7 +90,7 @@
             )
             self.assertEqual(status, 200)
             # The entries change while the controller follows them.
-            for name, value in ODD_ENTRY_BY_NAME.items():
+            for name, value in MALFORMED_BY_NAME.items():
                 self._publish(name, value)
         for number in range(4):
             job = f"{number:016x}"
@@ -104,33 +104,31 @@
             faults = [e for e in program.events() if e["event"] == "fault"]
             self.assertEqual(faults, [])
 
-    async def test_a_worker_whose_entry_turned_odd_is_not_used(self):
+
+class MalformedMessageTest(unittest.IsolatedAsyncioTestCase):
+    def test_malformed_registrations_are_refused(self):
+        """Guards against malformed values that fail where they are used."""
+        decode_registration("w", _changed())
+        for name, value in MALFORMED_BY_NAME.items():
+            with self.subTest(name=name), self.assertRaises(ValueError):
+                decode_registration("w", value)
+        for key in (*MALFORMED_IDS, "", "w" * 256):
+            with self.subTest(key=key), self.assertRaises(ValueError):
+                decode_registration(key, _changed())
+
+    def test_a_worker_whose_entry_became_malformed_is_not_used(self):
         """Guards against a reader that goes on with an earlier entry."""
         worker = "w1"
-        self._publish(worker, _changed())
-        self._publish(worker, ODD_ENTRY_BY_NAME["nested"])
         listener = mock.Mock()
         feed = Registrations(
             mock.Mock(), mock.Mock(), mock.Mock(spec=EventLog), Metrics()
         ).make_feed(listener)
         feed._listener(worker, _changed())
-        feed._listener(worker, ODD_ENTRY_BY_NAME["nested"])
+        feed._listener(worker, MALFORMED_BY_NAME["nested"])
         self.assertIsNotNone(listener.call_args_list[0].args[1])
         self.assertIsNone(listener.call_args_list[1].args[1])
 
-
-class OddMessageTest(unittest.IsolatedAsyncioTestCase):
-    def test_odd_registrations_are_malformed(self):
-        """Guards against odd values that fail where they are used."""
-        decode_registration("w", _changed())
-        for name, value in ODD_ENTRY_BY_NAME.items():
-            with self.subTest(name=name), self.assertRaises(ValueError):
-                decode_registration("w", value)
-        for key in (*ODD_KEYS, "", "w" * 256):
-            with self.subTest(key=key), self.assertRaises(ValueError):
-                decode_registration(key, _changed())
-
-    async def test_odd_reports_count_as_no_answer(self):
+    async def test_malformed_reports_count_as_no_answer(self):
         """Guards against a session that ends on each report of a worker."""
         row = ["00000000000000aa.0.0.0", 1, "", 40, 0]
         end = [1, "00000000000000aa.0.0.0", 1, "done", ""]
@@ -159,16 +157,16 @@
             with self.subTest(body=body[:80]), self.assertRaises(OrderUnknown):
                 await HttpWorkerOrders(client).renew(worker, 1, 0, None, 0, 0.4)
 
-    async def test_one_odd_machine_does_not_hide_the_others(self):
+    async def test_one_malformed_machine_does_not_hide_the_others(self):
         """Guards against a list of machines that cannot be read any more."""
         good = {"machine": "m-1", "pool": "pool", "state": "up"}
-        odd = [
+        bad = [
             {**good, "machine": "m-2", "state": "unheard"},
             {**good, "machine": 7},
             {**good, "capacity": {"cpu": -1}},
             7,
         ]
-        body = msgspec.json.encode({"machines": [*odd, good]})
+        body = msgspec.json.encode({"machines": [*bad, good]})
         client = mock.Mock()
         client.call = mock.AsyncMock(return_value=Response(200, body))
         machines = HttpMachines(
@@ -177,7 +175,7 @@
         listed = await machines.list_machines()
         self.assertEqual([each.machine_id for each in listed], ["m-1"])
 
-    def test_odd_jobs_are_refused(self):
+    def test_malformed_jobs_are_refused(self):
         """Guards against a call that fails where its job is stored."""
         queue = configuration().queue_by_id[QUEUE]
         step = {"count": 1}
@@ -196,7 +194,7 @@
             msgspec.json.encode({"steps": [step]}), JobId(JOB), queue, TEAM, 5
         )
 
-    def test_odd_waves_are_malformed(self):
+    def test_malformed_waves_are_refused(self):
         """Guards against a wave whose number no record can hold."""
         for wave in (b"%d" % HUGE, b"[" * DEPTH + b"]" * DEPTH):
             body = b'{"machines":[],"duration_s":1,"wave":' + wave + b"}"
