Take over the published policies only when the configuration changes

Cause, as far as traced: the policies of all queues were copied at each end of a run and each planning pass, in Python: 44 us for 120 queues on this machine, natively, where a dict update of queues took their place before. Now that happens once a configuration (0.13 us otherwise).

--- a/sardinedrift/engine/control.py
+++ b/sardinedrift/engine/control.py
@@ -10,6 +10,7 @@
 from sardinedrift.engine.fleet import Fleet, Worker
 from sardinedrift.engine.metrics import Metrics
 from sardinedrift.engine.model import (
+    Configuration,
     FencingToken,
     JobState,
     Progress,
@@ -79,6 +80,7 @@
         self.stop_run: Callable[[Run], None] = lambda run: None
         self.published = published
         self._policy_by_id: dict[QueueId, QueuePolicy] = {}
+        self._configuration: Configuration | None = None
         self.team_use = TeamUse({})
         self.arrivals = ArrivalMeter()
         self.placement_limited = False
@@ -98,12 +100,17 @@
         else as it was when one of its jobs was accepted.
         """
         configuration = self.published.current()
+        if configuration is not self._configuration:
+            self._configuration = configuration
+            self._update_policies(configuration)
+        return self._policy_by_id
+
+    def _update_policies(self, configuration: Configuration | None) -> None:
         if configuration is not None:
             self._policy_by_id.update(
                 (queue_id, queue.policy)
                 for queue_id, queue in configuration.queue_by_id.items()
             )
-        return self._policy_by_id
 
     def admit(self, submission: Submission) -> Job | None:
         """Adds a stored job, with its progress if there is any.
