--- a/sardinedrift/platform/http.py
+++ b/sardinedrift/platform/http.py
@@ -225,8 +225,8 @@
                 body = await _read_body(response, progress)
                 return Response(response.status, body)
     except (aiohttp.ClientError, OSError, ValueError, OverflowError) as error:
-        # TimeoutError is an OSError. The others tell of an address or a header
-        # that is malformed, or of a malformed response.
+        # TimeoutError is an OSError. The others are caused by a malformed
+        # address, header or response.
         if progress.connected:
             raise NoResponse(f"{url}: {error!r}") from error
         raise NotSent(f"{url}: {error!r}") from error
