Acknowledge ends over the connection of their process

Cause: no call names the process that it is meant for. A session waits up to 1 s for ends to be stored without a call outstanding; a worker that was gone and back in that time left no unanswered call, so its new process got the number of the one before. A call on its way could reach the next process as well.

Change: a connection ends with its process, so the number goes only over the connection that carried the process's last report; any other connection carries 0. Requests for reports have a client of their own, whose pool holds one connection a worker. What is known of one process is an object of its own, WorkerProcess.

--- a/sardinedrift/engine/advising.py
+++ b/sardinedrift/engine/advising.py
@@ -79,7 +79,7 @@
         """
         step = _step_of(task.task_id)
         born_by_id = {
-            worker.worker_id: worker.born_ms
+            worker.worker_id: worker.process.born_ms
             for worker in workers
             if worker.can_fit(task)
         }
@@ -115,7 +115,7 @@
             worker
             for worker in workers
             if worker.can_fit_when_empty(task)
-            and (worker.worker_id, worker.born_ms) not in asked
+            and (worker.worker_id, worker.process.born_ms) not in asked
         ][:MAX_WORKERS_PER_CALL]
         if not batch:
             # Tickets were requested for all of them and may have expired, so
@@ -130,7 +130,9 @@
         call.add_done_callback(self._tasks.discard)
 
     async def _request(self, step: TaskId, workers: list[Worker]) -> None:
-        born_by_id = {worker.worker_id: worker.born_ms for worker in workers}
+        born_by_id = {
+            worker.worker_id: worker.process.born_ms for worker in workers
+        }
         try:
             async with self._calls:
                 advice = await self._service.advise(step, list(born_by_id))
--- a/sardinedrift/engine/control.py
+++ b/sardinedrift/engine/control.py
@@ -183,7 +183,7 @@
         The caller orders the start once this decision is durable.
         """
         job = task.job
-        run = job.place(task, worker.worker_id, worker.born_ms, now)
+        run = job.place(task, worker.worker_id, worker.process.born_ms, now)
         run.machine_id = worker.registered.machine_id
         self.attach(run, worker)
         self.writer.mark_changed(job)
--- a/sardinedrift/engine/fleet.py
+++ b/sardinedrift/engine/fleet.py
@@ -6,10 +6,9 @@
 from sardinedrift.engine.model import MachineId, Size, TaskId, WorkerId
 from sardinedrift.engine.ports import RegisteredWorker
 from sardinedrift.engine.task import Run, Task
+from sardinedrift.engine.workerprocess import MAX_CLOCK_DRIFT, WorkerProcess
 from sardinedrift.identifiers import PoolId
 
-# A worker's clock may run slower than the controller's by up to this share.
-MAX_CLOCK_DRIFT = 0.02
 # Number of recent run outcomes that determine the health of a worker.
 HEALTH_WINDOW = 6
 # This many failures among them, without a success, make it unhealthy.
@@ -18,30 +17,6 @@
 PROBATION_S = 4.0
 
 
-class WorkerClock:
-    """Estimate of a worker's own clock, extrapolated from its last reading.
-
-    Attributes:
-        clock_ms: the last reading, in ms.
-        read_at: boot-time clock of the controller at that reading.
-    """
-
-    __slots__ = ("clock_ms", "read_at")
-
-    def __init__(self, clock_ms: int, read_at: float):
-        self.clock_ms = clock_ms
-        self.read_at = read_at
-
-    def estimate(self, now: float) -> int:
-        """Returns the expected reading without drift, in ms."""
-        return int(self.clock_ms + (now - self.read_at) * 1000)
-
-    def lower_bound(self, now: float) -> float:
-        """Returns the lowest possible reading under clock drift, in ms."""
-        elapsed_ms = (now - self.read_at) * 1000
-        return self.clock_ms + elapsed_ms * (1 - MAX_CLOCK_DRIFT)
-
-
 class Worker:
     """A worker as known to the controller of the current term.
 
@@ -52,12 +27,9 @@
             earlier controllers.
         suspect: it did not answer the last order, or not as expected.
         answered_at: boot-time clock of its last answer.
-        born_ms: last reported start time of its process, in Unix milliseconds.
-        clock: estimate of its clock, or None before the first report.
-        lease_ms: latest lease expiry that was sent, on its own clock.
+        process: what is known of its current process.
         previous_lease_expires_at: boot-time clock at which any lease from an
             earlier controller has expired.
-        last_stored_end: ended runs up to this number are durably recorded.
         reserved: it is being drained for a move or for upkeep.
         long_running_count: number of long-running tasks on it.
         serving_count: number of tasks on it with a tail latency target.
@@ -74,11 +46,8 @@
         self.contacted = False
         self.suspect = False
         self.answered_at = float("-inf")
-        self.born_ms = registered.born_ms
-        self.clock: WorkerClock | None = None
-        self.lease_ms = 0
+        self.process = WorkerProcess(registered.born_ms)
         self.previous_lease_expires_at = previous_lease_expires_at
-        self.last_stored_end = 0
         self.reserved = False
         self.terminated = False
         self.run_by_task: dict[TaskId, Run] = {}
@@ -198,18 +167,20 @@
 
     def latest_lease_expiry(self, now: float) -> float:
         """Returns the latest expiry of its lease, on the boot-time clock."""
-        if self.clock is None:
+        clock = self.process.clock
+        if clock is None:
             return self.previous_lease_expires_at
-        remaining_ms = self.lease_ms - self.clock.lower_bound(now)
+        remaining_ms = self.process.lease_ms - clock.lower_bound(now)
         return now + max(0.0, remaining_ms) / 1000 / (1 - MAX_CLOCK_DRIFT)
 
     def lease_expired(self, now: float) -> bool:
         """Whether its lease has expired, even with maximum clock drift."""
         if now < self.previous_lease_expires_at and not self.contacted:
             return False
-        if self.clock is None:
+        clock = self.process.clock
+        if clock is None:
             return now >= self.previous_lease_expires_at
-        return self.clock.lower_bound(now) > self.lease_ms
+        return clock.lower_bound(now) > self.process.lease_ms
 
     def _healthy_or_on_probation(self, now: float) -> bool:
         if not self.unhealthy:
--- a/sardinedrift/engine/orders.py
+++ b/sardinedrift/engine/orders.py
@@ -143,11 +143,12 @@
             The deadline on the worker's clock, in ms; 0 if its clock is not
             known. The recorded deadline never moves back.
         """
-        clock = worker.clock
-        if clock is None:
+        process = worker.process
+        if process.clock is None:
             return 0
-        lease_ms = clock.estimate(self._control.clock.boot()) + LEASE_MS
-        worker.lease_ms = max(worker.lease_ms, lease_ms)
+        now = self._control.clock.boot()
+        lease_ms = process.clock.estimate(now) + LEASE_MS
+        process.lease_ms = max(process.lease_ms, lease_ms)
         return lease_ms
 
     def _ensure_start_lease(self, worker: Worker) -> int:
@@ -156,13 +157,12 @@
         A deadline that is far enough ahead is kept, so that starts sent to an
         unresponsive worker do not postpone the expiry of its lease.
         """
-        clock = worker.clock
-        if clock is not None:
-            remaining_ms = worker.lease_ms - clock.estimate(
-                self._control.clock.boot()
-            )
+        process = worker.process
+        if process.clock is not None:
+            now = self._control.clock.boot()
+            remaining_ms = process.lease_ms - process.clock.estimate(now)
             if remaining_ms >= MIN_START_LEASE_MS:
-                return worker.lease_ms
+                return process.lease_ms
         return self.extend_lease(worker)
 
     async def _start(self, run: Run) -> None:
--- a/sardinedrift/engine/ports.py
+++ b/sardinedrift/engine/ports.py
@@ -16,7 +16,7 @@
     WaveNumber,
     WorkerId,
 )
-from sardinedrift.identifiers import DataCentreId, PoolId
+from sardinedrift.identifiers import ConnectionId, DataCentreId, PoolId
 
 
 class Refusal(enum.Enum):
@@ -122,15 +122,42 @@
         ended: the oldest ends that are not acknowledged.
         complete: `ended` lists all of them, so a run that is not listed at all
             is neither running nor has its end been kept.
+        connection_id: connection that carried the report.
     """
 
     clock_ms: int
     born_ms: int
     running: tuple[RunReport, ...]
     ended: tuple[EndReport, ...]
+    connection_id: ConnectionId
     complete: bool = True
 
 
+class ReportRequest(msgspec.Struct, frozen=True):
+    """Request for a report, which also renews the worker's lease.
+
+    A worker that starts again keeps its id and its address, and no call names
+    the process that it is meant for. A connection ends with its process, so
+    what is meant for one process is sent only over a connection that it has
+    answered on; over any other, it is left out.
+
+    Attributes:
+        token: fencing token; the worker rejects lower ones afterwards.
+        connection_id: connection that carried the last report of the process.
+        acknowledged_end: ended runs up to this number need not be reported
+            again; only for that process.
+        lease_ms: new expiry on the worker's clock, or None to keep it.
+        wait_ms: time for which the worker may hold the answer until another
+            run ends.
+    """
+
+    token: FencingToken
+    connection_id: ConnectionId
+    acknowledged_end: int
+    lease_ms: int | None
+    wait_ms: int
+
+
 class WorkerOrders(abc.ABC):
     """Orders to workers.
 
@@ -155,10 +182,7 @@
     async def renew(
         self,
         worker: RegisteredWorker,
-        token: FencingToken,
-        acknowledged_end: int,
-        lease_ms: int | None,
-        wait_ms: int,
+        request: ReportRequest,
         answer_s: float,
         new_connection: bool = False,
     ) -> WorkerReport:
@@ -166,13 +190,9 @@
 
         Args:
             worker: the worker.
-            token: fencing token; the worker rejects lower ones afterwards.
-            acknowledged_end: ended runs up to this number need not be reported
-                again.
-            lease_ms: new expiry on the worker's clock, or None to keep it.
-            wait_ms: time for which the worker may hold the answer until
-                another run ends.
-            answer_s: time limit for the answer beyond that, in seconds.
+            request: the request.
+            answer_s: time limit for the answer, in seconds, beyond the time
+                for which the worker may hold it.
             new_connection: whether to avoid open connections; they may be dead.
         """
 
--- a/sardinedrift/engine/roster.py
+++ b/sardinedrift/engine/roster.py
@@ -145,7 +145,8 @@
         worker.terminated = any(
             other.listed
             for other in self._control.fleet.incarnations_on(machine_id)
-            if other is not worker and other.born_ms > worker.born_ms
+            if other is not worker
+            and other.process.born_ms > worker.process.born_ms
         )
         if worker.terminated:
             self.wake(worker)
@@ -153,7 +154,7 @@
     def _replace_registration(
         self, worker: Worker, registered: RegisteredWorker
     ) -> None:
-        if registered.born_ms and registered.born_ms != worker.born_ms:
+        if registered.born_ms and registered.born_ms != worker.process.born_ms:
             # A worker restarted under the same id has no runs and no fencing
             # token.
             worker.contacted = False
--- a/sardinedrift/engine/sessions.py
+++ b/sardinedrift/engine/sessions.py
@@ -10,17 +10,19 @@
     OrderRefused,
     OrderUnknown,
 )
-from sardinedrift.engine.fleet import Worker, WorkerClock
+from sardinedrift.engine.fleet import Worker
 from sardinedrift.engine.model import RunEnd, RunPhase, TaskId
 from sardinedrift.engine.orders import LEASE_MS, Orders
 from sardinedrift.engine.ports import (
     EndReport,
     Refusal,
+    ReportRequest,
     RunReport,
     WorkerOrders,
     WorkerReport,
 )
 from sardinedrift.engine.taskblocks import is_recordable
+from sardinedrift.engine.workerprocess import WorkerClock, WorkerProcess
 
 # Longest time for which a worker may hold back a report until a run ends.
 # Leases are renewed at least at this interval.
@@ -69,9 +71,6 @@
         self._port = port
         self._first_calls = first_calls
         self._wake = asyncio.Event()
-        self._ends_stored = asyncio.Event()
-        self._last_received_end = 0
-        self._last_acknowledged_end = 0
         self._answer_timeout = AnswerTimeout(MIN_ANSWER_S, MAX_ANSWER_S)
 
     def wake(self) -> None:
@@ -90,8 +89,8 @@
             else:
                 async with self._first_calls:
                     await self._request_report()
-            if self._last_received_end > self._worker.last_stored_end:
-                await self._wait_ends_stored()
+            ends = self._worker.process.ends
+            await ends.wait_stored(ACKNOWLEDGE_TIMEOUT_S)
 
     def _expire_runs(self) -> bool:
         """Ends runs whose worker is terminated or whose lease has expired.
@@ -114,7 +113,8 @@
 
     def _log_worker_end(self, lease_expired: bool) -> None:
         worker = self._worker
-        clock = worker.clock
+        process = worker.process
+        clock = process.clock
         now = self._control.clock.boot()
         self._control.log.write(
             Event.WORKER_ENDED,
@@ -122,7 +122,7 @@
             runs=len(worker.run_by_task),
             gone=worker.terminated,
             leases_over=lease_expired,
-            lease_left_ms=worker.lease_ms - clock.estimate(now)
+            lease_left_ms=process.lease_ms - clock.estimate(now)
             if clock
             else None,
             silent_s=round(now - worker.answered_at, 3),
@@ -133,7 +133,7 @@
         return (
             not worker.contacted
             or worker.suspect
-            or worker.last_stored_end > self._last_acknowledged_end
+            or bool(worker.process.ends.to_acknowledge)
             or any(
                 run.phase is not RunPhase.DECIDED
                 for run in worker.run_by_task.values()
@@ -146,14 +146,18 @@
             await asyncio.sleep(RETRY_INTERVAL_S)
             return
         sent_at = self._control.clock.boot()
-        acknowledged_end = self._end_to_acknowledge()
+        process = worker.process
+        request = ReportRequest(
+            self._control.token,
+            process.connection_id,
+            process.ends.to_acknowledge,
+            self._next_lease_ms(),
+            self._report_wait_ms(),
+        )
         try:
             report = await self._port.renew(
                 worker.registered,
-                self._control.token,
-                acknowledged_end,
-                self._next_lease_ms(),
-                self._report_wait_ms(),
+                request,
                 self._answer_timeout.limit_s,
                 new_connection=worker.suspect,
             )
@@ -166,25 +170,10 @@
                 await asyncio.sleep(RETRY_INTERVAL_S)
         else:
             self._answer_timeout.record_answer()
-            self._last_acknowledged_end = max(
-                self._last_acknowledged_end, acknowledged_end
-            )
+            if report.connection_id == request.connection_id:
+                process.ends.mark_acknowledged(request.acknowledged_end)
             self._apply_report(report, sent_at)
 
-    def _end_to_acknowledge(self) -> int:
-        """Returns the number of the newest stored end; 0 if that is known.
-
-        A process that was started under the same id would forget ends up to
-        that number unread. So it is not repeated, nor sent in the first call
-        after one that the worker did not answer.
-        """
-        worker = self._worker
-        if worker.suspect or worker.last_stored_end <= (
-            self._last_acknowledged_end
-        ):
-            return 0
-        return worker.last_stored_end
-
     def _next_lease_ms(self) -> int | None:
         """Returns the lease deadline to send, on the worker's clock, if any.
 
@@ -248,14 +237,16 @@
     def _apply_report(self, report: WorkerReport, sent_at: float) -> None:
         worker = self._worker
         now = self._control.clock.boot()
-        if report.born_ms and report.born_ms != worker.born_ms:
-            self._handle_restart(report.born_ms)
-        if worker.clock is None:
+        if report.born_ms and report.born_ms != worker.process.born_ms:
+            worker.process = WorkerProcess(report.born_ms)
+        process = worker.process
+        if process.clock is None:
             # An earlier controller may have renewed the lease until now.
-            worker.lease_ms = report.clock_ms + PREDECESSOR_LEASE_MS
+            process.lease_ms = report.clock_ms + PREDECESSOR_LEASE_MS
         if report.born_ms:
             self._assign_process(report, sent_at)
-        worker.clock = WorkerClock(report.clock_ms, now)
+        process.clock = WorkerClock(report.clock_ms, now)
+        process.connection_id = report.connection_id
         worker.answered_at = now
         if not worker.contacted or worker.suspect:
             self._mark_contacted()
@@ -266,16 +257,6 @@
         self._end_missing_runs(report, sent_at)
         self._control.changed.set()
 
-    def _handle_restart(self, born_ms: int) -> None:
-        """Forgets what is known of the worker's earlier process."""
-        worker = self._worker
-        worker.born_ms = born_ms
-        worker.lease_ms = 0
-        worker.clock = None
-        worker.last_stored_end = 0
-        self._last_received_end = 0
-        self._last_acknowledged_end = 0
-
     def _assign_process(self, report: WorkerReport, sent_at: float) -> None:
         """Ends the runs of earlier processes under the worker's id.
 
@@ -299,7 +280,8 @@
             run.task.job.mark_changed(run.task)
             self._control.writer.mark_changed(run.task.job)
             longest_ms = report.clock_ms + self._control.max_lease_ms
-            worker.lease_ms = max(worker.lease_ms, longest_ms)
+            process = worker.process
+            process.lease_ms = max(process.lease_ms, longest_ms)
 
     def _mark_contacted(self) -> None:
         worker = self._worker
@@ -312,43 +294,22 @@
             pool=worker.pool_id,
             machine=worker.registered.machine_id,
             rack=worker.registered.rack,
-            born_ms=worker.born_ms,
+            born_ms=worker.process.born_ms,
             runs=len(worker.run_by_task),
         )
 
     def _apply_end(self, end: EndReport) -> None:
-        if end.number <= self._last_received_end:
+        ends = self._worker.process.ends
+        if not ends.receive(end.number):
             return
-        self._last_received_end = end.number
         run = self._find_run(end.task_id, end.run)
         if run is not None:
             checkpoint = self._recordable(end.checkpoint, end.task_id)
             self._control.finish(run, end.how, checkpoint)
-        self._ends_stored.clear()
-        born_ms = self._worker.born_ms
         self._control.writer.call_when_durable(
-            lambda: self._mark_stored(end.number, born_ms)
+            lambda: ends.mark_stored(end.number)
         )
 
-    def _mark_stored(self, number: int, born_ms: int) -> None:
-        """Records that an end of a process of the worker is stored.
-
-        The numbers of a later process have nothing to do with it.
-        """
-        if self._worker.born_ms != born_ms:
-            return
-        self._worker.last_stored_end = max(self._worker.last_stored_end, number)
-        if self._worker.last_stored_end >= self._last_received_end:
-            self._ends_stored.set()
-
-    async def _wait_ends_stored(self) -> None:
-        try:
-            async with asyncio.timeout(ACKNOWLEDGE_TIMEOUT_S):
-                await self._ends_stored.wait()
-        except TimeoutError:
-            # The store does not answer; the lease must be renewed anyway.
-            return
-
     def _apply_run(self, row: RunReport, now: float) -> None:
         run = self._find_run(row.task_id, row.run)
         if run is None:
--- a/sardinedrift/identifiers.py
+++ b/sardinedrift/identifiers.py
@@ -20,6 +20,10 @@
 RequestId = NewType("RequestId", str)
 GrantId = NewType("GrantId", str)
 Offset = NewType("Offset", int)
+# Numbers the connections that a process has opened, from 1 on.
+ConnectionId = NewType("ConnectionId", int)
+# Belongs to no connection.
+NO_CONNECTION = ConnectionId(0)
 
 NAME_PATTERN = r"^[a-z0-9][a-z0-9_-]{0,62}$"
 # Prefix of key secrets, by which they are found and redacted in log lines.
--- a/sardinedrift/platform/connector.py
+++ b/sardinedrift/platform/connector.py
@@ -1,5 +1,7 @@
 """Connections of the HTTP client, opened by the event loop itself."""
 
+import asyncio
+import itertools
 import os
 import socket
 import struct
@@ -7,11 +9,26 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from sardinedrift.identifiers import ConnectionId
+
 # The kernel breaks a connection whose sent bytes stay unacknowledged for this
 # time.
 TCP_USER_TIMEOUT_MS = 2000
 # Value of SO_LINGER that makes closing a connection reset it.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_connection_ids = itertools.count(1)
+
+
+class Connection(ResponseHandler):
+    """Protocol of one connection.
+
+    Attributes:
+        connection_id: number of the connection.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        super().__init__(loop)
+        self.connection_id = ConnectionId(next(_connection_ids))
 
 
 class Connector(aiohttp.BaseConnector):
@@ -31,10 +48,10 @@
         req: aiohttp.ClientRequest,
         traces: list,
         timeout: aiohttp.ClientTimeout,
-    ) -> ResponseHandler:
+    ) -> Connection:
         try:
             transport, protocol = await self._loop.create_connection(
-                self._factory, req.url.host, req.url.port
+                lambda: Connection(self._loop), req.url.host, req.url.port
             )
         except OSError as error:
             raise aiohttp.ClientConnectorError(
--- a/sardinedrift/platform/daemon.py
+++ b/sardinedrift/platform/daemon.py
@@ -55,6 +55,14 @@
 METRICS_VARIABLE = "SARDINEDRIFT_METRICS"
 
 
+class _Clients(NamedTuple):
+    """HTTP clients of a running entry, by what they call."""
+
+    store: HttpClient
+    orders: HttpClient
+    reports: HttpClient
+
+
 class _Parts(NamedTuple):
     """The components of a running entry."""
 
@@ -96,16 +104,18 @@
         order_client = HttpClient(
             ORDER_CONNECTIONS, self._metrics.record_order_call
         )
+        report_client = HttpClient(
+            ORDER_CONNECTIONS, self._metrics.record_order_call
+        )
+        clients = _Clients(store_client, order_client, report_client)
         try:
-            await self._run_parts(store_client, order_client)
+            await self._run_parts(clients)
         finally:
-            await store_client.aclose()
-            await order_client.aclose()
+            for client in clients:
+                await client.aclose()
 
-    async def _run_parts(
-        self, store_client: HttpClient, order_client: HttpClient
-    ) -> None:
-        parts = self._make_parts(store_client, order_client)
+    async def _run_parts(self, clients: _Clients) -> None:
+        parts = self._make_parts(clients)
         await self._start_listening(parts.server)
         # This task is stopped before the others, so that another entry is
         # elected.
@@ -135,11 +145,9 @@
         """Starts a component, which is restarted after an error."""
         return asyncio.create_task(keep_running(name, run, self._log))
 
-    def _make_parts(
-        self, store_client: HttpClient, order_client: HttpClient
-    ) -> _Parts:
+    def _make_parts(self, clients: _Clients) -> _Parts:
         store = LogStore(
-            store_client,
+            clients.store,
             lambda: self._settings.store.address,
             self._settings.node,
             lambda: self._settings.store.record_bytes,
@@ -173,7 +181,7 @@
             view, catalogue, job_feed, appender, self._clock, self._log
         )
         controller_dependencies = self._make_controller_dependencies(
-            store, order_client, job_feed, catalogue, published
+            store, clients, job_feed, catalogue, published
         )
         candidate = Candidate(
             store,
@@ -219,7 +227,7 @@
     def _make_controller_dependencies(
         self,
         store: LogStore,
-        client: HttpClient,
+        clients: _Clients,
         job_feed: Feed,
         catalogue: JobCatalogue,
         published: PublishedView,
@@ -229,15 +237,15 @@
         )
         ports = Ports(
             store,
-            HttpWorkerOrders(client),
+            HttpWorkerOrders(clients.orders, clients.reports),
             registrations.make_feed,
             HttpMachines(
-                client,
+                clients.orders,
                 lambda: self._settings.machines.address,
                 self._settings.node,
                 self._log,
             ),
-            HttpAdvice(client, lambda: self._settings.advice),
+            HttpAdvice(clients.orders, lambda: self._settings.advice),
             store,
         )
         return ControllerDependencies(
--- a/sardinedrift/platform/http.py
+++ b/sardinedrift/platform/http.py
@@ -8,6 +8,7 @@
 import msgspec
 from aiohttp.abc import AbstractStreamWriter
 
+from sardinedrift.identifiers import NO_CONNECTION, ConnectionId
 from sardinedrift.platform.calltimer import CallTimer
 from sardinedrift.platform.connector import Connector
 
@@ -34,11 +35,32 @@
     """The request was sent, but no complete response was received."""
 
 
+class AddressedBody(msgspec.Struct, frozen=True):
+    """Request body of which a part is meant for one connection only.
+
+    Attributes:
+        connection_id: the connection.
+        content: the whole body, for that connection.
+        other_content: the body for any other connection. Both have the same
+            length, as that is sent before the connection is known.
+    """
+
+    connection_id: ConnectionId
+    content: bytes
+    other_content: bytes
+
+
 class Response(msgspec.Struct, frozen=True):
-    """A complete HTTP response."""
+    """A complete HTTP response.
+
+    Attributes:
+        connection_id: connection that carried an `AddressedBody`, else
+            `NO_CONNECTION`.
+    """
 
     status: int
     body: bytes
+    connection_id: ConnectionId = NO_CONNECTION
 
 
 class _Progress:
@@ -110,6 +132,24 @@
         await super().write_with_length(writer, content_length)
 
 
+class _AddressedPayload(aiohttp.payload.BytesPayload):
+    """Writes an addressed body, once its connection is known."""
+
+    def __init__(self, body: AddressedBody):
+        super().__init__(body.content)
+        self._body = body
+        self.connection_id = NO_CONNECTION
+
+    async def write_with_length(
+        self, writer: AbstractStreamWriter, content_length: int | None
+    ) -> None:
+        """Writes the content for the connection of the writer."""
+        self.connection_id = writer.protocol.connection_id
+        if self.connection_id != self._body.connection_id:
+            self._value = self._body.other_content
+        await super().write_with_length(writer, content_length)
+
+
 class HttpClient:
     """HTTP client with a connection pool.
 
@@ -137,7 +177,7 @@
         address: str,
         path: str,
         timeout_s: float,
-        body: bytes = b"",
+        body: bytes | AddressedBody = b"",
         params: dict[str, str] | None = None,
         headers: dict[str, str] | None = None,
         new_connection: bool = False,
@@ -152,7 +192,8 @@
             path: path of the URL.
             timeout_s: time limit for the response, in seconds, from when the
                 call has a connection.
-            body: JSON body of the request, if any.
+            body: JSON body of the request, if any. An addressed body takes no
+                `may_send`.
             params: query parameters.
             headers: headers besides the content type.
             new_connection: whether to use a new connection instead of a pooled
@@ -171,7 +212,7 @@
         session = (
             self._unpooled_session if new_connection else self._pooled_session
         )
-        data = body if may_send is None else _GuardedBody(body, may_send)
+        data = _payload(body, may_send)
         started_at = _loop_time()
         outcome = "no_answer"
         try:
@@ -187,6 +228,11 @@
                 allow_redirects=False,
             )
             outcome = str(response.status)
+            if isinstance(data, _AddressedPayload):
+                return msgspec.structs.replace(
+                    response, connection_id=data.connection_id
+                )
+            return response
         except NotSent:
             outcome = "not_sent"
             raise
@@ -197,7 +243,6 @@
             raise
         finally:
             self._observe(path, outcome, _loop_time() - started_at)
-        return response
 
     async def aclose(self) -> None:
         """Closes all connections."""
@@ -205,6 +250,14 @@
         await self._unpooled_session.close()
 
 
+def _payload(
+    body: bytes | AddressedBody, may_send: Callable[[], bool] | None
+) -> bytes | aiohttp.payload.BytesPayload:
+    if isinstance(body, AddressedBody):
+        return _AddressedPayload(body)
+    return body if may_send is None else _GuardedBody(body, may_send)
+
+
 async def _send(
     session: aiohttp.ClientSession,
     timeout_s: float,
--- a/sardinedrift/platform/workers.py
+++ b/sardinedrift/platform/workers.py
@@ -24,6 +24,7 @@
     EndReport,
     Refusal,
     RegisteredWorker,
+    ReportRequest,
     RunReport,
     StartOrder,
     Ticket,
@@ -38,7 +39,13 @@
     Name,
     Resources,
 )
-from sardinedrift.platform.http import HttpClient, NoResponse, NotSent, Response
+from sardinedrift.platform.http import (
+    AddressedBody,
+    HttpClient,
+    NoResponse,
+    NotSent,
+    Response,
+)
 from sardinedrift.platform.jobs import parse_task_name, step_name, task_name
 
 # Workers respond to orders within milliseconds.
@@ -148,10 +155,17 @@
 
 
 class HttpWorkerOrders(WorkerOrders):
-    """Sends orders to workers over HTTP."""
+    """Sends orders to workers over HTTP.
+
+    Args:
+        client: sends orders.
+        report_client: sends requests for reports. Its connections carry nothing
+            else, so a worker's next request goes over that of the last one.
+    """
 
-    def __init__(self, client: HttpClient):
+    def __init__(self, client: HttpClient, report_client: HttpClient):
         self._client = client
+        self._report_client = report_client
 
     async def start(self, worker: RegisteredWorker, order: StartOrder) -> None:
         """Starts a run."""
@@ -182,27 +196,21 @@
     async def renew(
         self,
         worker: RegisteredWorker,
-        token: FencingToken,
-        acknowledged_end: int,
-        lease_ms: int | None,
-        wait_ms: int,
+        request: ReportRequest,
         answer_s: float,
         new_connection: bool = False,
     ) -> WorkerReport:
         """Renews the lease and returns the worker's running and ended runs."""
-        body: dict[str, int] = {
-            "fencing_token": token,
-            "last_seen": acknowledged_end,
-        }
-        if lease_ms is not None:
-            body["deadline_ms"] = lease_ms
-        if wait_ms:
-            body["wait_ms"] = wait_ms
-        timeout_s = wait_ms / 1000 + answer_s
-        response = await self._send_order(
-            worker, "/hold", body, timeout_s, new_connection
+        response = await send_order(
+            self._report_client,
+            worker.address,
+            "/hold",
+            _report_body(request),
+            _addressee(worker),
+            request.wait_ms / 1000 + answer_s,
+            new_connection,
         )
-        return _decode_report(response.body)
+        return _decode_report(response)
 
     async def set_pace(
         self,
@@ -226,21 +234,37 @@
         worker: RegisteredWorker,
         path: str,
         body: dict[str, Any],
-        timeout_s: float = ORDER_TIMEOUT_S,
-        new_connection: bool = False,
-    ) -> Response:
-        headers = {"Expected-Instance": worker.worker_id}
-        return await send_order(
+    ) -> None:
+        await send_order(
             self._client,
             worker.address,
             path,
             body,
-            headers,
-            timeout_s,
-            new_connection,
+            _addressee(worker),
+            ORDER_TIMEOUT_S,
         )
 
 
+def _addressee(worker: RegisteredWorker) -> dict[str, str]:
+    """Returns the header that names the worker an order is meant for."""
+    return {"Expected-Instance": worker.worker_id}
+
+
+def _report_body(request: ReportRequest) -> AddressedBody:
+    general: dict[str, int] = {"fencing_token": request.token, "last_seen": 0}
+    if request.lease_ms is not None:
+        general["deadline_ms"] = request.lease_ms
+    if request.wait_ms:
+        general["wait_ms"] = request.wait_ms
+    addressed = {**general, "last_seen": request.acknowledged_end}
+    content = msgspec.json.encode(addressed)
+    return AddressedBody(
+        request.connection_id,
+        content,
+        msgspec.json.encode(general).ljust(len(content)),
+    )
+
+
 class HttpAdvice(AdviceService):
     """HTTP client of the advice service."""
 
@@ -270,7 +294,7 @@
     client: HttpClient,
     address: str,
     path: str,
-    body: dict[str, Any],
+    body: dict[str, Any] | AddressedBody,
     headers: dict[str, str],
     timeout_s: float,
     new_connection: bool = False,
@@ -289,7 +313,9 @@
             address,
             path,
             timeout_s,
-            msgspec.json.encode(body),
+            body
+            if isinstance(body, AddressedBody)
+            else msgspec.json.encode(body),
             headers=headers,
             new_connection=new_connection,
             may_send=may_send,
@@ -319,14 +345,15 @@
     return OrderRefused(reason)
 
 
-def _decode_report(data: bytes) -> WorkerReport:
+def _decode_report(response: Response) -> WorkerReport:
     try:
-        report = decode_json(data, _ReportBody)
+        report = decode_json(response.body, _ReportBody)
         return WorkerReport(
             report.clock_ms,
             report.born,
             tuple(_to_run_report(row) for row in report.running),
             tuple(_to_end_report(row) for row in report.ended),
+            response.connection_id,
             complete=len(report.ended) < MAX_LISTED_ENDS,
         )
     except (msgspec.DecodeError, ValueError) as error:
--- a/standins/platform/worker.py
+++ b/standins/platform/worker.py
@@ -53,6 +53,8 @@
         alive: whether it has not crashed.
         histories: all runs that it started.
         max_listed_ends: number of ends that a report lists at the most.
+        unread_acknowledged: numbers that a controller acknowledged although no
+            report of this process had listed an end of that number.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self.alive = True
         self.histories: list[RunHistory] = []
         self.max_listed_ends = MAX_LISTED_ENDS
+        self.unread_acknowledged: list[int] = []
         self._task_duration_s = task_duration_s
         self._fails = fails
         self._clock_rate = clock_rate
@@ -82,6 +85,7 @@
         self._end_reports: list[list] = []
         self._history_by_report_number: dict[int, RunHistory] = {}
         self._last_report_number = 0
+        self._last_listed_number = 0
         self._run_ended = asyncio.Event()
 
     @property
@@ -175,10 +179,16 @@
             for task, current in self._running_by_task.items()
         ]
         listed = self._end_reports[: self.max_listed_ends]
+        if listed:
+            self._last_listed_number = max(
+                self._last_listed_number, listed[-1][0]
+            )
         return running, [list(row) for row in listed]
 
     def _acknowledge(self, last_seen: int) -> None:
         """Drops the end reports that the controller has read."""
+        if last_seen > self._last_listed_number:
+            self.unread_acknowledged.append(last_seen)
         for row in self._end_reports:
             if row[0] <= last_seen:
                 history = self._history_by_report_number.pop(row[0], None)
--- a/tests/engine_case.py
+++ b/tests/engine_case.py
@@ -28,7 +28,8 @@
     ) -> None:
         """Runs a scenario with three entries.
 
-        Fails if runs of a task overlapped, or a task ran again once done.
+        Fails if runs of a task overlapped, a task ran again once done, or a
+        worker process was told to forget ends that it had not listed.
         """
 
         async def body() -> None:
@@ -46,6 +47,7 @@
                 await scenario(world, nodes)
             self.assertEqual(world.overlaps(), [])
             self.assertEqual(world.starts_after_done(), [])
+            self.assertEqual(world.unread_acknowledgements(), [])
 
         virtual_time.run(body())
 
--- a/tests/engine_fakes.py
+++ b/tests/engine_fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from typing import NamedTuple
 
 from sardinedrift.engine.exceptions import (
     OrderNotSent,
@@ -17,6 +18,7 @@
     MachineId,
     RunEnd,
     TaskId,
+    WorkerId,
 )
 from sardinedrift.engine.ports import (
     Advice,
@@ -27,6 +29,7 @@
     MachineState,
     Refusal,
     RegisteredWorker,
+    ReportRequest,
     RunReport,
     StartOrder,
     WaveReports,
@@ -34,6 +37,7 @@
     WorkerReport,
 )
 from sardinedrift.identifiers import (
+    ConnectionId,
     JobId,
     PoolId,
 )
@@ -53,12 +57,20 @@
 REPORT_TIMEOUT_S = 0.05
 
 
+class _Connection(NamedTuple):
+    """A connection, which ends with the process that it leads to."""
+
+    connection_id: ConnectionId
+    process: Worker
+
+
 class FakeOrders(WorkerOrders):
     """The workers, as reachable from one entry."""
 
     def __init__(self, world: World, node: str):
         self._world = world
         self._node = node
+        self._report_connection_by_id: dict[WorkerId, _Connection] = {}
 
     async def start(self, worker: RegisteredWorker, order: StartOrder) -> None:
         target = await self._connect(worker)
@@ -96,10 +108,7 @@
     async def renew(
         self,
         worker: RegisteredWorker,
-        token: FencingToken,
-        acknowledged_end: int,
-        lease_ms: int | None,
-        wait_ms: int,
+        request: ReportRequest,
         answer_s: float,
         new_connection: bool = False,
     ) -> WorkerReport:
@@ -107,9 +116,16 @@
             await asyncio.sleep(0.5)
             raise OrderNotSent(worker.address)
         target = await self._connect(worker)
+        connection_id = self._report_connection(
+            worker.worker_id, target, new_connection
+        )
+        addressed = connection_id == request.connection_id
         try:
             running, ended = await target.renew_lease(
-                token, acknowledged_end, lease_ms, wait_ms / 1000
+                request.token,
+                request.acknowledged_end if addressed else 0,
+                request.lease_ms,
+                request.wait_ms / 1000,
             )
         except Refused as error:
             raise OrderRefused(_REFUSALS[error.body["reason"]]) from error
@@ -137,9 +153,24 @@
                 )
                 for row in ended
             ),
+            connection_id,
             complete=len(ended) < target.max_listed_ends,
         )
 
+    def _report_connection(
+        self, worker_id: WorkerId, target: Worker, new_connection: bool
+    ) -> ConnectionId:
+        """Returns the pooled connection to a process, or a new one."""
+        pooled = self._report_connection_by_id.get(worker_id)
+        if pooled and pooled.process is target and not new_connection:
+            return pooled.connection_id
+        self._world.last_connection_id += 1
+        number = ConnectionId(self._world.last_connection_id)
+        if not new_connection:
+            pooled = _Connection(number, target)
+            self._report_connection_by_id[worker_id] = pooled
+        return number
+
     async def set_pace(
         self,
         worker: RegisteredWorker,
--- a/tests/engine_samples.py
+++ b/tests/engine_samples.py
@@ -2,16 +2,23 @@
 
 from sardinedrift.engine.fleet import Worker
 from sardinedrift.engine.model import (
+    FencingToken,
     MachineId,
     Size,
     Step,
     WorkerId,
 )
 from sardinedrift.engine.placement import plan_pool
-from sardinedrift.engine.ports import RegisteredWorker
+from sardinedrift.engine.ports import RegisteredWorker, ReportRequest
 from sardinedrift.engine.teamuse import TeamUse
 from sardinedrift.engine.work import Job
-from sardinedrift.identifiers import DataCentreId, PoolId, TeamId
+from sardinedrift.identifiers import (
+    NO_CONNECTION,
+    ConnectionId,
+    DataCentreId,
+    PoolId,
+    TeamId,
+)
 from tests.engine_world import (
     POOL,
     SIZE,
@@ -40,6 +47,17 @@
     return worker
 
 
+def report_request(
+    connection_id: ConnectionId = NO_CONNECTION,
+    acknowledged_end: int = 0,
+    lease_ms: int | None = None,
+    wait_ms: int = 0,
+) -> ReportRequest:
+    return ReportRequest(
+        FencingToken(1), connection_id, acknowledged_end, lease_ms, wait_ms
+    )
+
+
 def make_job(name: str, *steps: Step, **fields) -> Job:
     job = Job(submission(name, *steps, **fields))
     job.create_due_occurrences(0)
--- a/tests/engine_world.py
+++ b/tests/engine_world.py
@@ -127,6 +127,7 @@
         records_per_page: records that the store returns at once to a reader
             that follows a topic.
         checkpoint: checkpoint that workers report of each run.
+        last_connection_id: number of the newest connection to a worker.
         controller_states: states of all controllers so far, oldest first.
         listeners: callbacks for changes of registrations.
     """
@@ -157,6 +158,7 @@
         self.registrations_per_page = 500
         self.records_per_page = 500
         self.checkpoint = ""
+        self.last_connection_id = 0
         for number in range(workers):
             self.add_worker(f"w{number}")
 
@@ -257,6 +259,18 @@
                     pairs.append((first, second))
         return pairs
 
+    def unread_acknowledgements(self) -> list[tuple[str, int]]:
+        """Returns numbers of ends acknowledged to a process not listing them.
+
+        That process forgets its ends up to such a number before they are read.
+        """
+        workers = [*self.worker_by_id.values(), *self.past_workers]
+        return [
+            (worker.name, number)
+            for worker in workers
+            for number in worker.unread_acknowledged
+        ]
+
     def starts_after_done(self) -> list[RunHistory]:
         """Returns runs that started after their task was done."""
         done_at = {
--- a/tests/test_engine_faults.py
+++ b/tests/test_engine_faults.py
@@ -22,6 +22,7 @@
 from sardinedrift.platform.store import LogStore
 from sardinedrift.platform.workers import HttpWorkerOrders
 from tests.engine_case import EngineTest
+from tests.engine_samples import report_request
 from tests.engine_store import encode_records
 from tests.engine_world import (
     QUEUE,
@@ -120,7 +121,9 @@
             )
             worker = mock.Mock(address="10.0.0.1:1", worker_id="w")
             with self.subTest(bad=bad), self.assertRaises(OrderUnknown):
-                await HttpWorkerOrders(client).renew(worker, 1, 0, None, 0, 0.4)
+                await HttpWorkerOrders(client, client).renew(
+                    worker, report_request(), 0.4
+                )
 
     async def test_a_full_page_of_ends_is_not_taken_for_all_of_them(self):
         """Guards against runs that count as lost, as their ends come later."""
@@ -135,8 +138,8 @@
                 return_value=Response(200, msgspec.json.encode(body))
             )
             worker = mock.Mock(address="10.0.0.1:1", worker_id="w")
-            report = await HttpWorkerOrders(client).renew(
-                worker, 1, 0, None, 0, 0.4
+            report = await HttpWorkerOrders(client, client).renew(
+                worker, report_request(), 0.4
             )
             with self.subTest(count=count):
                 self.assertEqual(report.complete, complete)
--- a/tests/test_engine_placement.py
+++ b/tests/test_engine_placement.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from sardinedrift.engine.fleet import WorkerClock
 from sardinedrift.engine.model import (
     JobState,
     RunEnd,
@@ -18,6 +17,7 @@
 from sardinedrift.engine.placement import order_jobs
 from sardinedrift.engine.teamuse import TeamUse
 from sardinedrift.engine.work import Job
+from sardinedrift.engine.workerprocess import WorkerClock
 from tests.engine_samples import OTHER_TEAM, make_job, make_worker, plan
 from tests.engine_world import (
     QUEUE,
@@ -212,8 +212,8 @@
     def test_a_slow_clock_delays_the_certain_end(self):
         """Guards against a lease that is still valid by a slow clock."""
         worker = make_worker("w0")
-        worker.clock = WorkerClock(1000, 0.0)
-        worker.lease_ms = 5500
+        worker.process.clock = WorkerClock(1000, 0.0)
+        worker.process.lease_ms = 5500
         self.assertFalse(worker.lease_expired(4.55))
         self.assertTrue(worker.lease_expired(4.6))
 
--- a/tests/test_engine_restarts.py
+++ b/tests/test_engine_restarts.py
@@ -147,6 +147,34 @@
 
         self._run_with_staggered_ends(scenario)
 
+    def test_a_restart_between_two_calls_is_not_acknowledged_to(self):
+        """Guards against an acknowledgement sent to the next process.
+
+        The worker restarts while the session waits for its ends to be stored
+        and no call is open, so no unanswered call shows the restart.
+        """
+
+        async def scenario(world, nodes):
+            await self.accept(world, nodes[0], submission("a", short(48)))
+            await self._store_ends_after_restart(world, pause_s=1.5)
+            await asyncio.sleep(REPORTS_S)
+            self.assertEqual(world.unread_acknowledgements(), [])
+
+        self._run_with_staggered_ends(scenario)
+
+    async def _store_ends_after_restart(
+        self, world: World, pause_s: float
+    ) -> None:
+        """Restarts all workers while their ends wait for the store."""
+        await self.wait_for(lambda: len(world.histories()) == 48, 2.0)
+        world.faults.appends_held = True
+        await self.wait_for(lambda: not self.running(world), 2.0)
+        await asyncio.sleep(pause_s)
+        for name in list(world.worker_by_id):
+            world.worker_by_id[name].crash()
+            world.restart_worker(name)
+        world.faults.appends_held = False
+
     def test_a_restarted_worker_gets_no_acknowledgement_meant_for_another(self):
         """Guards against an acknowledgement that is repeated after a restart.
 
--- a/tests/test_engine_workers.py
+++ b/tests/test_engine_workers.py
@@ -212,11 +212,11 @@
     def _workers_with_longer_leases(self, world: World) -> list[str]:
         """Returns workers whose lease is longer than the recorded one."""
         known = {
-            worker.worker_id: worker.lease_ms
+            worker.worker_id: worker.process.lease_ms
             for control in world.controller_states
             if control.term.may_order
             for worker in control.fleet.worker_by_id.values()
-            if worker.contacted and worker.clock is not None
+            if worker.contacted and worker.process.clock is not None
         }
         return [
             name
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -15,6 +15,7 @@
 from sardinedrift.platform.machines import HttpMachines
 from sardinedrift.platform.published import Registrations
 from sardinedrift.platform.workers import HttpWorkerOrders, decode_registration
+from tests.engine_samples import report_request
 from tests.engine_world import QUEUE, TEAM, configuration
 from tests.platform_case import JOB, STEP, PlatformTest
 
@@ -155,7 +156,9 @@
             client.call = mock.AsyncMock(return_value=Response(200, body))
             worker = mock.Mock(address="10.0.0.1:1", worker_id="w")
             with self.subTest(body=body[:80]), self.assertRaises(OrderUnknown):
-                await HttpWorkerOrders(client).renew(worker, 1, 0, None, 0, 0.4)
+                await HttpWorkerOrders(client, client).renew(
+                    worker, report_request(), 0.4
+                )
 
     async def test_one_malformed_machine_does_not_hide_the_others(self):
         """Guards against a list of machines that cannot be read any more."""
