Request reports over the open connection from unresponsive workers too

Cause: a report of a worker that had left an order unanswered was requested over a connection that was closed after the call. Since ends are acknowledged over the connection of the last report, the next call then had to carry 0, and one more call followed; without an open connection nothing else would be known of the process.

Change: such requests use the pool of the report client like all others. A call that gets no answer closes its connection, so a dead one costs one call; a connection that answers is kept.

Ruled out: a dead connection that is used again and again; a failed call resets its connection (test_a_timed_out_request_is_reset).

--- a/sardinedrift/engine/ports.py
+++ b/sardinedrift/engine/ports.py
@@ -184,7 +184,6 @@
         worker: RegisteredWorker,
         request: ReportRequest,
         answer_s: float,
-        new_connection: bool = False,
     ) -> WorkerReport:
         """Renews the lease and returns the running and the ended runs.
 
@@ -193,7 +192,6 @@
             request: the request.
             answer_s: time limit for the answer, in seconds, beyond the time
                 for which the worker may hold it.
-            new_connection: whether to avoid open connections; they may be dead.
         """
 
     @abc.abstractmethod
--- a/sardinedrift/engine/sessions.py
+++ b/sardinedrift/engine/sessions.py
@@ -159,7 +159,6 @@
                 worker.registered,
                 request,
                 self._answer_timeout.limit_s,
-                new_connection=worker.suspect,
             )
         except OrderRefused as error:
             self._handle_refusal(error.reason)
--- a/sardinedrift/platform/http.py
+++ b/sardinedrift/platform/http.py
@@ -166,10 +166,9 @@
         observe: CallObserver = lambda path, outcome, seconds: None,
     ):
         self._observe = observe
-        self._pooled_session = _make_session(
+        self._session = _make_session(
             limit_per_host=max_per_host, keepalive_timeout=KEEPALIVE_TIMEOUT_S
         )
-        self._unpooled_session = _make_session(force_close=True)
 
     async def call(
         self,
@@ -180,7 +179,6 @@
         body: bytes | AddressedBody = b"",
         params: dict[str, str] | None = None,
         headers: dict[str, str] | None = None,
-        new_connection: bool = False,
         bulk: bool = False,
         may_send: Callable[[], bool] | None = None,
     ) -> Response:
@@ -196,8 +194,6 @@
                 `may_send`.
             params: query parameters.
             headers: headers besides the content type.
-            new_connection: whether to use a new connection instead of a pooled
-                one.
             bulk: whether the time limit restarts whenever bytes arrive, for
                 responses that a slow link delivers in parts. The whole call
                 is then limited by BULK_TIMEOUT_S.
@@ -209,15 +205,12 @@
             NotSent: no connection was opened, or `may_send` returned False.
             NoResponse: no complete response came; the outcome is unknown.
         """
-        session = (
-            self._unpooled_session if new_connection else self._pooled_session
-        )
         data = _payload(body, may_send)
         started_at = _loop_time()
         outcome = "no_answer"
         try:
             response = await _send(
-                session,
+                self._session,
                 timeout_s,
                 bulk,
                 method,
@@ -246,8 +239,7 @@
 
     async def aclose(self) -> None:
         """Closes all connections."""
-        await self._pooled_session.close()
-        await self._unpooled_session.close()
+        await self._session.close()
 
 
 def _payload(
--- a/sardinedrift/platform/workers.py
+++ b/sardinedrift/platform/workers.py
@@ -198,7 +198,6 @@
         worker: RegisteredWorker,
         request: ReportRequest,
         answer_s: float,
-        new_connection: bool = False,
     ) -> WorkerReport:
         """Renews the lease and returns the worker's running and ended runs."""
         response = await send_order(
@@ -208,7 +207,6 @@
             _report_body(request),
             _addressee(worker),
             request.wait_ms / 1000 + answer_s,
-            new_connection,
         )
         return _decode_report(response)
 
@@ -297,7 +295,6 @@
     body: dict[str, Any] | AddressedBody,
     headers: dict[str, str],
     timeout_s: float,
-    new_connection: bool = False,
     may_send: Callable[[], bool] | None = None,
 ) -> Response:
     """Sends an order by POST and returns the response.
@@ -317,7 +314,6 @@
             if isinstance(body, AddressedBody)
             else msgspec.json.encode(body),
             headers=headers,
-            new_connection=new_connection,
             may_send=may_send,
         )
     except NotSent as error:
