Renew leases over the connection of their process

Callers would see tasks run twice at a time (TWICE): a restarted worker that was then lost went on for up to 10 s, while its tasks were started elsewhere after 5 s.

Cause: a lease expiry is a time on the clock of one process. A renewal computed for the process before reached the next one, which took the longest lease that it grants, and the controller recorded the short one of a new process.

Change: a renewal, and the wait for an end, go only over the connection of the last report, like an acknowledgement; over another one the call only asks and is answered at once.

--- a/sardinedrift/engine/ports.py
+++ b/sardinedrift/engine/ports.py
@@ -146,8 +146,8 @@
         connection_id: connection that carried the last report of the process.
         acknowledged_end: ended runs up to this number need not be reported
             again; only for that process.
-        lease_ms: new expiry on the worker's clock, or None to keep it.
-        wait_ms: time for which the worker may hold the answer until another
+        lease_ms: new expiry on the clock of that process, or None to keep it.
+        wait_ms: time for which that process may hold the answer until another
             run ends.
     """
 
--- a/sardinedrift/platform/workers.py
+++ b/sardinedrift/platform/workers.py
@@ -250,11 +250,13 @@
 
 def _report_body(request: ReportRequest) -> AddressedBody:
     general: dict[str, int] = {"fencing_token": request.token, "last_seen": 0}
+    addressed = {**general, "last_seen": request.acknowledged_end}
     if request.lease_ms is not None:
-        general["deadline_ms"] = request.lease_ms
+        addressed["deadline_ms"] = request.lease_ms
     if request.wait_ms:
-        general["wait_ms"] = request.wait_ms
-    addressed = {**general, "last_seen": request.acknowledged_end}
+        # A request without the lease is answered at once, so that the next one
+        # renews it.
+        addressed["wait_ms"] = request.wait_ms
     content = msgspec.json.encode(addressed)
     return AddressedBody(
         request.connection_id,
--- a/tests/engine_fakes.py
+++ b/tests/engine_fakes.py
@@ -134,8 +134,8 @@
             running, ended = await target.renew_lease(
                 request.token,
                 request.acknowledged_end if addressed else 0,
-                request.lease_ms,
-                request.wait_ms / 1000,
+                request.lease_ms if addressed else None,
+                request.wait_ms / 1000 if addressed else 0.0,
             )
         except Refused as error:
             raise OrderRefused(_REFUSALS[error.body["reason"]]) from error
--- a/tests/test_engine_restarts.py
+++ b/tests/test_engine_restarts.py
@@ -12,6 +12,7 @@
 # Longer than several reports of a worker.
 REPORTS_S = 2.0
 LONG_UPTIME_S = 15.0
+LONG_RUNNING_JOB = "long"
 
 
 class UnnoticedRestartTest(EngineTest):
@@ -162,6 +163,27 @@
 
         self._run_with_staggered_ends(scenario)
 
+    def test_a_lease_for_the_process_before_does_not_outlast_its_record(self):
+        """Guards against a second run within a lease set by the wrong clock.
+
+        A renewal computed for the clock of the process before reached the next
+        one, which took the longest lease. The worker was then lost, and its
+        tasks ran again while it still ran them.
+        """
+
+        async def scenario(world, nodes):
+            await asyncio.sleep(LONG_UPTIME_S)
+            await self.accept(world, nodes[0], submission("a", short(48)))
+            await self._store_ends_after_restart(world, pause_s=1.5)
+            job = submission(LONG_RUNNING_JOB, long_running(6))
+            await self.accept(world, nodes[0], job)
+            await self.wait_for(lambda: len(self.running(world)) == 6, 4.0)
+            for node in nodes:
+                world.faults.cut.add((node.name, "w0"))
+            await asyncio.sleep(LONG_UPTIME_S)
+
+        self._run_with_staggered_ends(scenario)
+
     async def _store_ends_after_restart(
         self, world: World, pause_s: float
     ) -> None:
@@ -218,12 +240,15 @@
         with mock.patch.object(poolreview, "MAX_OPERATIONS", 0):
             self.run_scenario(
                 scenario,
-                task_duration_s=lambda task: (
-                    0.3 + 0.001 * int(task.rpartition(".")[2])
-                ),
+                task_duration_s=_staggered_duration_s,
             )
 
 
+def _staggered_duration_s(task: str) -> float | None:
+    job, *_, index = task.split(".")
+    return None if job == LONG_RUNNING_JOB else 0.3 + 0.001 * int(index)
+
+
 class DepartedWorkerTest(EngineTest):
     """A worker that has left is known from stored runs, and still answers."""
 
--- a/tests/test_platform_reports.py
+++ b/tests/test_platform_reports.py
@@ -102,5 +102,28 @@
 
         self.run_scenario(scenario)
 
+    def test_the_next_process_gets_no_lease_of_the_one_before(self):
+        """Guards against a lease that was computed for another clock."""
+
+        async def scenario(orders):
+            first, second = WorkerServer(1), WorkerServer(2)
+            port = await first.listen()
+            worker = mock.Mock(address=f"127.0.0.1:{port}", worker_id="w")
+            report = await orders.renew(worker, report_request(), 1.0)
+            await first.end()
+            await second.listen(port)
+            for _ in range(2):
+                request = report_request(
+                    report.connection_id, lease_ms=4500, wait_ms=900
+                )
+                report = await orders.renew(worker, request, 1.0)
+            plain, addressed = second.requests
+            self.assertLessEqual(plain.keys(), {"fencing_token", "last_seen"})
+            self.assertEqual(addressed["deadline_ms"], 4500)
+            self.assertEqual(addressed["wait_ms"], 900)
+            await second.end()
+
+        self.run_scenario(scenario)
+
     def _acknowledged(self, server: WorkerServer) -> list[int]:
         return [request["last_seen"] for request in server.requests]
