Wait for the outage of the store before its refusal is explained

Cause: the test waited for the first lost dependency and then sent a job. It wants the store among those that were lost before the refusal, but the election may be the first to notice; then the job is refused before the feed has noticed.

Change: the test waits for the store's line. Its checks are as they were, so it is as strict; what it waits for is what the explanation has to show.

Ruled out: a line that is missing from the log; an explanation names the outages that began before the job's last line, by design (explain._outages).

--- a/tests/test_platform_explain.py
+++ b/tests/test_platform_explain.py
@@ -40,6 +40,7 @@
         async def outage_logged() -> bool:
             return any(
                 event["event"] == "dependency_lost"
+                and event["dependency"] == "store"
                 for event in programs[0].events()
             )
 
@@ -55,7 +56,7 @@
         )
         lost = [e for e in explanation.lines if e.event == "dependency_lost"]
         self.assertEqual({line.node for line in lost}, {"n0"})
-        # The election may detect the outage first.
+        # The election may detect the outage as well.
         self.assertIn("store", {line.fields["dependency"] for line in lost})
 
     async def test_a_late_job_is_explained_by_the_silent_worker(self):
