--- a/tests/engine_case.py
+++ b/tests/engine_case.py
@@ -10,6 +10,7 @@
 from sardinedrift.engine.model import JobState
 from sardinedrift.engine.orders import LEASE_MS
 from sardinedrift.identifiers import JobId
+from standins.platform.worker import RunHistory
 from tests import virtual_time
 from tests.engine_node import Node
 from tests.engine_world import World
@@ -46,11 +47,15 @@
                 await asyncio.sleep(2.0)
                 await scenario(world, nodes)
             self.assertEqual(world.overlaps(), [])
-            self.assertEqual(world.starts_after_done(), [])
+            self.assertEqual(self.starts_after_done(world), [])
             self.assertEqual(world.unread_acknowledgements(), [])
 
         virtual_time.run(body())
 
+    def starts_after_done(self, world: World) -> list[RunHistory]:
+        """Returns runs that started after their task was done."""
+        return world.starts_after_done()
+
     def controller(self, world: World, nodes: list[Node]) -> Node:
         owner = world.log._group_by_name["group"].owner
         return next(node for node in nodes if node.name == owner)
--- a/tests/engine_world.py
+++ b/tests/engine_world.py
@@ -271,12 +271,20 @@
             for number in worker.unread_acknowledged
         ]
 
-    def starts_after_done(self) -> list[RunHistory]:
-        """Returns runs that started after their task was done."""
+    def starts_after_done(
+        self, only_acknowledged: bool = False
+    ) -> list[RunHistory]:
+        """Returns runs that started after their task was done.
+
+        Args:
+            only_acknowledged: leave out ends that no controller acknowledged,
+                such as those that were lost with their worker.
+        """
         done_at = {
             each.task: each.ended_at
             for each in self.histories()
             if each.how == "done"
+            and (each.acknowledged or not only_acknowledged)
         }
         return [
             each
