Let the soak check that no end is acknowledged unread

Cause: the soak saw a forgotten end only if its task ran again later.

Change: the stand-in worker notes an acknowledgement of ends that it has not listed, and the soak reports it (UNREAD). A mutant sends acknowledgements over any connection.

--- a/standins/platform/server.py
+++ b/standins/platform/server.py
@@ -10,7 +10,11 @@
 from aiohttp import web
 
 from standins.platform.log import Log, Refused
-from standins.platform.worker import RunHistory, Worker
+from standins.platform.worker import (
+    RunHistory,
+    UnreadAcknowledgement,
+    Worker,
+)
 
 _LENGTH = struct.Struct(">I")
 _HEADER = struct.Struct(">QQ")
@@ -126,8 +130,20 @@
 
     def histories(self) -> list[RunHistory]:
         """Returns the runs of all workers, including crashed ones."""
-        workers = [*self._crashed_workers, *self._worker_by_name.values()]
-        return [run for worker in workers for run in worker.histories]
+        return [
+            run for worker in self._all_workers() for run in worker.histories
+        ]
+
+    def unread_acknowledgements(self) -> list[UnreadAcknowledgement]:
+        """Returns acknowledgements of ends that their worker has not listed."""
+        return [
+            acknowledged
+            for worker in self._all_workers()
+            for acknowledged in worker.unread_acknowledgements
+        ]
+
+    def _all_workers(self) -> list[Worker]:
+        return [*self._crashed_workers, *self._worker_by_name.values()]
 
     def publish(self, topic: str, key: str, value: dict) -> None:
         """Appends a keyed record, as an operator or a worker does."""
--- a/standins/platform/worker.py
+++ b/standins/platform/worker.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable
+from typing import NamedTuple
 
 from standins.platform.log import Refused
 
@@ -30,6 +31,13 @@
     acknowledged: bool = False
 
 
+class UnreadAcknowledgement(NamedTuple):
+    """Acknowledgement of ends up to a number that a worker has not listed."""
+
+    worker: str
+    number: int
+
+
 @dataclasses.dataclass
 class _Running:
     history: RunHistory
@@ -53,8 +61,8 @@
         alive: whether it has not crashed.
         histories: all runs that it started.
         max_listed_ends: number of ends that a report lists at the most.
-        unread_acknowledged: numbers that a controller acknowledged although no
-            report of this process had listed an end of that number.
+        unread_acknowledgements: acknowledgements of ends that this process has
+            not listed.
     """
 
     def __init__(
@@ -72,7 +80,7 @@
         self.alive = True
         self.histories: list[RunHistory] = []
         self.max_listed_ends = MAX_LISTED_ENDS
-        self.unread_acknowledged: list[int] = []
+        self.unread_acknowledgements: list[UnreadAcknowledgement] = []
         self._task_duration_s = task_duration_s
         self._fails = fails
         self._clock_rate = clock_rate
@@ -188,7 +196,9 @@
     def _acknowledge(self, last_seen: int) -> None:
         """Drops the end reports that the controller has read."""
         if last_seen > self._last_listed_number:
-            self.unread_acknowledged.append(last_seen)
+            self.unread_acknowledgements.append(
+                UnreadAcknowledgement(self.name, last_seen)
+            )
         for row in self._end_reports:
             if row[0] <= last_seen:
                 history = self._history_by_report_number.pop(row[0], None)
--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -6,7 +6,7 @@
 
 from sardinedrift.engine.model import TaskId
 from sardinedrift.platform.jobs import parse_task_name
-from standins.platform.worker import RunHistory
+from standins.platform.worker import RunHistory, UnreadAcknowledgement
 from standins.soak.callers import (
     FINAL_STATES,
     MAX_TASK_ATTEMPTS,
@@ -39,6 +39,8 @@
         faults_ended_at: time at which the last fault ended.
         exits: a line for each process that exited unexpectedly, did not exit
             in time or was not ready in time.
+        unread_acknowledgements: ends that a worker was told to forget before
+            it had listed them.
     """
 
     jobs: list[SoakJob]
@@ -46,6 +48,7 @@
     withdrawals: list[Withdrawal]
     faults_ended_at: float
     exits: list[str]
+    unread_acknowledgements: list[UnreadAcknowledgement]
 
 
 def violations(observations: Observations) -> Iterator[str]:
@@ -74,6 +77,11 @@
         yield from _check_withdrawn_keys(job, observations.withdrawals)
     for job_id in runs_by_job:
         yield f"UNASKED: tasks of {job_id} started, but no caller submitted it"
+    for acknowledged in observations.unread_acknowledgements:
+        yield (
+            f"UNREAD: end {acknowledged.number} acknowledged to"
+            f" {acknowledged.worker}, which has not listed it"
+        )
     yield from observations.exits
 
 
--- a/standins/soak/mutants.py
+++ b/standins/soak/mutants.py
@@ -9,6 +9,8 @@
 import sys
 from collections.abc import Callable
 
+from aiohttp.payload import BytesPayload
+
 from sardinedrift.engine.catalogue import KnownJob
 from sardinedrift.engine.entry import Entry
 from sardinedrift.engine.exceptions import CallError
@@ -18,6 +20,7 @@
 from sardinedrift.identifiers import TeamId
 from sardinedrift.platform.__main__ import main
 from sardinedrift.platform.daemon import Daemon
+from sardinedrift.platform.http import _AddressedPayload
 
 
 def forget_leases() -> None:
@@ -100,6 +103,11 @@
     KnownJob.state = property(state)
 
 
+def acknowledge_to_any_process() -> None:
+    """Sends what is meant for one worker process over any connection."""
+    _AddressedPayload.write_with_length = BytesPayload.write_with_length
+
+
 def keep_withdrawn_keys() -> None:
     """Accepts any key as one of the client account `team`."""
     Entry.authenticate = lambda self, queue, key: TeamId("team")
@@ -135,6 +143,7 @@
         forget_cancels,
         show_completed_early,
         show_old_states,
+        acknowledge_to_any_process,
         keep_withdrawn_keys,
         end_by_itself,
         ignore_stop,
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -104,6 +104,7 @@
             deployment.withdrawals,
             faults_ended_at,
             deployment.exits + [f"RECOVER: {name}" for name in late],
+            deployment.platform.unread_acknowledgements(),
         )
         found = list(violations(observations))
     return Report(plan, schedule, jobs, len(histories), found)
--- a/tests/engine_world.py
+++ b/tests/engine_world.py
@@ -42,7 +42,11 @@
     TeamId,
 )
 from standins.platform.log import Log
-from standins.platform.worker import RunHistory, Worker
+from standins.platform.worker import (
+    RunHistory,
+    UnreadAcknowledgement,
+    Worker,
+)
 from tests.virtual_time import LoopClock
 
 TOPIC = "keyed.jobs"
@@ -259,16 +263,16 @@
                     pairs.append((first, second))
         return pairs
 
-    def unread_acknowledgements(self) -> list[tuple[str, int]]:
-        """Returns numbers of ends acknowledged to a process not listing them.
+    def unread_acknowledgements(self) -> list[UnreadAcknowledgement]:
+        """Returns acknowledgements of ends that their worker has not listed.
 
-        That process forgets its ends up to such a number before they are read.
+        A worker forgets its ends up to such a number before they are read.
         """
         workers = [*self.worker_by_id.values(), *self.past_workers]
         return [
-            (worker.name, number)
+            acknowledged
             for worker in workers
-            for number in worker.unread_acknowledged
+            for acknowledged in worker.unread_acknowledgements
         ]
 
     def starts_after_done(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,7 @@
 import tempfile
 import unittest
 
-from standins.platform.worker import RunHistory
+from standins.platform.worker import RunHistory, UnreadAcknowledgement
 from standins.soak.callers import JobKind, SoakJob, StateReport, Submission
 from standins.soak.checks import Observations, Withdrawal, violations
 from standins.soak.run import Plan, run_seed
@@ -43,10 +43,10 @@
 
 class CheckTest(unittest.TestCase):
     def violation_kinds(
-        self, job: SoakJob, *runs: RunHistory, withdrawals=()
+        self, job: SoakJob, *runs: RunHistory, withdrawals=(), unread=()
     ) -> set:
         observations = Observations(
-            [job], list(runs), list(withdrawals), 5.0, []
+            [job], list(runs), list(withdrawals), 5.0, [], list(unread)
         )
         return {line.partition(":")[0] for line in violations(observations)}
 
@@ -95,6 +95,16 @@
             with self.subTest(name):
                 self.assertIn(name, self.violation_kinds(job, *runs))
 
+    def test_an_unread_acknowledgement_is_reported(self):
+        """Guards against ends that a worker forgets without being noticed."""
+        unread = [UnreadAcknowledgement("w0", 7)]
+        self.assertEqual(
+            self.violation_kinds(
+                make_job("completed"), make_run(), unread=unread
+            ),
+            {"UNREAD"},
+        )
+
     def test_a_withdrawn_key_is_reported(self):
         """Guards against an undetected use of a withdrawn key."""
         job = make_job("completed")
