--- a/sardinedrift/engine/occurrence.py
+++ b/sardinedrift/engine/occurrence.py
@@ -1,6 +1,6 @@
 """Occurrences of a job, and the critical path of their steps."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import TYPE_CHECKING, NamedTuple
 
 from sardinedrift.engine.model import Step, TaskId
@@ -38,6 +38,15 @@
         """Whether all its tasks are done."""
         return not any(self.remaining_by_step)
 
+    def open_ready_steps(self, steps: Sequence[Step]) -> Iterator[Task]:
+        """Yields the tasks of steps whose earlier steps are now done."""
+        for number, step in enumerate(steps):
+            waits = any(self.remaining_by_step[each] for each in step.after)
+            if self.opened[number] or waits:
+                continue
+            self.opened[number] = True
+            yield from self.tasks_by_step[number]
+
 
 class OpenedStep(NamedTuple):
     """A step whose tasks were made available, with those that are not done."""
--- a/sardinedrift/engine/task.py
+++ b/sardinedrift/engine/task.py
@@ -157,6 +157,27 @@
         self.run = Run(self, self.number, worker_id, born_ms, now)
         return self.run
 
+    def restore(self, record: TaskRecord, now: float) -> None:
+        """Restores its recorded progress.
+
+        An active run becomes ORDERED, as only a report of the worker shows
+        whether it has started.
+
+        Args:
+            record: the progress.
+            now: boot-time clock in seconds.
+        """
+        self.number = record.run
+        self.failures = record.failures
+        self.checkpoint = record.checkpoint
+        self.state = record.state
+        if record.state is not TaskState.ACTIVE:
+            return
+        run = Run(self, record.run, record.worker_id, record.born_ms, now)
+        run.phase = RunPhase.ORDERED
+        run.machine_id = record.machine_id
+        self.run = run
+
     def release(self) -> None:
         """Drops the current run, which has ended or never started."""
         self.run = None
--- a/sardinedrift/engine/work.py
+++ b/sardinedrift/engine/work.py
@@ -7,7 +7,6 @@
     JobState,
     Progress,
     RunEnd,
-    RunPhase,
     Submission,
     TaskId,
     TaskRecord,
@@ -307,21 +306,15 @@
         task = self.task(task_id)
         if task is None:
             return
-        task.number = record.run
-        task.failures = record.failures
-        task.checkpoint = record.checkpoint
-        task.state = record.state
-        occurrence = self.occurrence_by_number[record.occurrence]
-        if record.state is TaskState.DONE:
-            occurrence.remaining_by_step[record.step] -= 1
-            self.waiting.pop(task_id, None)
-        elif record.state is TaskState.ACTIVE:
-            run = Run(task, record.run, record.worker_id, record.born_ms, now)
-            run.phase = RunPhase.ORDERED
-            run.machine_id = record.machine_id
-            task.run = run
+        task.restore(record, now)
+        if task.state is TaskState.WAITING:
+            return
+        self.waiting.pop(task_id, None)
+        if task.state is TaskState.ACTIVE:
             self.active[task_id] = task
-            self.waiting.pop(task_id, None)
+            return
+        occurrence = self.occurrence_by_number[record.occurrence]
+        occurrence.remaining_by_step[record.step] -= 1
 
     def _open_occurrence(self) -> None:
         number = len(self.occurrence_by_number)
@@ -330,18 +323,11 @@
         self._open_steps(occurrence)
 
     def _open_steps(self, occurrence: Occurrence) -> None:
-        remaining = occurrence.remaining_by_step
-        for number, step in enumerate(self.submission.steps):
-            if occurrence.opened[number] or any(
-                remaining[each] for each in step.after
-            ):
-                continue
-            occurrence.opened[number] = True
-            self.waiting.update(
-                (task.task_id, task)
-                for task in occurrence.tasks_by_step[number]
-                if task.state is TaskState.WAITING
-            )
+        self.waiting.update(
+            (task.task_id, task)
+            for task in occurrence.open_ready_steps(self.submission.steps)
+            if task.state is TaskState.WAITING
+        )
 
     def _next_run_number(self, task: Task, now: float) -> int:
         """Returns the number of a new run, shared by the members of a gang."""
