Start the members of a gang from one checkpoint

Callers would see gangs that fail to start or resume from different points: each member carried the checkpoint of its own last run, where all have to carry the same.

Cause: a checkpoint is kept with each task. The workers accept that of any member.

Change: when members are placed, all get one value, that of the first member that has any.

Evidence: the test had '', c1, c2, '' before, and c1 four times now.

--- a/sardinedrift/engine/work.py
+++ b/sardinedrift/engine/work.py
@@ -1,6 +1,6 @@
 """In-memory state of jobs and their state transitions."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 
 from sardinedrift.engine.model import (
     ENDED_STATES,
@@ -140,6 +140,8 @@
         if self.state is JobState.PENDING:
             self.state = JobState.RUNNING
         self.mark_changed(task)
+        if task.step.gang:
+            self._share_checkpoint(self.siblings(task))
         number = self._next_run_number(task, now)
         return task.place(number, worker_id, born_ms, now)
 
@@ -329,6 +331,16 @@
             if task.state is TaskState.WAITING
         )
 
+    def _share_checkpoint(self, members: Sequence[Task]) -> None:
+        """Gives the members of a gang one checkpoint; that of any is valid."""
+        checkpoint = next(
+            (each.checkpoint for each in members if each.checkpoint), ""
+        )
+        for each in members:
+            if each.checkpoint != checkpoint:
+                each.checkpoint = checkpoint
+                self.mark_changed(each)
+
     def _next_run_number(self, task: Task, now: float) -> int:
         """Returns the number of a new run, shared by the members of a gang."""
         if not task.step.gang:
--- a/tests/test_engine_placement.py
+++ b/tests/test_engine_placement.py
@@ -70,6 +70,20 @@
         )
         self.assertEqual(set(placed.values()), {"w1"})
 
+    def test_the_members_of_a_gang_start_from_one_checkpoint(self):
+        """Guards against members that resume from different points.
+
+        Each member kept the checkpoint of its own last run, and some had none.
+        """
+        job = make_job("a", short(4, gang=True))
+        for task, checkpoint in zip(
+            job.tasks(), ("", "c1", "c2"), strict=False
+        ):
+            task.checkpoint = checkpoint
+        self.assertEqual(len(plan([job], [make_worker("w0")])), 4)
+        checkpoints = [task.checkpoint for task in job.tasks()]
+        self.assertEqual(checkpoints, ["c1"] * 4)
+
     def test_a_gang_starts_whole_or_not_at_all(self):
         """Guards against members that wait for others that cannot start."""
         job = make_job("a", short(17, gang=True))
