Record longer leases than usual when a term is closed

Callers would see tasks run twice at a time (TWICE) after a planned stop of the controller, if a worker that had restarted before was then out of reach.

Cause: a closed term named the leases of unreachable workers only, and a successor takes the others for usual ones. A worker whose restart was noticed late may hold the longest lease until 10 s later; only its controller knew.

Change: leases that may be longer than usual are recorded too. The names of the record follow. The margin for slow clocks is one constant.

--- a/sardinedrift/engine/catalogue.py
+++ b/sardinedrift/engine/catalogue.py
@@ -62,8 +62,8 @@
     link_mbps: float
 
 
-class UnreachableWorker(msgspec.Struct, frozen=True, array_like=True):
-    """A worker that was unreachable when the term of a controller ended.
+class WorkerLease(msgspec.Struct, frozen=True, array_like=True):
+    """A lease that may not have the usual length when a term ends.
 
     Attributes:
         left_ms: time in ms after which its lease has certainly expired.
@@ -82,7 +82,8 @@
             record.
         ordered: machines that may have been sent an order shortly before this
             record or after it.
-        silent: unreachable workers that have runs.
+        leases: leases of workers with runs that are unreachable or may hold a
+            longer lease than usual.
         orders_recorded: `ordered` is complete: the controller records a machine
             before it sends it an order.
     """
@@ -91,7 +92,7 @@
     node: str = ""
     closed: bool = False
     ordered: tuple[MachineId, ...] = ()
-    silent: tuple[UnreachableWorker, ...] = ()
+    leases: tuple[WorkerLease, ...] = ()
     orders_recorded: bool = False
 
 
--- a/sardinedrift/engine/controller.py
+++ b/sardinedrift/engine/controller.py
@@ -12,7 +12,6 @@
 from sardinedrift.engine.dependencies import ControllerDependencies
 from sardinedrift.engine.events import Event
 from sardinedrift.engine.exceptions import StoreError
-from sardinedrift.engine.fleet import MAX_CLOCK_DRIFT
 from sardinedrift.engine.limiter import OrderLimiter
 from sardinedrift.engine.machineinventory import MachineCooldown
 from sardinedrift.engine.machinemanager import MachineManager
@@ -25,6 +24,7 @@
 from sardinedrift.engine.retention import expired_jobs, removal_records
 from sardinedrift.engine.roster import PredecessorLeases, Roster
 from sardinedrift.engine.term import RENEWAL_TIMEOUT_S, Term
+from sardinedrift.engine.workerprocess import LEASE_MARGIN
 from sardinedrift.identifiers import JobId, Offset
 
 # Decisions are reviewed at least at this interval, as due times and ages change
@@ -35,11 +35,9 @@
 MAX_PLANNING_SHARE = 0.25
 # This long after the start of a term, all leases renewed by a predecessor
 # have expired, also on workers that this controller cannot reach.
-PREDECESSOR_LEASES_S = RENEWAL_TIMEOUT_S + LEASE_MS / 1000 * (
-    1 + 2 * MAX_CLOCK_DRIFT
-)
+PREDECESSOR_LEASES_S = RENEWAL_TIMEOUT_S + LEASE_MS / 1000 * LEASE_MARGIN
 # The same after a closed term, whose controller renews no more leases.
-CLOSED_TERM_LEASES_S = LEASE_MS / 1000 * (1 + 2 * MAX_CLOCK_DRIFT)
+CLOSED_TERM_LEASES_S = LEASE_MS / 1000 * LEASE_MARGIN
 
 
 class TermController:
@@ -147,7 +145,7 @@
         record = msgspec.structs.replace(
             self._term_record(),
             closed=True,
-            silent=tuple(self._roster.unreachable_workers()),
+            leases=tuple(self._roster.unusual_leases()),
         )
         with contextlib.suppress(StoreError):
             await self._writer.close_term(record)
@@ -219,8 +217,8 @@
             self._roster.predecessor_leases = PredecessorLeases(
                 now + CLOSED_TERM_LEASES_S,
                 {
-                    silent.worker_id: now + silent.left_ms / 1000
-                    for silent in predecessor.silent
+                    lease.worker_id: now + lease.left_ms / 1000
+                    for lease in predecessor.leases
                 },
             )
 
--- a/sardinedrift/engine/roster.py
+++ b/sardinedrift/engine/roster.py
@@ -5,24 +5,23 @@
 
 import msgspec
 
-from sardinedrift.engine.catalogue import UnreachableWorker
+from sardinedrift.engine.catalogue import WorkerLease
 from sardinedrift.engine.control import ControllerState
 from sardinedrift.engine.events import Event
 from sardinedrift.engine.fleet import Worker
 from sardinedrift.engine.model import Size, WorkerId
-from sardinedrift.engine.orders import Orders
+from sardinedrift.engine.orders import LEASE_MS, Orders
 from sardinedrift.engine.ports import RegisteredWorker, WorkerOrders
 from sardinedrift.engine.sessions import Session
 from sardinedrift.engine.supervision import keep_running
 from sardinedrift.engine.task import Run
 from sardinedrift.engine.work import Job
+from sardinedrift.engine.workerprocess import LEASE_MARGIN
 from sardinedrift.identifiers import DataCentreId, PoolId
 
 # First report calls to idle workers that are open at once. With more of them,
 # answers come after the timeout of a call and the calls are repeated.
 MAX_FIRST_REPORT_CALLS = 64
-# Either clock may be 2 % slow.
-LEASE_MARGIN = 1.04
 
 
 class PredecessorLeases(msgspec.Struct, frozen=True):
@@ -32,8 +31,7 @@
 
     Attributes:
         expires_at: expiry of the leases of all other workers.
-        expires_at_by_id: expiry of the leases of workers that the predecessor
-            could not reach.
+        expires_at_by_id: expiry of the leases that the predecessor recorded.
     """
 
     expires_at: float
@@ -125,15 +123,20 @@
         """
         self._restored.set()
 
-    def unreachable_workers(self) -> Iterator[UnreachableWorker]:
-        """Yields workers with runs that are suspect or not registered."""
+    def unusual_leases(self) -> Iterator[WorkerLease]:
+        """Yields the leases that a successor cannot infer.
+
+        These are, of workers with runs, the leases of those that are suspect or
+        not registered, and longer ones than usual.
+        """
         now = self._control.clock.boot()
         for worker in self._control.fleet.worker_by_id.values():
-            if worker.run_by_task and (worker.suspect or not worker.listed):
-                remaining_s = worker.latest_lease_expiry(now) - now
-                yield UnreachableWorker(
-                    worker.worker_id, int(remaining_s * 1000) + 1
-                )
+            if not worker.run_by_task:
+                continue
+            remaining_s = worker.latest_lease_expiry(now) - now
+            longer = remaining_s > LEASE_MS / 1000 * LEASE_MARGIN
+            if worker.suspect or not worker.listed or longer:
+                yield WorkerLease(worker.worker_id, int(remaining_s * 1000) + 1)
 
     def wake(self, worker: Worker) -> None:
         """Makes the session of a worker request a report soon."""
--- a/sardinedrift/engine/workerprocess.py
+++ b/sardinedrift/engine/workerprocess.py
@@ -6,6 +6,8 @@
 
 # A worker's clock may run slower than the controller's by up to this share.
 MAX_CLOCK_DRIFT = 0.02
+# Waits for a lease are longer by this factor, as either clock may be slow.
+LEASE_MARGIN = 1 + 2 * MAX_CLOCK_DRIFT
 
 
 class WorkerClock:
--- a/sardinedrift/platform/workers.py
+++ b/sardinedrift/platform/workers.py
@@ -205,7 +205,7 @@
             worker.address,
             "/hold",
             _report_body(request),
-            _addressee(worker),
+            _instance_header(worker),
             request.wait_ms / 1000 + answer_s,
         )
         return _decode_report(response)
@@ -238,12 +238,12 @@
             worker.address,
             path,
             body,
-            _addressee(worker),
+            _instance_header(worker),
             ORDER_TIMEOUT_S,
         )
 
 
-def _addressee(worker: RegisteredWorker) -> dict[str, str]:
+def _instance_header(worker: RegisteredWorker) -> dict[str, str]:
     """Returns the header that names the worker an order is meant for."""
     return {"Expected-Instance": worker.worker_id}
 
@@ -306,15 +306,15 @@
         OrderUnknown: no response came, or the response is not understood.
         OrderRefused: the receiver refused the order and did nothing.
     """
+    addressed = isinstance(body, AddressedBody)
+    content = body if addressed else msgspec.json.encode(body)
     try:
         response = await client.call(
             "POST",
             address,
             path,
             timeout_s,
-            body
-            if isinstance(body, AddressedBody)
-            else msgspec.json.encode(body),
+            content,
             headers=headers,
             may_send=may_send,
         )
--- a/tests/test_engine_restarts.py
+++ b/tests/test_engine_restarts.py
@@ -122,6 +122,37 @@
             world.register_restarted(name)
         await asyncio.sleep(LONG_UPTIME_S)
 
+    def test_a_closed_term_names_unusual_leases(self):
+        """Guards against a second run after an orderly change of controllers.
+
+        The run whose start granted the longest lease had ended, so that only
+        the controller knew of the lease; another run followed on the worker.
+        """
+
+        async def scenario(world, nodes):
+            await asyncio.sleep(LONG_UPTIME_S)
+            self._restart_all(world)
+            await self.accept(world, nodes[0], submission("a", short(3)))
+            await self.wait_for(
+                lambda: self.state(nodes[0], "a") is JobState.COMPLETED, 1.0
+            )
+            (worker,) = (
+                each for each in world.worker_by_id.values() if each.histories
+            )
+            world.register_restarted(worker.name)
+            job = submission(LONG_RUNNING_JOB, long_running(3))
+            await self.accept(world, nodes[0], job)
+            await self.wait_for(lambda: len(self.running(world)) == 3, 1.0)
+            self.assertEqual(len(worker.histories), 6)
+            controller = self.controller(world, nodes)
+            await controller.stop()
+            for node in nodes:
+                world.faults.cut.add((node.name, worker.name))
+            await asyncio.sleep(LONG_UPTIME_S)
+
+        with mock.patch.object(poolreview, "MAX_OPERATIONS", 0):
+            self.run_scenario(scenario, task_duration_s=_staggered_duration_s)
+
     def _runs_on(self, world: World, name: str) -> list:
         fleet = world.controller_states[-1].fleet
         return list(fleet.worker_by_id[name].run_by_task.values())
