--- a/sardinedrift/engine/roster.py
+++ b/sardinedrift/engine/roster.py
@@ -171,10 +171,10 @@
         self.wake(worker)
 
     def _expect_longest_lease(self, worker: Worker) -> None:
-        """Notes that a worker which is not reached may hold the longest lease.
+        """Postpones the expiry of a worker's leases, unless it is reached.
 
         A start with a deadline for the clock of the process before may have
-        reached the current one.
+        reached the current one, which then holds the longest lease.
         """
         longest_s = self._control.max_lease_ms / 1000 * LEASE_MARGIN
         worker.previous_lease_expires_at = max(
--- a/sardinedrift/engine/work.py
+++ b/sardinedrift/engine/work.py
@@ -264,14 +264,10 @@
     ) -> None:
         """Restores the progress that an earlier controller recorded.
 
-        Active runs become ORDERED, as only a report of the worker shows whether
-        they have started.
-
         Args:
             progress: the progress record.
             now: boot-time clock in seconds.
-            blocks: the records of blocks; they are at least as new as those in
-                the progress record.
+            blocks: records of blocks, at least as new as the progress record.
         """
         blocks = list(blocks)
         self.recorded_blocks.update(block.block_id for block in blocks)
--- a/sardinedrift/engine/workerprocess.py
+++ b/sardinedrift/engine/workerprocess.py
@@ -57,7 +57,7 @@
         return self._last_stored
 
     def receive(self, number: int) -> bool:
-        """Notes an end in a report; returns whether it is new."""
+        """Records an end in a report; returns whether it is new."""
         if number <= self._last_received:
             return False
         self._last_received = number
@@ -65,13 +65,13 @@
         return True
 
     def mark_stored(self, number: int) -> None:
-        """Notes that the ends up to a number are durably recorded."""
+        """Records that the ends up to a number are stored."""
         self._last_stored = max(self._last_stored, number)
         if self._last_stored >= self._last_received:
             self._all_stored.set()
 
     def mark_acknowledged(self, number: int) -> None:
-        """Notes that the process was told to forget ends up to a number."""
+        """Records that the ends up to a number are acknowledged."""
         self._last_acknowledged = max(self._last_acknowledged, number)
 
     async def wait_stored(self, timeout_s: float) -> None:
