List that a worker without persistent connections gets no renewals

Cause, by reading: acknowledgements and renewals go only over the connection of the worker's last report.

Every worker seen keeps its connections.

--- a/tests/test_platform_reports.py
+++ b/tests/test_platform_reports.py
@@ -18,14 +18,16 @@
 
     Args:
         born_ms: its start time, in Unix milliseconds.
+        keeps_connections: whether a connection carries several requests.
 
     Attributes:
         requests: bodies of the requests, in the order of their arrival.
     """
 
-    def __init__(self, born_ms: int):
+    def __init__(self, born_ms: int, keeps_connections: bool = True):
         self.requests: list[dict] = []
         self._born_ms = born_ms
+        self._keeps_connections = keeps_connections
         self._server: asyncio.Server | None = None
         self._writers: list[asyncio.StreamWriter] = []
 
@@ -54,12 +56,17 @@
                 body = await reader.readexactly(length)
                 self.requests.append(msgspec.json.decode(body))
                 self._answer(writer)
+                if not self._keeps_connections:
+                    writer.close()
+                    return
 
     def _answer(self, writer: asyncio.StreamWriter) -> None:
         report = {"clock_ms": 5, "born": self._born_ms}
         body = msgspec.json.encode(report)
-        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
-        writer.write(head.encode() + body)
+        fields = f"Content-Length: {len(body)}\r\n"
+        if not self._keeps_connections:
+            fields += "Connection: close\r\n"
+        writer.write(f"HTTP/1.1 200 OK\r\n{fields}\r\n".encode() + body)
 
 
 class ReportConnectionTest(unittest.TestCase):
@@ -125,5 +132,26 @@
 
         self.run_scenario(scenario)
 
+    def test_a_worker_that_closes_its_connections_is_renewed(self):
+        """Guards against leases that lapse as no connection is kept."""
+
+        async def scenario(orders):
+            server = WorkerServer(1, keeps_connections=False)
+            port = await server.listen()
+            worker = mock.Mock(address=f"127.0.0.1:{port}", worker_id="w")
+            report = await orders.renew(worker, report_request(), 1.0)
+            for _ in range(5):
+                request = report_request(report.connection_id, lease_ms=4500)
+                report = await orders.renew(worker, request, 1.0)
+            renewals = [
+                request
+                for request in server.requests
+                if "deadline_ms" in request
+            ]
+            await server.end()
+            self.assertTrue(renewals)
+
+        self.run_scenario(scenario)
+
     def _acknowledged(self, server: WorkerServer) -> list[int]:
         return [request["last_seen"] for request in server.requests]
