--- a/tests/test_engine_workers.py
+++ b/tests/test_engine_workers.py
@@ -1,9 +1,11 @@
 """Tests of the job engine with failing workers and machines in upkeep."""
 
 import asyncio
+from unittest import mock
 
 import msgspec
 
+from sardinedrift.engine import poolreview
 from sardinedrift.engine.model import JobState, WaveNumber
 from sardinedrift.engine.orders import LEASE_MS
 from sardinedrift.engine.ports import WaveOrder
@@ -20,6 +22,8 @@
 
 # Longer than the time limit of most calls to workers.
 SLOW_REPORT_S = 0.9
+# Time in which an order to a machine is under way.
+ORDER_PAUSE_S = 4.0
 
 
 class ReplacedWorkerTest(EngineTest):
@@ -301,6 +305,49 @@
             scenario, workers=4, task_duration_s=lambda task: None
         )
 
+    def test_an_upkeep_ends_no_worker_that_came_up_meanwhile(self):
+        """Guards against an order for a machine whose new worker has tasks.
+
+        The machine's worker was drained, was lost before the order was sent,
+        and another one came up on the machine. The order ended its tasks.
+        """
+
+        async def scenario(world, nodes):
+            await self.accept(world, nodes[0], submission("a", long_running(3)))
+            await self.wait_for(lambda: len(self.running(world)) == 3, 2.0)
+            used = max(
+                world.worker_by_id.values(), key=lambda w: len(w.histories)
+            )
+            machine_id = world.registered_by_id[used.name].machine_id
+            for node in nodes:
+                world.faults.machine_order_pause_s[node.name] = ORDER_PAUSE_S
+            self._order_wave(world, 1, [machine_id])
+            await self.wait_for(lambda: not self._running_on(used), 4.0)
+            used.crash()
+            later = world.add_worker("later")
+            registered = world.registered_by_id["later"]
+            world.register(
+                msgspec.structs.replace(registered, machine_id=machine_id)
+            )
+            world.unregister(used.name)
+            await self.accept(
+                world, nodes[0], submission("b", long_running(40))
+            )
+            await self.wait_for(
+                lambda: any(
+                    order.machine_id == machine_id
+                    for order in world.machine_orders
+                ),
+                2 * ORDER_PAUSE_S,
+            )
+            self.assertEqual(self._running_on(later), [])
+
+        with mock.patch.object(poolreview, "MAX_OPERATIONS", 0):
+            self.run_scenario(scenario, task_duration_s=lambda task: None)
+
+    def _running_on(self, worker) -> list:
+        return [each for each in worker.histories if each.ended_at is None]
+
     def test_tasks_on_a_silent_worker_count_as_missing(self):
         """Guards against stops that rely on an old report.
 
