Show lapses on workers that answer, and counters first

Cause: nothing tells a lease that lapsed on a worker in touch from the loss of a worker, nor counts reports that could not carry a lease; a scrape that is cut off at 4 kB ended within the histogram of the store. Change: an event lease_lapsed with the time since the last renewal and the answers since then, a counter of answered requests by what became of the lease, counters before histograms, and no series of creation times. Ruled out: a line for each report without a lease; a worker answers many in a second.

--- a/sardinedrift/engine/metrics.py
+++ b/sardinedrift/engine/metrics.py
@@ -2,6 +2,9 @@
 
 import prometheus_client as prometheus
 
+# The time at which each series was created would double a page of counters.
+prometheus.disable_created_metrics()
+
 _SECONDS = (0.01, 0.03, 0.1, 0.3, 0.6, 1.2, 2.5, 5.0, 10.0, 30.0)
 
 
@@ -18,6 +21,8 @@
         orders: calls to workers and to the machine and advice services, by
             operation and outcome.
         order_seconds: latency of these, by operation.
+        lease_renewals: answered requests for the reports of workers, by what
+            became of the lease.
         first_start_seconds: time from the acceptance of a job, or its start
             time if later, to its first confirmed start.
         runs_ended: ended runs, by kind of end.
@@ -40,40 +45,39 @@
 
     def __init__(self) -> None:
         self.registry = prometheus.CollectorRegistry()
+        # Readers that cut a long page off get the counters: the histograms,
+        # which are the longest, come last.
         self.calls = self._counter("calls", "Calls", "operation", "outcome")
-        self.call_seconds = self._histogram("call_seconds", "operation")
         self.connections_refused = self._counter(
             "connections_refused", "Refused or closed by a bound", "cause"
         )
         self.store_calls = self._counter(
             "store_calls", "Calls to the store", "operation", "outcome"
         )
-        self.store_seconds = self._histogram("store_seconds", "operation")
         self.orders = self._counter(
             "orders",
             "Calls to workers and services",
             "operation",
             "outcome",
         )
-        self.order_seconds = self._histogram("order_seconds", "operation")
-        self.first_start_seconds = self._histogram("first_start_seconds")
-        self.task_wait_seconds = self._histogram("task_wait_seconds", "size")
+        self.lease_renewals = self._counter(
+            "lease_renewals", "Answered requests for reports", "outcome"
+        )
         self.reservations = self._counter(
             "reservations", "Changes of reservations", "outcome"
         )
-        self.reserved_idle_cpu = self._gauge(
-            "reserved_idle_cpu", "Free capacity that is reserved", "pool"
-        )
         self.runs_ended = self._counter("runs_ended", "Ended runs", "how")
         self.start_failures = self._counter(
             "start_failures", "Starts without confirmation", "error"
         )
         self.jobs_ended = self._counter("jobs_ended", "Ended jobs", "state")
-        self.job_seconds = self._histogram("job_seconds")
         self.ignored_entries = self._counter(
             "ignored_entries", "Entries that could not be used", "kind"
         )
         self.gauges = self._gauge("current", "Current values", "name")
+        self.reserved_idle_cpu = self._gauge(
+            "reserved_idle_cpu", "Free capacity that is reserved", "pool"
+        )
         self.pool_gauges = self._gauge(
             "pool", "Pools, at the controller", "pool", "name"
         )
@@ -86,6 +90,12 @@
         self.team_gauges = self._gauge(
             "team", "Client accounts nearest to a limit", "team", "name"
         )
+        self.call_seconds = self._histogram("call_seconds", "operation")
+        self.store_seconds = self._histogram("store_seconds", "operation")
+        self.order_seconds = self._histogram("order_seconds", "operation")
+        self.first_start_seconds = self._histogram("first_start_seconds")
+        self.task_wait_seconds = self._histogram("task_wait_seconds", "size")
+        self.job_seconds = self._histogram("job_seconds")
 
     def record_store_call(
         self, path: str, outcome: str, seconds: float
--- a/sardinedrift/engine/sessions.py
+++ b/sardinedrift/engine/sessions.py
@@ -1,6 +1,7 @@
 """One task per worker that renews its lease and applies its reports."""
 
 import asyncio
+from collections.abc import Iterable
 
 from sardinedrift.engine.answertimeout import AnswerTimeout
 from sardinedrift.engine.control import ControllerState
@@ -21,6 +22,7 @@
     WorkerOrders,
     WorkerReport,
 )
+from sardinedrift.engine.renewals import RenewalOutcome
 from sardinedrift.engine.taskblocks import is_recordable
 from sardinedrift.engine.workerprocess import WorkerClock, WorkerProcess
 
@@ -171,6 +173,9 @@
             self._answer_timeout.record_answer()
             if report.addressed:
                 process.ends.mark_acknowledged(request.acknowledged_end)
+            outcome = RenewalOutcome.of(request, report)
+            process.renewals.record(outcome, sent_at)
+            self._control.metrics.lease_renewals.labels(outcome.value).inc()
             self._apply_report(report, sent_at)
 
     def _next_lease_ms(self) -> int | None:
@@ -252,8 +257,7 @@
         worker.answered_at = now
         if not worker.contacted or worker.suspect:
             self._mark_contacted()
-        for end in report.ended:
-            self._apply_end(end)
+        self._apply_ends(report.ended)
         for row in report.running:
             self._apply_run(row, now)
         self._end_missing_runs(report, sent_at)
@@ -300,10 +304,28 @@
             runs=len(worker.run_by_task),
         )
 
+    def _apply_ends(self, listed: Iterable[EndReport]) -> None:
+        ends = self._worker.process.ends
+        new = [end for end in listed if ends.receive(end.number)]
+        lapsed = sum(1 for end in new if end.how is RunEnd.LAPSED)
+        if lapsed:
+            self._log_lapse(lapsed)
+        for end in new:
+            self._apply_end(end)
+
+    def _log_lapse(self, runs: int) -> None:
+        worker = self._worker
+        renewals = worker.process.renewals
+        self._control.log.write(
+            Event.LEASE_LAPSED,
+            worker=worker.worker_id,
+            runs=runs,
+            renewed_s_ago=renewals.age_s(self._control.clock.boot()),
+            reports_since=renewals.reports_since,
+        )
+
     def _apply_end(self, end: EndReport) -> None:
         ends = self._worker.process.ends
-        if not ends.receive(end.number):
-            return
         run = self._find_run(end.task_id, end.run)
         if run is not None:
             checkpoint = self._recordable(end.checkpoint, end.task_id)
--- a/sardinedrift/engine/workerprocess.py
+++ b/sardinedrift/engine/workerprocess.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from sardinedrift.engine.renewals import RenewalHistory
 from sardinedrift.identifiers import NO_CONNECTION
 
 # A worker's clock may run slower than the controller's by up to this share.
@@ -99,6 +100,7 @@
         lease_ms: latest lease expiry that was sent, on its own clock.
         connection_id: connection that carried its last report.
         ends: the ended runs that it has reported.
+        renewals: the renewals of its lease.
     """
 
     def __init__(self, born_ms: int):
@@ -107,3 +109,4 @@
         self.lease_ms = 0
         self.connection_id = NO_CONNECTION
         self.ends = ReportedEnds()
+        self.renewals = RenewalHistory()
--- a/tests/engine_fakes.py
+++ b/tests/engine_fakes.py
@@ -184,6 +184,8 @@
         """Returns the open connection to a process, or a new one."""
         previous = self._report_connection_by_id.get(worker_id)
         known = previous is not None and previous.process is target
+        if worker_id in self._world.faults.changing_connections:
+            known = False
         if known and not self._world.faults.connections_close:
             return previous
         self._world.last_connection_id += 1
--- a/tests/engine_world.py
+++ b/tests/engine_world.py
@@ -80,6 +80,8 @@
         machine_order_pause_s: pause of an entry, by its name, between its
             decision to send an order to the machine service and the sending.
         connections_close: workers close each connection after its response.
+        changing_connections: workers to which each report goes over another
+            connection than the one before, while that one stays open.
         late_start: delays in seconds of the next starts, which are carried out
             but not answered.
         refused_starts: number of next starts, after those of `late_start`, that
@@ -103,6 +105,7 @@
         default_factory=dict
     )
     connections_close: bool = False
+    changing_connections: set[str] = dataclasses.field(default_factory=set)
     late_start: list[float] = dataclasses.field(default_factory=list)
     refused_starts: int = 0
     lost_appends: int = 0
--- a/tests/test_engine_logs.py
+++ b/tests/test_engine_logs.py
@@ -13,6 +13,7 @@
 from sardinedrift.engine.linebudget import JOB_LINES_PER_SECOND, LineBudget
 from sardinedrift.engine.metrics import Metrics
 from sardinedrift.engine.model import Size, Team
+from sardinedrift.engine.orders import LEASE_MS
 from sardinedrift.engine.teamuse import TeamUse
 from sardinedrift.identifiers import TeamId
 from tests.engine_case import EngineTest
@@ -118,6 +119,44 @@
         self.assertIn('sardinedrift_team{name="of_limit",team="t599"}', text)
 
 
+class ScrapeTest(unittest.TestCase):
+    def test_counters_precede_histograms(self):
+        """Guards against counters that a reader of the first bytes misses."""
+        metrics = Metrics()
+        kinds = [family.type for family in metrics.registry.collect()]
+        first = kinds.index("histogram")
+        self.assertEqual(set(kinds[first:]), {"histogram"})
+
+
+class LapseLineTest(EngineTest):
+    def test_a_lapse_on_a_worker_that_answers_is_logged(self):
+        """Guards against lapses that look like the loss of a worker."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "log")
+            with mock.patch.dict(os.environ, {"ENGINE_LOG": str(path)}):
+                self.run_scenario(
+                    self._withhold_renewals, task_duration_s=lambda task: None
+                )
+            events = [
+                json.loads(line) for line in path.read_text().splitlines()
+            ]
+        lapses = [each for each in events if each["event"] == "lease_lapsed"]
+        self.assertTrue(lapses)
+        self.assertGreaterEqual(lapses[0]["renewed_s_ago"], LEASE_MS / 1000)
+        self.assertGreater(lapses[0]["reports_since"], 0)
+
+    async def _withhold_renewals(self, world, nodes) -> None:
+        await self.accept(world, nodes[0], submission("a", long_running(3)))
+        await asyncio.sleep(2.0)
+        world.faults.changing_connections.update(world.worker_by_id)
+        await asyncio.sleep(2 * LEASE_MS / 1000)
+        text = self.controller(world, nodes).metrics.render().decode()
+        self.assertIn(
+            'sardinedrift_lease_renewals_total{outcome="other_connection"}',
+            text,
+        )
+
+
 class DependencyLinesTest(EngineTest):
     def test_an_outage_of_the_store_is_logged_once(self):
         """Guards against a line for each attempt during an outage."""
