Test that a worker at a reused address gets its leases, which fails

Cause: the pool of report connections is keyed by address. While the session of a lost worker still calls the address that the next worker has, each session has a connection; both stay in the pool and are taken in turn, the oldest first. A lease goes only over the connection of the last report, so it is left out of every request, and what runs on the worker lapses every 4.5 s.

--- a/tests/test_platform_reports.py
+++ b/tests/test_platform_reports.py
@@ -9,7 +9,7 @@
 import msgspec
 import prometheus_client as prometheus
 
-from sardinedrift.engine.exceptions import OrderError
+from sardinedrift.engine.exceptions import OrderError, OrderRefused
 from sardinedrift.identifiers import NO_CONNECTION
 from sardinedrift.platform.connector import Connector
 from sardinedrift.platform.http import HttpClient
@@ -26,6 +26,8 @@
         born_ms: its start time, in Unix milliseconds.
         keeps_connections: whether a connection carries several requests.
         announces_close: whether a response says that its connection ends.
+        worker_id: its id; it refuses requests for other workers. None accepts
+            all.
 
     Attributes:
         requests: bodies of the requests, in the order of their arrival.
@@ -40,12 +42,14 @@
         born_ms: int,
         keeps_connections: bool = True,
         announces_close: bool = True,
+        worker_id: str | None = None,
     ):
         self.requests: list[dict] = []
         self.connection_count = 0
         self.request_timeout_s: float | None = None
         self.silent = False
         self._announces_close = announces_close
+        self._worker_id = worker_id
         self._ended = False
         self.born_ms = born_ms
         self._keeps_connections = keeps_connections
@@ -86,6 +90,11 @@
                     head.lower().split(b"content-length: ")[1].split(b"\r")[0]
                 )
                 body = await reader.readexactly(length)
+                if not self._is_meant(head):
+                    writer.write(
+                        b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"
+                    )
+                    continue
                 self.requests.append(msgspec.json.decode(body))
                 if self.silent:
                     continue
@@ -94,6 +103,12 @@
                     writer.close()
                     return
 
+    def _is_meant(self, head: bytes) -> bool:
+        if self._worker_id is None:
+            return True
+        expected = f"expected-instance: {self._worker_id}\r\n"
+        return expected.encode() in head.lower()
+
     def _answer(self, writer: asyncio.StreamWriter) -> None:
         report = {"clock_ms": 5, "born": self.born_ms}
         body = msgspec.json.encode(report)
@@ -225,6 +240,71 @@
         return [request["last_seen"] for request in server.requests]
 
 
+class ReusedAddressTest(unittest.TestCase):
+    """A worker listens at the address of a lost one that is still called."""
+
+    def run_scenario(self, scenario) -> None:
+        async def body() -> None:
+            client = HttpClient(4)
+            self.orders = HttpWorkerOrders(client, client)
+            server = WorkerServer(1, worker_id="new")
+            address = f"127.0.0.1:{await server.listen()}"
+            self.lost = mock.Mock(address=address, worker_id="lost")
+            self.new = mock.Mock(address=address, worker_id="new")
+            try:
+                await scenario()
+            finally:
+                await client.aclose()
+                await server.end()
+            first, *later = server.requests
+            self.assertNotIn("deadline_ms", first)
+            self.assertTrue(later)
+            for request in later:
+                self.assertIn("deadline_ms", request)
+
+        with asyncio.Runner(loop_factory=new_event_loop) as runner:
+            runner.run(body())
+
+    async def renew(self, connection_id: int) -> int:
+        """Requests a report of the new worker; returns its connection."""
+        request = report_request(
+            connection_id, lease_ms=4500 if connection_id else None
+        )
+        report = await self.orders.renew(self.new, request, 1.0)
+        return report.connection_id
+
+    async def call_lost(self) -> None:
+        """Requests a report of the lost worker, which the new one refuses."""
+        with self.assertRaises(OrderRefused):
+            await self.orders.renew(self.lost, report_request(), 1.0)
+
+    def test_a_worker_at_a_reused_address_is_renewed(self):
+        """Guards against leases that lapse once two connections are pooled."""
+
+        async def scenario():
+            connection_id, _ = await asyncio.gather(
+                self.renew(NO_CONNECTION), self.call_lost()
+            )
+            for _ in range(6):
+                connection_id = await self.renew(connection_id)
+
+        self.run_scenario(scenario)
+
+    def test_calls_to_the_lost_worker_between_renewals(self):
+        """Guards against leases left out as the lost worker is called."""
+
+        async def scenario():
+            connection_id = await self.renew(NO_CONNECTION)
+            for _ in range(3):
+                connection_id, _ = await asyncio.gather(
+                    self.renew(connection_id), self.call_lost()
+                )
+                connection_id = await self.renew(connection_id)
+                await self.call_lost()
+
+        self.run_scenario(scenario)
+
+
 class ClosedConnectionTest(unittest.TestCase):
     """A worker closes its connections and starts again in between.
 
