Give each worker report connections of its own

Cause: report connections were pooled by address. A lost worker is called until its lease has expired; if another worker has its address by then, both sessions leave connections to the new process. The pool hands out the one that was idle longest, so the new worker's reports alternate between two, and a lease goes only over the connection of the last report. Change: the pool, and the connections opened ahead, are keyed by the worker as well as by the address. Ruled out: taking the newest connection of the address instead, as a call to the lost worker between two reports would still take it away; sending the lease over any connection, as it may reach a process with another clock.

--- a/sardinedrift/platform/http.py
+++ b/sardinedrift/platform/http.py
@@ -40,12 +40,15 @@
     """Request body of which a part is meant for one process only.
 
     Attributes:
+        peer: name of the peer that the process belongs to. Calls to other peers
+            at the same address use connections of their own.
         connection_id: connection over which that process has answered.
         content: the whole body, for connections that lead to it.
         other_content: the body for any other connection. Both have the same
             length, as that is sent before the connection is known.
     """
 
+    peer: str
     connection_id: ConnectionId
     content: bytes
     other_content: bytes
@@ -177,7 +180,8 @@
     It must be created inside a running event loop.
 
     Args:
-        max_per_host: maximum number of pooled connections to one address.
+        max_per_host: maximum number of connections to one address, and of
+            those for the addressed bodies of each peer there.
         observe: called after each call.
     """
 
@@ -244,6 +248,9 @@
                 params=params,
                 headers={"Content-Type": "application/json", **(headers or {})},
                 allow_redirects=False,
+                # It is part of the key by which connections are pooled, and
+                # has no other effect without TLS.
+                server_hostname=_peer_of(body),
             )
             outcome = str(response.status)
             if isinstance(data, _AddressedPayload):
@@ -312,6 +319,10 @@
     return b"".join(chunks)
 
 
+def _peer_of(body: bytes | AddressedBody) -> str | None:
+    return body.peer if isinstance(body, AddressedBody) else None
+
+
 def _loop_time() -> float:
     return asyncio.get_running_loop().time()
 
--- a/sardinedrift/platform/workers.py
+++ b/sardinedrift/platform/workers.py
@@ -176,8 +176,9 @@
 
     Args:
         client: sends orders.
-        report_client: sends requests for reports. Its connections carry nothing
-            else, so a worker's next request goes over that of the last one.
+        report_client: sends requests for reports. It has one connection for
+            each worker, which carries nothing else, so a worker's next request
+            goes over that of the last one.
     """
 
     def __init__(self, client: HttpClient, report_client: HttpClient):
@@ -221,7 +222,7 @@
             self._report_client,
             worker.address,
             "/hold",
-            _report_body(request),
+            _report_body(worker.worker_id, request),
             _instance_header(worker),
             request.wait_ms / 1000 + answer_s,
         )
@@ -265,7 +266,7 @@
     return {"Expected-Instance": worker.worker_id}
 
 
-def _report_body(request: ReportRequest) -> AddressedBody:
+def _report_body(worker_id: WorkerId, request: ReportRequest) -> AddressedBody:
     general: dict[str, int] = {"fencing_token": request.token, "last_seen": 0}
     addressed = {**general, "last_seen": request.acknowledged_end}
     if request.lease_ms is not None:
@@ -276,6 +277,7 @@
         addressed["wait_ms"] = request.wait_ms
     content = msgspec.json.encode(addressed)
     return AddressedBody(
+        worker_id,
         request.connection_id,
         content,
         msgspec.json.encode(general).ljust(len(content)),
