Keep one report connection for each worker

Seen by callers: none yet; the same lapses as at a reused address. Cause: the pool allowed four report connections for each worker. If two requests are ever made at once, both connections stay in the pool and are taken in turn, so no later request carries the lease. Change: a limit of one; a second request waits for the first. Ruled out: relying on one session for each worker alone, as a request of the session before may still be in progress. Measured result: test_two_requests_at_once_leave_one_connection fails with four and passes with one; 14 tests of the platform's reports passed.

--- a/sardinedrift/platform/daemon.py
+++ b/sardinedrift/platform/daemon.py
@@ -46,6 +46,9 @@
 # Connections to the store, for the long polls and appends of one entry.
 STORE_CONNECTIONS = 16
 ORDER_CONNECTIONS = 4
+# A worker's lease is renewed over the connection of its last report. With
+# several, that would not be the one that the next request takes.
+REPORT_CONNECTIONS = 1
 # Readiness is withdrawn this long before listening ends, so that the load
 # balancer stops sending connections.
 UNREADY_DELAY_S = 0.5
@@ -107,7 +110,7 @@
             ORDER_CONNECTIONS, self._metrics.record_order_call
         )
         report_client = HttpClient(
-            ORDER_CONNECTIONS, self._metrics.record_order_call
+            REPORT_CONNECTIONS, self._metrics.record_order_call
         )
         clients = _Clients(store_client, order_client, report_client)
         try:
--- a/tests/test_platform_reports.py
+++ b/tests/test_platform_reports.py
@@ -12,6 +12,7 @@
 from sardinedrift.engine.exceptions import OrderError, OrderRefused
 from sardinedrift.identifiers import NO_CONNECTION
 from sardinedrift.platform.connector import Connector
+from sardinedrift.platform.daemon import REPORT_CONNECTIONS
 from sardinedrift.platform.http import HttpClient
 from sardinedrift.platform.nextconnections import MIN_CHANGED_CONNECTIONS
 from sardinedrift.platform.workers import HttpWorkerOrders
@@ -245,7 +246,7 @@
 
     def run_scenario(self, scenario) -> None:
         async def body() -> None:
-            client = HttpClient(4)
+            client = HttpClient(REPORT_CONNECTIONS)
             self.orders = HttpWorkerOrders(client, client)
             server = WorkerServer(1, worker_id="new")
             address = f"127.0.0.1:{await server.listen()}"
@@ -304,6 +305,22 @@
 
         self.run_scenario(scenario)
 
+    def test_two_requests_at_once_leave_one_connection(self):
+        """Guards against leases left out after a session begins anew.
+
+        The last request of the session before may still be in progress.
+        """
+
+        async def scenario():
+            connection_id = await self.renew(NO_CONNECTION)
+            await asyncio.gather(
+                self.renew(connection_id), self.renew(connection_id)
+            )
+            for _ in range(3):
+                connection_id = await self.renew(connection_id)
+
+        self.run_scenario(scenario)
+
 
 class ClosedConnectionTest(unittest.TestCase):
     """A worker closes its connections and starts again in between.
