Bound the rate of reports that carry no lease

Cause: a request without its lease has no wait for an end either, so it is answered at once and the next one follows at once. Change: after five answers in a row to requests without a lease, the next request waits for the retry interval. Ruled out: waiting after the first, as a renewal then comes 0.3 s later after each change of a connection.

--- a/sardinedrift/engine/sessions.py
+++ b/sardinedrift/engine/sessions.py
@@ -35,6 +35,10 @@
 DEGRADED_WAIT_MS = 300
 DEGRADED_PERIOD_S = 5.0
 RETRY_INTERVAL_S = 0.3
+# After this many answered requests in a row that carried no lease, the next one
+# waits for RETRY_INTERVAL_S. A peer that closes its connections is known as
+# such before that.
+MAX_IMMEDIATE_REPORTS = 5
 # Limits of the time for the answer to a report call, beyond the wait that the
 # worker was asked for. A worker which is only slow keeps its lease.
 MIN_ANSWER_S = 0.4
@@ -91,8 +95,10 @@
             else:
                 async with self._first_calls:
                     await self._request_report()
-            ends = self._worker.process.ends
-            await ends.wait_stored(ACKNOWLEDGE_TIMEOUT_S)
+            process = self._worker.process
+            await process.ends.wait_stored(ACKNOWLEDGE_TIMEOUT_S)
+            if process.renewals.reports_since > MAX_IMMEDIATE_REPORTS:
+                await asyncio.sleep(RETRY_INTERVAL_S)
 
     def _expire_runs(self) -> bool:
         """Ends runs whose worker is terminated or whose lease has expired.
