Don't stop a run whose start had no answer once a report shows it

All tasks whose starts were carried out but not answered were ended and began again, those that serve users too. Cause: after the last attempt without an answer, a run was stopped even if a report had listed it in the meantime, and nothing asked for a report then. Change: a report is requested after each attempt without an answer; a run that it shows gets no further attempt and is not stopped. Ruled out: asking for the report only after the last attempt, which is a second later. Measured result: test_a_run_that_a_report_shows_goes_on failed before for short and for long-running tasks (6 runs of 3 tasks) and passes.

--- a/sardinedrift/engine/orders.py
+++ b/sardinedrift/engine/orders.py
@@ -194,13 +194,15 @@
                 # A worker that has answered another order since is reachable.
                 worker.suspect |= worker.answered_at < sent_at
                 self._record_start_failure(run, error)
+                # A report may show the run before the next attempt.
+                self._wake(worker)
             else:
                 worker.answered_at = self._control.clock.boot()
                 self._confirm(run)
                 return
         if maybe_sent:
-            self._begin_stop(run)
-        elif run.task.run is run:
+            self._stop_unless_reported(run)
+        elif run.task.run is run and run.phase is RunPhase.ORDERED:
             self._control.retract(run)
         if worker.evacuated:
             self._stop_gang(run)
@@ -210,6 +212,7 @@
         """Whether a start may be sent, for the first time or again."""
         return (
             self._control.term.may_order
+            and run.phase is RunPhase.ORDERED
             and not run.stop_wanted
             and not worker.evacuated
         )
@@ -300,7 +303,7 @@
         elif maybe_sent:
             # The refusal says nothing of an earlier attempt, which the worker
             # may carry out until it has accepted a stop.
-            self._begin_stop(run)
+            self._stop_unless_reported(run)
         else:
             self._control.finish(run, RunEnd.LAPSED)
         if reason is Refusal.TICKET and self.advisor is not None:
@@ -311,6 +314,11 @@
             worker.suspect = True
         self._wake(worker)
 
+    def _stop_unless_reported(self, run: Run) -> None:
+        """Stops a run that may have started, unless a report has shown it."""
+        if run.phase is RunPhase.ORDERED:
+            self._begin_stop(run)
+
     def _begin_stop(self, run: Run) -> None:
         if run.phase is RunPhase.STOPPING:
             return
--- /dev/null
+++ b/tests/test_engine_unanswered.py
@@ -0,0 +1,42 @@
+"""Tests of starts that workers carry out but do not answer."""
+
+import asyncio
+
+from sardinedrift.engine.orders import MAX_START_ATTEMPTS
+from tests.engine_case import EngineTest
+from tests.engine_node import Node
+from tests.engine_world import World, long_running, short, submission
+
+TASKS = 3
+ANSWERS_AGAIN_S = 3.0
+
+
+class UnansweredStartTest(EngineTest):
+    def test_a_run_that_a_report_shows_goes_on(self):
+        """Guards against the stop of a run because its start had no answer."""
+        for step in (long_running(TASKS), short(TASKS)):
+            with self.subTest(long_running=step.long_running):
+                self._leave_unanswered(step)
+
+    def _leave_unanswered(self, step) -> None:
+        async def scenario(world: World, nodes: list[Node]) -> None:
+            world.faults.late_start = [0.0] * (MAX_START_ATTEMPTS * TASKS)
+            await self.accept(world, nodes[0], submission("a", step))
+            await asyncio.sleep(ANSWERS_AGAIN_S)
+            self.assertEqual(len(world.histories()), TASKS)
+            self.assertEqual(len(self.running(world)), TASKS)
+
+        self.run_scenario(scenario, task_duration_s=lambda task: None)
+
+    def test_a_start_that_no_report_shows_is_stopped(self):
+        """Guards against a second run beside one that begins late."""
+        late_s = 4.0
+
+        async def scenario(world: World, nodes: list[Node]) -> None:
+            world.faults.late_start = [late_s] * MAX_START_ATTEMPTS
+            await self.accept(world, nodes[0], submission("a", long_running(1)))
+            await self.wait_for(lambda: self.running(world), ANSWERS_AGAIN_S)
+            await asyncio.sleep(2 * late_s)
+            self.assertEqual(len(world.histories()), 1)
+
+        self.run_scenario(scenario, task_duration_s=lambda task: None)
