Ask for a report before a task that serves is stopped for want of an answer

When a worker carried out starts, was out of reach before it answered and came back, all tasks of a step on it were ended at once, though they served. Cause: a run was stopped after the last attempt to start it, and the stop was repeated until the worker took it, whatever the run did by then. Change: the start of a long-running task is given up without a stop. The next report shows the run, which goes on, or doesn't, and then it is stopped, as its start may still be carried out. That report has no wait. Ruled out: the same for short tasks, as their next run would begin up to a second later; looking at the other tasks of the step before the stop, as all of them may be in this state and none is known to serve.

--- a/sardinedrift/engine/orders.py
+++ b/sardinedrift/engine/orders.py
@@ -89,9 +89,20 @@
         run.stop_wanted = True
         if run.phase is RunPhase.DECIDED:
             return
-        if run.phase is RunPhase.RUNNING or run.settled_at is not None:
+        if (
+            run.phase is RunPhase.RUNNING
+            or run.settled_at is not None
+            or run.unanswered_at is not None
+        ):
             self._begin_stop(run)
 
+    def stop_unstarted(self, run: Run) -> None:
+        """Stops a run without an answer that a report does not list.
+
+        Its start may still be carried out until the worker accepts the stop.
+        """
+        self._begin_stop(run)
+
     def stop_stray(self, worker: Worker, task_id: TaskId, number: int) -> None:
         """Stops a run that a worker reports but the controller has ended.
 
@@ -201,7 +212,7 @@
                 self._confirm(run)
                 return
         if maybe_sent:
-            self._stop_unless_reported(run)
+            self._give_up_start(run, worker)
         elif run.task.run is run and run.phase is RunPhase.ORDERED:
             self._control.retract(run)
         if worker.evacuated:
@@ -303,7 +314,7 @@
         elif maybe_sent:
             # The refusal says nothing of an earlier attempt, which the worker
             # may carry out until it has accepted a stop.
-            self._stop_unless_reported(run)
+            self._give_up_start(run, worker)
         else:
             self._control.finish(run, RunEnd.LAPSED)
         if reason is Refusal.TICKET and self.advisor is not None:
@@ -314,9 +325,22 @@
             worker.suspect = True
         self._wake(worker)
 
-    def _stop_unless_reported(self, run: Run) -> None:
-        """Stops a run that may have started, unless a report has shown it."""
-        if run.phase is RunPhase.ORDERED:
+    def _give_up_start(self, run: Run, worker: Worker) -> None:
+        """Stops a run that may have started, unless a report has shown it.
+
+        The stop of a long-running task waits for a report that does not list
+        it: the task may serve by then, as may others of its step that are in
+        the same state.
+        """
+        if run.phase is not RunPhase.ORDERED:
+            return
+        if (
+            run.task.step.long_running
+            and not run.stop_wanted
+            and not worker.evacuated
+        ):
+            run.unanswered_at = self._control.clock.boot()
+        else:
             self._begin_stop(run)
 
     def _begin_stop(self, run: Run) -> None:
--- a/sardinedrift/engine/sessions.py
+++ b/sardinedrift/engine/sessions.py
@@ -23,6 +23,7 @@
     WorkerReport,
 )
 from sardinedrift.engine.renewals import RenewalOutcome
+from sardinedrift.engine.task import Run
 from sardinedrift.engine.taskblocks import is_recordable
 from sardinedrift.engine.workerprocess import WorkerClock, WorkerProcess
 
@@ -201,10 +202,7 @@
         if not worker.contacted or worker.suspect or not worker.run_by_task:
             return 0
         runs = worker.run_by_task.values()
-        if any(
-            run.settled_at is not None and run.phase is not RunPhase.RUNNING
-            for run in runs
-        ):
+        if any(_needs_next_report(run) for run in runs):
             return 0
         has_short_tasks = any(not run.task.step.long_running for run in runs)
         since_unanswered_s = (
@@ -266,6 +264,7 @@
         self._apply_ends(report.ended)
         for row in report.running:
             self._apply_run(row, now)
+        self._stop_unstarted_runs(sent_at)
         self._end_missing_runs(report, sent_at)
         self._control.changed.set()
 
@@ -357,6 +356,18 @@
                 run.stop_wanted = False
                 self._orders.stop_soon(run)
 
+    def _stop_unstarted_runs(self, sent_at: float) -> None:
+        """Stops the runs whose starts were given up before a report.
+
+        Those that the report lists are running by now.
+        """
+        for run in list(self._worker.run_by_task.values()):
+            given_up_at = run.unanswered_at
+            if run.phase is not RunPhase.ORDERED or given_up_at is None:
+                continue
+            if given_up_at < sent_at:
+                self._orders.stop_unstarted(run)
+
     def _recordable(self, checkpoint: str, task_id: TaskId) -> str:
         """Returns a checkpoint, or "" if it is too large to be recorded."""
         if is_recordable(checkpoint):
@@ -389,3 +400,10 @@
                 continue
             if (run.task.task_id, run.number) not in listed:
                 self._control.finish(run, RunEnd.LAPSED)
+
+
+def _needs_next_report(run: Run) -> bool:
+    """Whether the next report decides what becomes of a run."""
+    if run.phase is RunPhase.RUNNING:
+        return False
+    return run.settled_at is not None or run.unanswered_at is not None
--- a/sardinedrift/engine/task.py
+++ b/sardinedrift/engine/task.py
@@ -34,6 +34,8 @@
         phase: current phase.
         settled_at: boot-time clock at which the outcome of the start order
             became known; None while a start may still take effect.
+        unanswered_at: boot-time clock at which its start was given up without
+            an answer; None if it was not. It may have started.
         stop_wanted: it is to be stopped as soon as that is safe.
         decided_at: boot-time clock at which it was placed.
         observed_from_start: it was decided in this term and began without a
@@ -63,6 +65,7 @@
         "settled_at",
         "stop_wanted",
         "task",
+        "unanswered_at",
         "worker_id",
     )
 
@@ -82,6 +85,7 @@
         self.machine_id = MachineId("")
         self.phase = RunPhase.DECIDED
         self.settled_at: float | None = None
+        self.unanswered_at: float | None = None
         self.stop_wanted = False
         self.decided_at = now
         self.observed_from_start = False
--- a/tests/test_engine_unanswered.py
+++ b/tests/test_engine_unanswered.py
@@ -3,12 +3,16 @@
 import asyncio
 
 from sardinedrift.engine.orders import MAX_START_ATTEMPTS
-from tests.engine_case import EngineTest
+from tests.engine_case import LEASE_S, EngineTest
 from tests.engine_node import Node
 from tests.engine_world import World, long_running, short, submission
 
 TASKS = 3
 ANSWERS_AGAIN_S = 3.0
+# From a start until its worker is out of reach, and for how long. Its lease is
+# longer, so the run continues.
+REACHABLE_S = 0.05
+CUT_S = 1.5
 
 
 class UnansweredStartTest(EngineTest):
@@ -28,6 +32,33 @@
 
         self.run_scenario(scenario, task_duration_s=lambda task: None)
 
+    def test_a_run_on_a_worker_out_of_reach_goes_on_afterwards(self):
+        """Guards against the stop of all tasks of a step that are at work.
+
+        The worker carries out the starts and is out of reach before it answers.
+        When it is back, a stop would end tasks that serve by then.
+        """
+
+        async def scenario(world: World, nodes: list[Node]) -> None:
+            world.faults.late_start = [0.0] * TASKS
+            step = long_running(TASKS, may_miss=1)
+            await self.accept(world, nodes[0], submission("a", step))
+            await self.wait_for(lambda: len(self.running(world)) == TASKS, 2.0)
+            await asyncio.sleep(REACHABLE_S)
+            links = {
+                (node.name, name)
+                for node in nodes
+                for name in world.worker_by_id
+            }
+            world.faults.cut |= links
+            await asyncio.sleep(CUT_S)
+            world.faults.cut -= links
+            await asyncio.sleep(2 * LEASE_S)
+            self.assertEqual(len(world.histories()), TASKS)
+            self.assertEqual(len(self.running(world)), TASKS)
+
+        self.run_scenario(scenario, task_duration_s=lambda task: None)
+
     def test_a_start_that_no_report_shows_is_stopped(self):
         """Guards against a second run beside one that begins late."""
         late_s = 4.0
