--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -77,6 +77,7 @@
     runs_by_job: dict[str, dict[TaskId, list[RunHistory]]] = {}
     for task, runs in runs_by_task.items():
         yield from _check_duplicate_runs(runs)
+        yield from _check_lapses(runs, observations.faults_ended_at)
         yield from _check_max_attempts(runs)
         task_id = parse_task_name(task)
         runs_by_job.setdefault(task_id.job_id, {})[task_id] = runs
@@ -110,6 +111,16 @@
             yield f"TWICE: {first.task} run {second.run} after it was done"
 
 
+def _check_lapses(
+    runs: list[RunHistory], faults_ended_at: float
+) -> Iterator[str]:
+    """Yields the runs that lapsed although no fault had affected them."""
+    undisturbed_at = faults_ended_at + FAULT_RECOVERY_S
+    for run in runs:
+        if run.how == "lapsed" and run.started_at > undisturbed_at:
+            yield f"LAPSED: {run.task} run {run.run} without a fault"
+
+
 def _check_max_attempts(runs: list[RunHistory]) -> Iterator[str]:
     failed = 0
     for run in runs:
--- a/standins/soak/deployment.py
+++ b/standins/soak/deployment.py
@@ -85,6 +85,7 @@
         self._store_links: list[Proxy] = []
         self._caller_links = [Proxy() for _ in range(entries)]
         self._worker_links = [Proxy() for _ in range(workers)]
+        self._worker_names = [f"w{index}" for index in range(workers)]
         self._expected_exits: set[int] = set()
         # Indices of entries that a fault in progress will restart.
         self._restarting_entries: set[int] = set()
@@ -187,7 +188,7 @@
 
     async def _start_worker(self, index: int) -> None:
         link = self._worker_links[index]
-        name = f"w{index}"
+        name = self._worker_names[index]
         rate = 1 + self._rng.uniform(-MAX_CLOCK_DRIFT, MAX_CLOCK_DRIFT)
         await self.platform.add_worker(
             name,
@@ -307,13 +308,28 @@
 
     async def _crash_worker(self, fault: Fault) -> None:
         index = fault.target % len(self._worker_links)
-        name = f"w{index}"
+        name = self._worker_names[index]
         if name not in self.platform.worker_names:
             return
         await self.platform.crash_worker(name)
         await asyncio.sleep(fault.for_s)
         await self._start_worker(index)
 
+    async def _replace_worker(self, fault: Fault) -> None:
+        """Starts another worker at the address of one that has crashed.
+
+        The registration of the crashed one remains for the fault's duration.
+        """
+        index = fault.target % len(self._worker_links)
+        name = self._worker_names[index]
+        if name not in self.platform.worker_names:
+            return
+        await self.platform.crash_worker(name)
+        self._worker_names[index] = f"w{index}-{fault.variant}"
+        await self._start_worker(index)
+        await asyncio.sleep(fault.for_s)
+        self.platform.publish("keyed.servers", name, None)
+
     async def _refuse_store_calls(self, fault: Fault) -> None:
         self.platform.store_status = 503
         await asyncio.sleep(fault.for_s)
@@ -378,6 +394,7 @@
             self._worker_links, fault
         ),
         FaultKind.WORKER_CRASH: _crash_worker,
+        FaultKind.WORKER_REPLACED: _replace_worker,
         FaultKind.STORE_REFUSES: _refuse_store_calls,
         FaultKind.STORE_LOSES_ANSWERS: _drop_store_responses,
         FaultKind.STORE_EXPIRES: _drop_history,
--- a/standins/soak/mutants.py
+++ b/standins/soak/mutants.py
@@ -16,6 +16,7 @@
 from sardinedrift.engine.model import ENDED_STATES, JobState
 from sardinedrift.engine.work import Job
 from sardinedrift.identifiers import TeamId
+from sardinedrift.platform import daemon, http
 from sardinedrift.platform.__main__ import main
 from sardinedrift.platform.daemon import Daemon
 from sardinedrift.platform.nextconnections import Connection
@@ -107,6 +108,12 @@
     Connection.leads_to_process_of = lambda self, connection_id: True
 
 
+def share_report_connections() -> None:
+    """Uses the report connections of an address for all workers there."""
+    http._peer_of = lambda body: None
+    daemon.REPORT_CONNECTIONS = daemon.ORDER_CONNECTIONS
+
+
 def keep_withdrawn_keys() -> None:
     """Accepts any key as one of the client account `team`."""
     Entry.authenticate = lambda self, queue, key: TeamId("team")
@@ -148,6 +155,7 @@
         show_completed_early,
         show_old_states,
         acknowledge_to_any_process,
+        share_report_connections,
         keep_withdrawn_keys,
         ignore_evacuations,
         end_by_itself,
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -24,6 +24,7 @@
     generate_crowds,
     generate_evacuations,
     generate_faults,
+    generate_replacements,
 )
 
 # The operators' documentation allows 15 s from the last fault until service is
@@ -90,8 +91,8 @@
 def _make_schedule(plan: Plan, rng: random.Random) -> list[Fault]:
     """Returns the faults of a seed in time order.
 
-    Evacuations and crowds have sources of random numbers of their own, so that
-    a seed keeps its other faults.
+    Evacuations, replacements and crowds have sources of random numbers of their
+    own, so that a seed keeps its other faults.
     """
     duration_s = plan.duration_s
     schedules = [
@@ -99,6 +100,9 @@
         generate_evacuations(
             random.Random(f"evacuations {plan.seed}"), duration_s
         ),
+        generate_replacements(
+            random.Random(f"replacements {plan.seed}"), duration_s
+        ),
     ]
     if plan.hostile_clients:
         schedules.append(generate_crowds(random.Random(plan.seed), duration_s))
--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -11,6 +11,7 @@
 MIN_DURATION_S = 0.3
 MEAN_EVACUATION_INTERVAL_S = 6.0
 MEAN_CROWD_INTERVAL_S = 4.0
+MEAN_REPLACEMENT_INTERVAL_S = 7.0
 
 
 class FaultKind(enum.Enum):
@@ -24,6 +25,7 @@
     CALLER_LINK = "harm the callers' link to an entry"
     WORKER_LINK = "harm a worker's link"
     WORKER_CRASH = "crash a worker"
+    WORKER_REPLACED = "crash a worker, and start another at its address"
     STORE_REFUSES = "the store refuses all calls"
     STORE_LOSES_ANSWERS = "the store breaks connections in place of answers"
     STORE_EXPIRES = "the store drops its history"
@@ -99,6 +101,16 @@
         at_s += rng.expovariate(1 / MEAN_CROWD_INTERVAL_S)
 
 
+def generate_replacements(
+    rng: random.Random, duration_s: float
+) -> Iterator[Fault]:
+    """Yields the replacements of workers, in time order."""
+    at_s = rng.expovariate(1 / MEAN_REPLACEMENT_INTERVAL_S)
+    while at_s < duration_s:
+        yield _fault(rng, at_s, FaultKind.WORKER_REPLACED)
+        at_s += rng.expovariate(1 / MEAN_REPLACEMENT_INTERVAL_S)
+
+
 def _fault(rng: random.Random, at_s: float, kind: FaultKind) -> Fault:
     """Returns a fault with a random target, duration and variant."""
     return Fault(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -103,6 +103,11 @@
             ("UNASKED", completed, [make_run(task="b000000000000001.0.0.0")]),
             ("STATE", make_job("completed", "running"), [make_run()]),
             ("MIXED", completed, [make_run(how="lapsed")]),
+            (
+                "LAPSED",
+                completed,
+                [make_run(1, 9.1, 13.6, "lapsed"), make_run(2, 13.7, 14.0)],
+            ),
             ("LOST", make_job("running"), [make_run()]),
             ("LOST", make_job("", "completed"), [make_run()]),
             ("LOST", make_job("failed"), [make_run()]),
