Let reports wait again once the stop of an unanswered start is sent

Cause: found when the diff was read. A run whose start had no answer asked for reports without a wait, also after its stop was sent; a worker that didn't accept the stop would be asked at once again until it did. Change: the mark of the unanswered start ends with the stop, and while a stop is not accepted, reports have the short wait of the degraded period. Ruled out: the usual wait of 1 s, as the task would begin again up to a second later: test_a_start_that_no_report_shows_is_stopped failed with it.

--- a/sardinedrift/engine/orders.py
+++ b/sardinedrift/engine/orders.py
@@ -91,7 +91,7 @@
             self._stops.begin(run)
 
     def stop_unstarted(self, run: Run) -> None:
-        """Stops a run without an answer that a report does not list.
+        """Stops a run whose start had no answer and that no report shows.
 
         Its start may still be carried out until the worker accepts the stop.
         """
--- a/sardinedrift/engine/sessions.py
+++ b/sardinedrift/engine/sessions.py
@@ -26,9 +26,9 @@
 # Longest time for which a worker may hold back a report until a run ends.
 # Leases are renewed at least at this interval.
 REPORT_WAIT_MS = 1000
-# The same for a worker with short tasks, within the degraded period after an
-# order was left without an answer: a lost report hides the ends of tasks until
-# the next one.
+# The same while a stop is being sent, and for a worker with short tasks within
+# the degraded period after an order was left without an answer: a lost report
+# hides the ends of tasks until the next one.
 DEGRADED_WAIT_MS = 300
 DEGRADED_PERIOD_S = 5.0
 RETRY_INTERVAL_S = 0.3
@@ -197,8 +197,10 @@
         if not worker.contacted or worker.suspect or not worker.run_by_task:
             return 0
         runs = worker.run_by_task.values()
-        if any(_needs_next_report(run) for run in runs):
+        if any(needs_next_report(run) for run in runs):
             return 0
+        if any(_awaits_stop(run) for run in runs):
+            return DEGRADED_WAIT_MS
         has_short_tasks = any(not run.task.step.long_running for run in runs)
         since_unanswered_s = (
             self._control.clock.boot() - self._control.last_unanswered_at
@@ -238,7 +240,12 @@
         )
 
 
-def _needs_next_report(run: Run) -> bool:
+def _awaits_stop(run: Run) -> bool:
+    """Whether a stop was not accepted yet; a report ends the run after that."""
+    return run.phase is RunPhase.STOPPING and run.settled_at is None
+
+
+def needs_next_report(run: Run) -> bool:
     """Whether the next report decides what becomes of a run."""
     if run.phase is RunPhase.RUNNING:
         return False
--- a/sardinedrift/engine/stops.py
+++ b/sardinedrift/engine/stops.py
@@ -48,6 +48,7 @@
             return
         run.phase = RunPhase.STOPPING
         run.settled_at = None
+        run.unanswered_at = None
         self._spawn(self._stop(run))
 
     def begin_stray(self, worker: Worker, task_id: TaskId, number: int) -> None:
--- a/tests/test_engine_unanswered.py
+++ b/tests/test_engine_unanswered.py
@@ -1,10 +1,15 @@
 """Tests of starts that workers carry out but do not answer."""
 
 import asyncio
+from unittest import mock
 
+from sardinedrift.engine import sessions
+from sardinedrift.engine.model import RunPhase
 from sardinedrift.engine.orders import MAX_START_ATTEMPTS
+from sardinedrift.engine.stops import Stops
 from tests.engine_case import LEASE_S, EngineTest
 from tests.engine_node import Node
+from tests.engine_samples import make_job
 from tests.engine_world import World, long_running, short, submission
 
 TASKS = 3
@@ -59,6 +64,21 @@
 
         self.run_scenario(scenario, task_duration_s=lambda task: None)
 
+    def test_reports_have_a_wait_again_once_the_stop_is_sent(self):
+        """Guards against one report after the other until a stop is accepted.
+
+        Only the first report decides what becomes of an unanswered start.
+        """
+        job = make_job("a", long_running(1))
+        (task,) = job.tasks()
+        run = job.place(task, "w0", 1, 1.0)
+        run.phase = RunPhase.ORDERED
+        run.unanswered_at = 2.0
+        self.assertTrue(sessions.needs_next_report(run))
+        stops = Stops(*(mock.Mock() for _ in range(5)))
+        stops.begin(run)
+        self.assertFalse(sessions.needs_next_report(run))
+
     def test_a_start_that_no_report_shows_is_stopped(self):
         """Guards against a second run beside one that begins late."""
         late_s = 4.0
